--- /dev/null
+++ b/crates/coordination/membership/src/member.rs
@@ -0,0 +1,42 @@
+//! One known instance.
+
+use std::net;
+use std::sync::Arc;
+
+use marjoramwing_derives as derives;
+use marjoramwing_entity::incarnation;
+
+/// An instance as this one knows it.
+#[derives::record]
+#[derive(serde::Serialize)]
+pub struct Member {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Address for callers.
+    pub callers: net::SocketAddr,
+    /// Address for peers.
+    pub peers: net::SocketAddr,
+    /// Site.
+    pub site: Arc<str>,
+    /// Region.
+    pub region: Arc<str>,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Run of its process, once the instance was heard from.
+    pub incarnation: Option<incarnation::Incarnation>,
+    /// State as far as known here.
+    pub state: MemberState,
+}
+
+/// State of a member.
+#[derives::value]
+#[derive(serde::Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum MemberState {
+    /// Answers and takes requests.
+    Live,
+    /// Has not answered of late.
+    Suspect,
+    /// Finishes its requests and takes no new ones.
+    Leaving,
+}
--- /dev/null
+++ b/crates/protocol/events/src/catalogue.rs
@@ -0,0 +1,75 @@
+//! The catalogue of numbered events.
+//!
+//! Numbers are never reused: 1xxx instance, 2xxx configuration and store,
+//! 3xxx callers, 4xxx backend servers, 5xxx peers and fleet.
+
+use tracing::Level;
+
+/// One kind of log event.
+#[derive(Debug, Clone, Copy)]
+pub struct EventSpec {
+    /// Number that never changes.
+    pub number: u16,
+    /// Level at which the event is logged.
+    pub level: Level,
+    /// Text of the log line.
+    pub text: &'static str,
+    /// What an operator does about it.
+    pub remedy: &'static str,
+}
+
+macro_rules! events {
+    ($($(#[$attribute:meta])* $name:ident = $number:literal, $level:ident, $text:literal, $remedy:literal;)+) => {
+        $(
+            $(#[$attribute])*
+            pub const $name: EventSpec = EventSpec {
+                number: $number,
+                level: Level::$level,
+                text: $text,
+                remedy: $remedy,
+            };
+        )+
+
+        /// All events, in the order of their numbers.
+        pub const ALL: &[EventSpec] = &[$($name),+];
+    };
+}
+
+events! {
+    /// The instance listens on all its ports.
+    INSTANCE_STARTED = 1001, INFO, "instance started", "none";
+    /// A planned stop began.
+    STOP_BEGAN = 1002, INFO, "planned stop began; finishing open requests", "none";
+    /// All requests ended and the process exits.
+    STOP_FINISHED = 1003, INFO, "planned stop finished", "none";
+    /// A second signal ended the process with requests open.
+    STOP_FORCED = 1004, WARN, "second stop signal; open requests are cut", "send one signal and wait";
+    /// Requests were still open when the longest wait of a planned stop ended.
+    STOP_TIMED_OUT = 1005, WARN, "planned stop reached its longest wait with requests open", "look for backend servers that do not answer";
+
+    /// A new set of tables is in force.
+    TABLES_APPLIED = 2001, INFO, "tables applied", "none";
+    /// An object was not accepted; the previous one stays in force.
+    TABLES_REFUSED = 2002, ERROR, "object refused; the previous tables stay in force", "correct the object; its faults are in the status object and the dump";
+    /// The store did not answer.
+    STORE_UNREACHABLE = 2003, WARN, "object API did not answer; retrying", "check the platform's object API; traffic goes on with the tables in force";
+    /// The store answers again.
+    STORE_REACHABLE = 2004, INFO, "object API answers again", "none";
+
+    /// A caller's connection ended with an error.
+    CALLER_CONNECTION_FAILED = 3001, DEBUG, "caller connection ended with an error", "none";
+    /// A connection was refused since too many are open.
+    CALLER_CONNECTION_REFUSED = 3002, WARN, "caller connection refused; too many are open", "raise callers.max_connections or look for callers that open too many";
+
+    /// A backend server could not be reached.
+    BACKEND_CONNECT_FAILED = 4001, WARN, "backend server refused the connection; trying another", "check the backend server or remove it from its pool";
+    /// A backend server broke off an exchange.
+    BACKEND_EXCHANGE_FAILED = 4002, WARN, "backend server broke off the exchange", "check the backend server";
+
+    /// A peer link was opened.
+    PEER_CONNECTED = 5001, DEBUG, "peer link opened", "none";
+    /// A peer link ended.
+    PEER_DISCONNECTED = 5002, DEBUG, "peer link ended", "none";
+    /// A peer failed to prove the deployment's secret.
+    PEER_REFUSED = 5003, WARN, "peer refused; it does not hold the deployment's secret", "give all instances the same peer secret";
+}
--- /dev/null
+++ b/crates/protocol/object-api/src/version.rs
@@ -0,0 +1,16 @@
+//! Object versions as HTTP entity tags.
+
+use marjoramwing_objects::object;
+
+/// Writes a version as a strong entity tag.
+#[must_use]
+pub fn to_entity_tag(version: object::ObjectVersion) -> String {
+    format!("\"{version}\"")
+}
+
+/// Reads a version from a strong entity tag.
+#[must_use]
+pub fn from_entity_tag(tag: &str) -> Option<object::ObjectVersion> {
+    let digits = tag.strip_prefix('"')?.strip_suffix('"')?;
+    digits.parse().ok().map(object::ObjectVersion)
+}
--- /dev/null
+++ b/crates/protocol/peer/src/frame.rs
@@ -0,0 +1,82 @@
+//! The codec of frames.
+
+use marjoramwing_derives as derives;
+use prost::Message;
+use tokio_util::codec;
+use tokio_util::codec::Decoder;
+use tokio_util::codec::Encoder;
+
+use crate::message;
+
+/// Largest frame, in bytes: one object of the store and its envelope.
+pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
+
+/// Why a frame could not be read or written.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum FrameError {
+    /// The socket failed or the frame is too long.
+    #[display("frame could not be carried ({_0}); the link is closed and opened anew")]
+    Io(std::io::Error),
+    /// The frame does not hold a message.
+    #[display("frame holds no message ({_0}); run one version of the program on all instances")]
+    Decode(prost::DecodeError),
+}
+
+/// Reads and writes envelopes.
+#[derive(Debug)]
+pub struct EnvelopeCodec {
+    frames: codec::LengthDelimitedCodec,
+}
+
+impl EnvelopeCodec {
+    /// Makes a codec with the protocol's bound on frames.
+    #[must_use]
+    pub fn new() -> Self {
+        let frames =
+            codec::LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+        Self { frames }
+    }
+}
+
+impl Default for EnvelopeCodec {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Decoder for EnvelopeCodec {
+    type Item = message::Envelope;
+    type Error = FrameError;
+
+    fn decode(&mut self, source: &mut bytes::BytesMut) -> Result<Option<Self::Item>, FrameError> {
+        let Some(frame) = self.frames.decode(source)? else {
+            return Ok(None);
+        };
+        let envelope = message::Envelope::decode(frame.freeze())?;
+        Ok(Some(envelope))
+    }
+}
+
+impl Encoder<message::Envelope> for EnvelopeCodec {
+    type Error = FrameError;
+
+    fn encode(
+        &mut self,
+        envelope: message::Envelope,
+        target: &mut bytes::BytesMut,
+    ) -> Result<(), FrameError> {
+        let frame = bytes::Bytes::from(envelope.encode_to_vec());
+        self.frames.encode(frame, target)?;
+        Ok(())
+    }
+}
+
+/// Counts what a link carried.
+#[derives::value]
+#[derive(Default)]
+pub struct LinkCount {
+    /// Frames.
+    pub frames: u64,
+    /// Bytes.
+    pub bytes: u64,
+}
--- /dev/null
+++ b/crates/protocol/peer/src/lib.rs
@@ -0,0 +1,13 @@
+//! The protocol between instances.
+//!
+//! Frames are length-delimited and bounded; each holds one prost message.
+//! A link starts with a handshake in which both ends prove that they hold the
+//! deployment's secret; only then are other messages accepted.
+//!
+//! - [`frame`]: the codec of frames.
+//! - [`handshake`]: proof of the deployment's secret.
+//! - [`message`]: the messages.
+
+pub mod frame;
+pub mod handshake;
+pub mod message;
--- /dev/null
+++ b/crates/protocol/settings/src/document.rs
@@ -0,0 +1,135 @@
+//! The raw TOML document of an instance's settings.
+//!
+//! Unknown members are refused, so that a misspelt one is never ignored.
+
+use std::path;
+use std::sync::Arc;
+
+use marjoramwing_derives as derives;
+
+/// The whole settings document.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct SettingsDocument {
+    /// Who this instance is.
+    pub instance: InstanceDocument,
+    /// Where it listens.
+    pub listen: ListenDocument,
+    /// Where the platform's object API is.
+    pub store: StoreDocument,
+    /// Where the shared secrets are.
+    pub secrets: SecretsDocument,
+    /// Limits of the caller port.
+    #[serde(default)]
+    pub callers: CallersDocument,
+    /// What the deployment weighs more.
+    #[serde(default)]
+    pub objective: ObjectiveDocument,
+}
+
+/// The `[instance]` table.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct InstanceDocument {
+    /// Unique name of the instance.
+    pub name: Arc<str>,
+    /// Site of the instance.
+    pub site: Arc<str>,
+    /// Region of the instance.
+    pub region: Arc<str>,
+    /// Failure domain of the instance.
+    pub failure_domain: Arc<str>,
+}
+
+/// The `[listen]` table: IP addresses and ports.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct ListenDocument {
+    /// For callers.
+    pub callers: Arc<str>,
+    /// For peers.
+    pub peers: Arc<str>,
+    /// For operators.
+    pub admin: Arc<str>,
+}
+
+/// The `[store]` table.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct StoreDocument {
+    /// IP address and port of the object API.
+    pub address: Arc<str>,
+    /// Longest wait for one call, in milliseconds.
+    #[serde(default = "default_store_timeout_ms")]
+    pub timeout_ms: u64,
+}
+
+/// The `[secrets]` table: for each secret a file or an environment variable.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct SecretsDocument {
+    /// File with the deployment's peer secret.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer_file: Option<path::PathBuf>,
+    /// Environment variable with the deployment's peer secret.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer_env: Option<Arc<str>>,
+    /// File with the operators' secret.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admin_file: Option<path::PathBuf>,
+    /// Environment variable with the operators' secret.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admin_env: Option<Arc<str>>,
+}
+
+/// The `[callers]` table.
+#[derives::document]
+#[serde(default, deny_unknown_fields)]
+pub struct CallersDocument {
+    /// Largest request head, in bytes.
+    pub max_header_bytes: u64,
+    /// Longest wait for a request's head, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Longest pause between two parts of a body, in milliseconds.
+    pub body_pause_ms: u64,
+    /// Callers' connections at once.
+    pub max_connections: u64,
+}
+
+impl Default for CallersDocument {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 32 * 1024,
+            header_timeout_ms: 10_000,
+            body_pause_ms: 10_000,
+            max_connections: 10_000,
+        }
+    }
+}
+
+/// The `[objective]` table.
+#[derives::document]
+#[derive(Default)]
+#[serde(default, deny_unknown_fields)]
+pub struct ObjectiveDocument {
+    /// What the deployment weighs more.
+    pub weigh: WeighDocument,
+}
+
+/// What a deployment weighs more.
+#[derives::document]
+#[derive(Default, Copy)]
+#[serde(rename_all = "lowercase")]
+pub enum WeighDocument {
+    /// The worst-served team and wrongful refusals.
+    #[default]
+    Fairness,
+    /// Latency and headroom.
+    Latency,
+}
+
+const DEFAULT_STORE_TIMEOUT_MS: u64 = 2_000;
+
+fn default_store_timeout_ms() -> u64 {
+    DEFAULT_STORE_TIMEOUT_MS
+}
--- /dev/null
+++ b/crates/protocol/settings/src/lib.rs
@@ -0,0 +1,11 @@
+//! Settings of an instance, read from TOML and checked.
+//!
+//! - [`document`]: the raw TOML document.
+//! - [`fault`]: what is wrong with settings, where, and the remedy.
+//! - [`secret`]: secrets from files or the environment.
+//! - [`settings`]: the checked settings.
+
+pub mod document;
+pub mod fault;
+pub mod secret;
+pub mod settings;
--- /dev/null
+++ b/crates/protocol/settings/src/secret.rs
@@ -0,0 +1,74 @@
+//! Secrets from files or the environment, never from the command line.
+
+use std::env;
+use std::fmt;
+use std::fs;
+use std::path;
+use std::sync::Arc;
+
+use crate::fault;
+
+const MIN_SECRET_BYTES: usize = 16;
+
+/// A shared secret whose `Debug` form hides it.
+#[derive(Clone)]
+pub struct SharedSecret(Arc<[u8]>);
+
+impl SharedSecret {
+    /// Makes a secret from its bytes, without a check.
+    #[must_use]
+    pub fn from_bytes(bytes: &[u8]) -> Self {
+        Self(bytes.into())
+    }
+
+    /// Returns the bytes of the secret.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl fmt::Debug for SharedSecret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SharedSecret(..)")
+    }
+}
+
+/// Where a secret is kept.
+#[derive(Debug)]
+pub(crate) struct SecretSource<'a> {
+    pub(crate) file: Option<&'a path::Path>,
+    pub(crate) env: Option<&'a Arc<str>>,
+    pub(crate) file_member: &'static str,
+    pub(crate) env_member: &'static str,
+}
+
+impl SecretSource<'_> {
+    pub(crate) fn load(&self) -> Result<SharedSecret, fault::FaultKind> {
+        let text = match (self.file, self.env) {
+            (Some(file), None) => read_file(file)?,
+            (None, Some(variable)) => read_variable(variable)?,
+            _ => return Err(self.ambiguous()),
+        };
+        let trimmed = text.trim();
+        if trimmed.len() < MIN_SECRET_BYTES {
+            let length = trimmed.len();
+            return Err(fault::FaultKind::ShortSecret { length, least: MIN_SECRET_BYTES });
+        }
+        Ok(SharedSecret::from_bytes(trimmed.as_bytes()))
+    }
+
+    fn ambiguous(&self) -> fault::FaultKind {
+        fault::FaultKind::SecretSource { file: self.file_member, env: self.env_member }
+    }
+}
+
+fn read_file(file: &path::Path) -> Result<String, fault::FaultKind> {
+    fs::read_to_string(file).map_err(|error| {
+        fault::FaultKind::Unreadable(format!("{}: {error}", file.display()).into())
+    })
+}
+
+fn read_variable(variable: &Arc<str>) -> Result<String, fault::FaultKind> {
+    env::var(&**variable).map_err(|_| fault::FaultKind::Environment(Arc::clone(variable)))
+}
--- /dev/null
+++ b/crates/protocol/settings/src/settings.rs
@@ -0,0 +1,254 @@
+//! The checked settings of an instance.
+
+use std::fs;
+use std::net;
+use std::path;
+use std::sync::Arc;
+use std::time;
+
+use marjoramwing_derives as derives;
+use marjoramwing_tables::name;
+
+use crate::document;
+use crate::fault;
+use crate::secret;
+
+const STORE_TIMEOUT_RANGE_MS: (u64, u64) = (50, 60_000);
+const HEADER_BYTES_RANGE: (u64, u64) = (8 * 1024, 1024 * 1024);
+const TIMEOUT_RANGE_MS: (u64, u64) = (100, 600_000);
+const CONNECTIONS_RANGE: (u64, u64) = (1, 1_000_000);
+
+/// Everything an instance is told at its start.
+#[derive(Debug, Clone)]
+pub struct InstanceSettings {
+    /// Who this instance is.
+    pub identity: InstanceIdentity,
+    /// Where it listens.
+    pub listen: ListenAddresses,
+    /// Where the platform's object API is.
+    pub store: StoreSettings,
+    /// Secret shared by the deployment's instances.
+    pub peer_secret: secret::SharedSecret,
+    /// Secret shared by the deployment's operators.
+    pub admin_secret: secret::SharedSecret,
+    /// Limits of the caller port.
+    pub callers: CallerLimits,
+    /// What the deployment weighs more.
+    pub objective: DeploymentObjective,
+}
+
+/// Who an instance is.
+#[derives::record]
+pub struct InstanceIdentity {
+    /// Unique name.
+    pub name: name::InstanceName,
+    /// Site.
+    pub site: name::SiteName,
+    /// Region.
+    pub region: name::RegionName,
+    /// Failure domain.
+    pub failure_domain: name::DomainName,
+}
+
+/// Where an instance listens.
+#[derives::value]
+pub struct ListenAddresses {
+    /// For callers.
+    pub callers: net::SocketAddr,
+    /// For peers.
+    pub peers: net::SocketAddr,
+    /// For operators.
+    pub admin: net::SocketAddr,
+}
+
+/// Where the object API is and how long to wait for it.
+#[derives::value]
+pub struct StoreSettings {
+    /// Address of the object API.
+    pub address: net::SocketAddr,
+    /// Longest wait for one call.
+    pub timeout: time::Duration,
+}
+
+/// Limits of the caller port.
+#[derives::value]
+pub struct CallerLimits {
+    /// Largest request head, in bytes.
+    pub max_header_bytes: usize,
+    /// Longest wait for a request's head.
+    pub header_timeout: time::Duration,
+    /// Longest pause between two parts of a body.
+    pub body_pause: time::Duration,
+    /// Callers' connections at once.
+    pub max_connections: usize,
+}
+
+/// What a deployment weighs more.
+#[derives::value]
+pub enum DeploymentObjective {
+    /// The worst-served team and wrongful refusals.
+    Fairness,
+    /// Latency and headroom.
+    Latency,
+}
+
+impl InstanceSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the file.
+    pub fn load(file: &path::Path) -> Result<Self, fault::FaultList> {
+        let text = fs::read_to_string(file).map_err(|error| {
+            let reason = fault::FaultKind::Unreadable(error.to_string().into());
+            fault::FaultList::one(&file.display().to_string(), reason)
+        })?;
+        Self::try_from(text.as_str())
+    }
+}
+
+impl TryFrom<&str> for InstanceSettings {
+    type Error = fault::FaultList;
+
+    fn try_from(text: &str) -> Result<Self, Self::Error> {
+        let document: document::SettingsDocument = toml::from_str(text).map_err(|error| {
+            let reason = fault::FaultKind::Syntax(error.to_string().trim_end().into());
+            fault::FaultList::one("settings", reason)
+        })?;
+        Self::try_from(&document)
+    }
+}
+
+impl TryFrom<&document::SettingsDocument> for InstanceSettings {
+    type Error = fault::FaultList;
+
+    fn try_from(raw: &document::SettingsDocument) -> Result<Self, Self::Error> {
+        let mut faults = fault::FaultList::default();
+        let identity = check_identity(&mut faults, &raw.instance);
+        let listen = check_listen(&mut faults, &raw.listen);
+        let store = check_store(&mut faults, &raw.store);
+        let peer_secret = faults.check("secrets", peer_source(&raw.secrets).load());
+        let admin_secret = faults.check("secrets", admin_source(&raw.secrets).load());
+        let callers = check_callers(&mut faults, &raw.callers);
+        let objective = match raw.objective.weigh {
+            document::WeighDocument::Fairness => DeploymentObjective::Fairness,
+            document::WeighDocument::Latency => DeploymentObjective::Latency,
+        };
+        let checked = (|| {
+            Some(Self {
+                identity: identity?,
+                listen: listen?,
+                store: store?,
+                peer_secret: peer_secret?,
+                admin_secret: admin_secret?,
+                callers: callers?,
+                objective,
+            })
+        })();
+        checked.ok_or(faults)
+    }
+}
+
+fn check_identity(
+    faults: &mut fault::FaultList,
+    raw: &document::InstanceDocument,
+) -> Option<InstanceIdentity> {
+    let name = faults.check("instance.name", check_name(&raw.name));
+    let site = faults.check("instance.site", check_name(&raw.site));
+    let region = faults.check("instance.region", check_name(&raw.region));
+    let failure_domain = faults.check("instance.failure_domain", check_name(&raw.failure_domain));
+    Some(InstanceIdentity {
+        name: name?,
+        site: site?,
+        region: region?,
+        failure_domain: failure_domain?,
+    })
+}
+
+fn check_name<'a, N: TryFrom<&'a Arc<str>>>(text: &'a Arc<str>) -> Result<N, fault::FaultKind> {
+    N::try_from(text).map_err(|_| fault::FaultKind::Name(Arc::clone(text)))
+}
+
+fn check_listen(
+    faults: &mut fault::FaultList,
+    raw: &document::ListenDocument,
+) -> Option<ListenAddresses> {
+    let callers = faults.check("listen.callers", check_address(&raw.callers));
+    let peers = faults.check("listen.peers", check_address(&raw.peers));
+    let admin = faults.check("listen.admin", check_address(&raw.admin));
+    let listen = ListenAddresses { callers: callers?, peers: peers?, admin: admin? };
+    let peers = check_distinct(listen.peers, &[("listen.callers", listen.callers)]);
+    let peers = faults.check("listen.peers", peers);
+    let others = [("listen.callers", listen.callers), ("listen.peers", listen.peers)];
+    let admin = faults.check("listen.admin", check_distinct(listen.admin, &others));
+    Some(ListenAddresses { callers: listen.callers, peers: peers?, admin: admin? })
+}
+
+fn check_distinct(
+    address: net::SocketAddr,
+    others: &[(&'static str, net::SocketAddr)],
+) -> Result<net::SocketAddr, fault::FaultKind> {
+    match others.iter().find(|(_, other)| *other == address) {
+        Some((member, _)) => Err(fault::FaultKind::SameAddress(member)),
+        None => Ok(address),
+    }
+}
+
+fn check_store(
+    faults: &mut fault::FaultList,
+    raw: &document::StoreDocument,
+) -> Option<StoreSettings> {
+    let address = faults.check("store.address", check_address(&raw.address));
+    let timeout = check_range(raw.timeout_ms, STORE_TIMEOUT_RANGE_MS);
+    let timeout = faults.check("store.timeout_ms", timeout);
+    Some(StoreSettings { address: address?, timeout: time::Duration::from_millis(timeout?) })
+}
+
+fn check_callers(
+    faults: &mut fault::FaultList,
+    raw: &document::CallersDocument,
+) -> Option<CallerLimits> {
+    let header_bytes = check_range(raw.max_header_bytes, HEADER_BYTES_RANGE);
+    let header_bytes = faults.check("callers.max_header_bytes", header_bytes);
+    let header_timeout = check_range(raw.header_timeout_ms, TIMEOUT_RANGE_MS);
+    let header_timeout = faults.check("callers.header_timeout_ms", header_timeout);
+    let body_pause = check_range(raw.body_pause_ms, TIMEOUT_RANGE_MS);
+    let body_pause = faults.check("callers.body_pause_ms", body_pause);
+    let connections = check_range(raw.max_connections, CONNECTIONS_RANGE);
+    let connections = faults.check("callers.max_connections", connections);
+    Some(CallerLimits {
+        max_header_bytes: usize::try_from(header_bytes?).ok()?,
+        header_timeout: time::Duration::from_millis(header_timeout?),
+        body_pause: time::Duration::from_millis(body_pause?),
+        max_connections: usize::try_from(connections?).ok()?,
+    })
+}
+
+fn check_address(text: &Arc<str>) -> Result<net::SocketAddr, fault::FaultKind> {
+    text.parse().map_err(|_| fault::FaultKind::Address(Arc::clone(text)))
+}
+
+fn check_range(value: u64, (low, high): (u64, u64)) -> Result<u64, fault::FaultKind> {
+    if (low..=high).contains(&value) {
+        return Ok(value);
+    }
+    Err(fault::FaultKind::Range { value, low, high })
+}
+
+fn peer_source(raw: &document::SecretsDocument) -> secret::SecretSource<'_> {
+    secret::SecretSource {
+        file: raw.peer_file.as_deref(),
+        env: raw.peer_env.as_ref(),
+        file_member: "peer_file",
+        env_member: "peer_env",
+    }
+}
+
+fn admin_source(raw: &document::SecretsDocument) -> secret::SecretSource<'_> {
+    secret::SecretSource {
+        file: raw.admin_file.as_deref(),
+        env: raw.admin_env.as_ref(),
+        file_member: "admin_file",
+        env_member: "admin_env",
+    }
+}
--- /dev/null
+++ b/crates/protocol/settings/tests/settings.rs
@@ -0,0 +1,55 @@
+//! Bad settings get every fault in one run, each with its place and remedy.
+
+use std::path;
+
+use marjoramwing_settings::settings;
+
+const BAD: &str = r#"
+[instance]
+name = "Palermo A"
+site = "palermo-a"
+region = ""
+failure_domain = "palermo-a"
+
+[listen]
+callers = "localhost:7101"
+peers = "127.0.0.1:7201"
+admin = "127.0.0.1:7201"
+
+[store]
+address = "127.0.0.1:7000"
+timeout_ms = 1
+
+[secrets]
+peer_env = "MARJORAMWING_TEST_NOT_SET"
+
+[callers]
+max_header_bytes = 1
+"#;
+
+#[test]
+fn all_faults_are_told_at_once() {
+    let faults = settings::InstanceSettings::try_from(BAD).unwrap_err();
+    insta::assert_snapshot!(faults, @r"
+    instance.name: `Palermo A` is not a name; use 1 to 63 of a-z, 0-9, `-`, `_` and `.`
+    instance.region: `` is not a name; use 1 to 63 of a-z, 0-9, `-`, `_` and `.`
+    listen.callers: `localhost:7101` is not an address; write an IP address and port such as 10.0.0.1:7100
+    store.timeout_ms: 1 is out of range; use 50 to 60000
+    secrets: the environment variable `MARJORAMWING_TEST_NOT_SET` is not set; export it before the start
+    secrets: needs exactly one of `admin_file` and `admin_env`; set one and remove the other
+    callers.max_header_bytes: 1 is out of range; use 8192 to 1048576
+    ");
+}
+
+#[test]
+fn misspelt_member_is_refused() {
+    let text = BAD.replace("max_header_bytes", "max_headers");
+    let faults = settings::InstanceSettings::try_from(text.as_str()).unwrap_err();
+    assert!(faults.to_string().contains("unknown field `max_headers`"));
+}
+
+#[test]
+fn missing_file_is_told() {
+    let faults = settings::InstanceSettings::load(path::Path::new("no/such.toml")).unwrap_err();
+    assert!(faults.to_string().starts_with("no/such.toml: cannot be read"));
+}
--- /dev/null
+++ b/crates/state/blocks/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/state/entity/src/lib.rs
@@ -0,0 +1,13 @@
+//! Dense entity keys, the maps they index, and points in time.
+//!
+//! - [`incarnation`]: one run of one process.
+//! - [`key`]: small `Copy` keys and the macro that declares them.
+//! - [`primary`]: the map that creates keys.
+//! - [`secondary`]: further data for keys of a primary map.
+//! - [`time`]: monotonic points in time, passed in by the caller.
+
+pub mod incarnation;
+pub mod key;
+pub mod primary;
+pub mod secondary;
+pub mod time;
--- /dev/null
+++ b/crates/state/tables/src/credential.rs
@@ -0,0 +1,123 @@
+//! Team keys: parsed from requests, stored and compared as hashes.
+//!
+//! Invariant: the secret text never leaves [`PresentedKey`], whose `Debug`
+//! form hides it; the tables hold hashes only.
+
+use std::fmt;
+use std::sync::Arc;
+
+use marjoramwing_derives as derives;
+use sha2::Digest;
+use subtle::ConstantTimeEq;
+
+use crate::fault;
+use crate::name;
+use crate::team;
+
+const HASH_BYTES: usize = 32;
+const MAX_KEY_BYTES: usize = 256;
+
+/// SHA-256 of a whole team key.
+#[derives::value]
+pub struct KeyHash([u8; HASH_BYTES]);
+
+impl KeyHash {
+    /// Hashes the whole text of a key.
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        Self(sha2::Sha256::digest(key.as_bytes()).into())
+    }
+
+    /// Compares two hashes in constant time.
+    #[must_use]
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl fmt::Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl TryFrom<&Arc<str>> for KeyHash {
+    type Error = fault::FaultKind;
+
+    fn try_from(text: &Arc<str>) -> Result<Self, Self::Error> {
+        parse_hash(text).ok_or_else(|| fault::FaultKind::Form {
+            text: Arc::clone(text),
+            expected: "a SHA-256 hash of 64 lower-case hexadecimal digits",
+        })
+    }
+}
+
+fn parse_hash(text: &str) -> Option<KeyHash> {
+    let digits = text.as_bytes();
+    if digits.len() != 2 * HASH_BYTES {
+        return None;
+    }
+    let mut hash = [0; HASH_BYTES];
+    for (byte, pair) in hash.iter_mut().zip(digits.chunks_exact(2)) {
+        *byte = hex_digit(pair[0])? << 4 | hex_digit(pair[1])?;
+    }
+    Some(KeyHash(hash))
+}
+
+fn hex_digit(byte: u8) -> Option<u8> {
+    match byte {
+        b'0'..=b'9' => Some(byte - b'0'),
+        b'a'..=b'f' => Some(byte - b'a' + 10),
+        _ => None,
+    }
+}
+
+/// A key as a caller presents it: an identifier, a dot and a secret.
+pub struct PresentedKey<'a> {
+    text: &'a str,
+    id: &'a str,
+}
+
+impl<'a> PresentedKey<'a> {
+    /// Splits a key's text; a text of another form gives `None`.
+    #[must_use]
+    pub fn parse(text: &'a str) -> Option<Self> {
+        if text.len() > MAX_KEY_BYTES {
+            return None;
+        }
+        let (id, secret) = text.split_once('.')?;
+        (!id.is_empty() && !secret.is_empty()).then_some(Self { text, id })
+    }
+
+    /// Returns the public identifier.
+    #[must_use]
+    pub fn id(&self) -> &'a str {
+        self.id
+    }
+
+    /// Hashes the whole key.
+    #[must_use]
+    pub fn hash(&self) -> KeyHash {
+        KeyHash::of(self.text)
+    }
+}
+
+impl fmt::Debug for PresentedKey<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PresentedKey").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
+/// A team key in force.
+#[derives::record]
+pub struct Credential {
+    /// Public identifier of the key.
+    pub id: name::KeyId,
+    /// Team that the key speaks for.
+    pub team: team::TeamKey,
+    /// Hash of the whole key.
+    pub hash: KeyHash,
+}
--- /dev/null
+++ b/crates/state/tables/src/document.rs
@@ -0,0 +1,210 @@
+//! The raw documents of the object API, before any check.
+//!
+//! Unknown members are refused, so that a misspelt one is never ignored.
+
+use std::sync::Arc;
+
+use marjoramwing_derives as derives;
+
+/// The `routes` object.
+#[derives::document]
+#[derive(Default)]
+#[serde(deny_unknown_fields)]
+pub struct RoutesDocument {
+    /// All routes; the most specific match serves a request.
+    pub routes: Vec<RouteDocument>,
+}
+
+/// One route of the `routes` object.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct RouteDocument {
+    /// Unique name of the route.
+    pub name: Arc<str>,
+    /// Host that the request must name; any host when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<Arc<str>>,
+    /// Path prefix, matched by whole segments.
+    pub path: Arc<str>,
+    /// Methods that the route serves; all when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub methods: Vec<Arc<str>>,
+    /// Pools in order of preference.
+    pub pools: Vec<Arc<str>>,
+    /// Who may use the route: `keyed` or `open`.
+    #[serde(default)]
+    pub access: AccessDocument,
+    /// Which requests may be run again.
+    #[serde(default)]
+    pub idempotent: IdempotenceDocument,
+    /// Longest time from the request's arrival to its answer, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u64,
+    /// Largest request body in bytes.
+    #[serde(default = "default_max_body_bytes")]
+    pub max_body_bytes: u64,
+    /// Requests per second over all teams and instances; no limit when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate: Option<f64>,
+    /// Requests at once over all teams and instances; required with `rate`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub burst: Option<u32>,
+}
+
+/// Who may use a route.
+#[derives::document]
+#[derive(Default, Copy)]
+#[serde(rename_all = "lowercase")]
+pub enum AccessDocument {
+    /// Only a team whose key comes with the request.
+    #[default]
+    Keyed,
+    /// Everyone; no key is needed.
+    Open,
+}
+
+/// Which requests of a route may be run again.
+#[derives::document]
+#[derive(Default, Copy)]
+#[serde(rename_all = "lowercase")]
+pub enum IdempotenceDocument {
+    /// As the method says (RFC 9110, section 9.2.2).
+    #[default]
+    Method,
+    /// Every request.
+    Always,
+    /// No request.
+    Never,
+}
+
+/// The `pools` object.
+#[derives::document]
+#[derive(Default)]
+#[serde(deny_unknown_fields)]
+pub struct PoolsDocument {
+    /// All pools.
+    pub pools: Vec<PoolDocument>,
+}
+
+/// One pool of the `pools` object.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct PoolDocument {
+    /// Unique name of the pool.
+    pub name: Arc<str>,
+    /// Backend servers of the pool.
+    pub servers: Vec<ServerDocument>,
+}
+
+/// One backend server of a pool.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct ServerDocument {
+    /// IP address and port.
+    pub address: Arc<str>,
+    /// Failure domain in which the server runs.
+    pub failure_domain: Arc<str>,
+    /// Requests that the server runs at once.
+    pub slots: u32,
+    /// Whether the server is being drained and takes no new request.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub draining: bool,
+}
+
+/// The `teams` object.
+#[derives::document]
+#[derive(Default)]
+#[serde(deny_unknown_fields)]
+pub struct TeamsDocument {
+    /// All teams.
+    pub teams: Vec<TeamDocument>,
+}
+
+/// One team of the `teams` object.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct TeamDocument {
+    /// Unique name of the team.
+    pub name: Arc<str>,
+    /// Requests per second over all instances.
+    pub rate: f64,
+    /// Requests at once over all instances.
+    pub burst: u32,
+}
+
+/// The `keys` object.
+#[derives::document]
+#[derive(Default)]
+#[serde(deny_unknown_fields)]
+pub struct KeysDocument {
+    /// All keys in force; withdrawing a key removes its entry.
+    pub keys: Vec<KeyDocument>,
+}
+
+/// One team key, as a hash.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct KeyDocument {
+    /// Public identifier, the part of the key before the dot.
+    pub id: Arc<str>,
+    /// Team that the key speaks for.
+    pub team: Arc<str>,
+    /// SHA-256 of the whole key, in lower-case hexadecimal digits.
+    pub sha256: Arc<str>,
+}
+
+/// The `steering` object.
+#[derives::document]
+#[derive(Default)]
+#[serde(deny_unknown_fields)]
+pub struct SteeringDocument {
+    /// Places where entry instances run.
+    pub sites: Vec<SiteDocument>,
+    /// Blocks of client addresses and their home sites.
+    #[serde(default)]
+    pub blocks: Vec<BlockDocument>,
+    /// Time for which callers may use a look-up answer, in milliseconds.
+    #[serde(default = "default_lookup_ttl_ms")]
+    pub lookup_ttl_ms: u64,
+}
+
+/// One site of the `steering` object.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct SiteDocument {
+    /// Unique name of the site.
+    pub name: Arc<str>,
+    /// Region of the site.
+    pub region: Arc<str>,
+    /// Failure domain of the site.
+    pub failure_domain: Arc<str>,
+    /// Whether traffic is to leave the site.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub draining: bool,
+}
+
+/// One block of client addresses.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct BlockDocument {
+    /// Address prefix in CIDR form.
+    pub prefix: Arc<str>,
+    /// Home site of the block.
+    pub site: Arc<str>,
+}
+
+const DEFAULT_DEADLINE_MS: u64 = 10_000;
+const DEFAULT_MAX_BODY_BYTES: u64 = 1 << 20;
+const DEFAULT_LOOKUP_TTL_MS: u64 = 2_000;
+
+fn default_deadline_ms() -> u64 {
+    DEFAULT_DEADLINE_MS
+}
+
+fn default_max_body_bytes() -> u64 {
+    DEFAULT_MAX_BODY_BYTES
+}
+
+fn default_lookup_ttl_ms() -> u64 {
+    DEFAULT_LOOKUP_TTL_MS
+}
--- /dev/null
+++ b/crates/state/tables/src/lib.rs
@@ -0,0 +1,18 @@
+//! Checked tables of routes, pools, teams, keys and steering.
+//!
+//! - [`document`]: the raw JSON documents that the object API holds.
+//! - [`fault`]: what is wrong with a document, where, and the remedy.
+//! - [`name`]: checked names.
+//! - [`credential`]: team keys, kept as hashes only.
+//! - [`route`], [`pool`], [`team`], [`site`]: the checked rows.
+//! - [`snapshot`]: one immutable set of all tables, made from documents.
+
+pub mod credential;
+pub mod document;
+pub mod fault;
+pub mod name;
+pub mod pool;
+pub mod route;
+pub mod site;
+pub mod snapshot;
+pub mod team;
--- /dev/null
+++ b/crates/state/tables/src/name.rs
@@ -0,0 +1,74 @@
+//! Checked names of routes, pools, teams, sites, regions and failure domains.
+
+use std::sync::Arc;
+
+use marjoramwing_derives as derives;
+
+use crate::fault;
+
+const MAX_NAME_BYTES: usize = 63;
+
+macro_rules! checked_name {
+    ($($(#[$attribute:meta])* $name:ident;)+) => {
+        $(
+            $(#[$attribute])*
+            #[derives::name]
+            #[derive(derive_more::Display)]
+            pub struct $name(Arc<str>);
+
+            impl $name {
+                /// Returns the name as text.
+                #[must_use]
+                pub fn as_str(&self) -> &str {
+                    &self.0
+                }
+
+                /// Returns the shared text of the name.
+                #[must_use]
+                pub fn text(&self) -> Arc<str> {
+                    Arc::clone(&self.0)
+                }
+            }
+
+            impl TryFrom<&Arc<str>> for $name {
+                type Error = fault::FaultKind;
+
+                fn try_from(text: &Arc<str>) -> Result<Self, Self::Error> {
+                    if is_name(text) {
+                        Ok(Self(Arc::clone(text)))
+                    } else {
+                        Err(fault::FaultKind::Name(Arc::clone(text)))
+                    }
+                }
+            }
+        )+
+    };
+}
+
+checked_name! {
+    /// Name of a route.
+    RouteName;
+    /// Name of a pool.
+    PoolName;
+    /// Name of a team.
+    TeamName;
+    /// Name of a site.
+    SiteName;
+    /// Name of a region.
+    RegionName;
+    /// Name of a failure domain.
+    DomainName;
+    /// Name of an instance.
+    InstanceName;
+    /// Public identifier of a team key.
+    KeyId;
+}
+
+fn is_name(text: &str) -> bool {
+    let length_fits = (1..=MAX_NAME_BYTES).contains(&text.len());
+    length_fits && text.bytes().all(is_name_byte)
+}
+
+fn is_name_byte(byte: u8) -> bool {
+    byte.is_ascii_lowercase() || byte.is_ascii_digit() || matches!(byte, b'-' | b'_' | b'.')
+}
--- /dev/null
+++ b/crates/state/tables/src/snapshot.rs
@@ -0,0 +1,362 @@
+//! One immutable set of all tables.
+//!
+//! Invariants, checked when a snapshot is made: every pool that a route names
+//! exists, every team that a key names exists, every site that a block names
+//! exists, and names are unique within their table.
+
+use std::collections;
+use std::sync::Arc;
+use std::time;
+
+use marjoramwing_derives as derives;
+use marjoramwing_entity::primary;
+
+use crate::credential;
+use crate::document;
+use crate::fault;
+use crate::name;
+use crate::pool;
+use crate::route;
+use crate::site;
+use crate::team;
+
+const MAX_DEADLINE_MS: u64 = 600_000;
+const MAX_BODY_BYTES: u64 = 1 << 30;
+const MAX_SLOTS: u32 = 100_000;
+const MIN_LOOKUP_TTL_MS: u64 = 100;
+const MAX_LOOKUP_TTL_MS: u64 = 300_000;
+
+/// Versions of the objects that a snapshot was made from.
+#[derives::value]
+#[derive(Default, serde::Serialize, serde::Deserialize)]
+pub struct TableVersions {
+    /// Version of the `routes` object.
+    pub routes: u64,
+    /// Version of the `pools` object.
+    pub pools: u64,
+    /// Version of the `teams` object.
+    pub teams: u64,
+    /// Version of the `keys` object.
+    pub keys: u64,
+    /// Version of the `steering` object.
+    pub steering: u64,
+}
+
+/// The raw documents of one snapshot.
+#[derives::document]
+#[derive(Default)]
+pub struct TableDocuments {
+    /// The `routes` object.
+    pub routes: document::RoutesDocument,
+    /// The `pools` object.
+    pub pools: document::PoolsDocument,
+    /// The `teams` object.
+    pub teams: document::TeamsDocument,
+    /// The `keys` object.
+    pub keys: document::KeysDocument,
+    /// The `steering` object.
+    pub steering: document::SteeringDocument,
+}
+
+/// All checked tables at one set of versions.
+#[derive(Debug, Clone, Default)]
+pub struct TableSnapshot {
+    /// Routes of the snapshot.
+    pub routes: primary::PrimaryMap<route::RouteKey, route::Route>,
+    /// Pools of the snapshot.
+    pub pools: primary::PrimaryMap<pool::PoolKey, pool::Pool>,
+    /// Teams of the snapshot.
+    pub teams: primary::PrimaryMap<team::TeamKey, team::Team>,
+    /// Sites of the snapshot.
+    pub sites: primary::PrimaryMap<site::SiteKey, site::Site>,
+    /// Blocks of clients with their home sites.
+    pub blocks: Vec<site::ClientBlock>,
+    /// Time for which callers may use a look-up answer.
+    pub lookup_ttl: time::Duration,
+    credentials: collections::HashMap<Arc<str>, credential::Credential>,
+    route_order: Vec<route::RouteKey>,
+}
+
+impl TableSnapshot {
+    /// Returns the closest route that serves a request.
+    #[must_use]
+    pub fn find_route(&self, query: &route::RouteQuery<'_>) -> Option<route::RouteKey> {
+        self.route_order.iter().copied().find(|key| self.routes[*key].serves(query))
+    }
+
+    /// Returns the team of a presented key, if the key is in force.
+    #[must_use]
+    pub fn authenticate(&self, key: &credential::PresentedKey<'_>) -> Option<team::TeamKey> {
+        let presented = key.hash();
+        let credential = self.credentials.get(key.id())?;
+        credential.hash.matches(&presented).then_some(credential.team)
+    }
+
+    /// Returns the number of keys in force.
+    #[must_use]
+    pub fn credential_count(&self) -> usize {
+        self.credentials.len()
+    }
+}
+
+impl TryFrom<&TableDocuments> for TableSnapshot {
+    type Error = fault::FaultList;
+
+    fn try_from(documents: &TableDocuments) -> Result<Self, Self::Error> {
+        let mut builder = SnapshotBuilder::default();
+        builder.add_pools(&documents.pools);
+        builder.add_routes(&documents.routes);
+        builder.add_teams(&documents.teams);
+        builder.add_keys(&documents.keys);
+        builder.add_steering(&documents.steering);
+        builder.finish()
+    }
+}
+
+/// Gathers checked rows and all faults of the documents.
+#[derive(Debug, Default)]
+struct SnapshotBuilder {
+    snapshot: TableSnapshot,
+    faults: fault::FaultList,
+    pool_keys: collections::HashMap<Arc<str>, pool::PoolKey>,
+    team_keys: collections::HashMap<Arc<str>, team::TeamKey>,
+    site_keys: collections::HashMap<Arc<str>, site::SiteKey>,
+    route_names: collections::HashSet<Arc<str>>,
+}
+
+impl SnapshotBuilder {
+    fn add_pools(&mut self, raw: &document::PoolsDocument) {
+        for (index, row) in raw.pools.iter().enumerate() {
+            let path = format!("pools[{index}]");
+            let name =
+                self.faults.check(format!("{path}.name"), name::PoolName::try_from(&row.name));
+            let servers = self.check_servers(&path, row);
+            let Some(name) = name else { continue };
+            let key = self.snapshot.pools.push(pool::Pool { name, servers });
+            if self.pool_keys.insert(Arc::clone(&row.name), key).is_some() {
+                self.faults.add(path, fault::FaultKind::Duplicate(Arc::clone(&row.name)));
+            }
+        }
+    }
+
+    fn check_servers(
+        &mut self,
+        path: &str,
+        row: &document::PoolDocument,
+    ) -> primary::PrimaryMap<pool::ServerKey, pool::BackendServer> {
+        let mut addresses = collections::HashSet::new();
+        let mut servers = primary::PrimaryMap::new();
+        for (index, raw) in row.servers.iter().enumerate() {
+            let path = format!("{path}.servers[{index}]");
+            if !addresses.insert(Arc::clone(&raw.address)) {
+                self.faults
+                    .add(path.clone(), fault::FaultKind::Duplicate(Arc::clone(&raw.address)));
+            }
+            if let Some(server) = self.check_server(&path, raw) {
+                servers.push(server);
+            }
+        }
+        servers
+    }
+
+    fn check_server(
+        &mut self,
+        path: &str,
+        raw: &document::ServerDocument,
+    ) -> Option<pool::BackendServer> {
+        let address = raw.address.parse().map_err(|_| fault::FaultKind::Form {
+            text: Arc::clone(&raw.address),
+            expected: "an IP address and port such as 10.0.0.1:8080",
+        });
+        let address = self.faults.check(format!("{path}.address"), address);
+        let domain = name::DomainName::try_from(&raw.failure_domain);
+        let domain = self.faults.check(format!("{path}.failure_domain"), domain);
+        let slots = fault::check_range(raw.slots, 1, MAX_SLOTS);
+        let slots = self.faults.check(format!("{path}.slots"), slots);
+        Some(pool::BackendServer {
+            address: address?,
+            failure_domain: domain?,
+            slots: slots?,
+            draining: raw.draining,
+        })
+    }
+
+    fn add_routes(&mut self, raw: &document::RoutesDocument) {
+        for (index, row) in raw.routes.iter().enumerate() {
+            let path = format!("routes[{index}]");
+            if !self.route_names.insert(Arc::clone(&row.name)) {
+                self.faults.add(path.clone(), fault::FaultKind::Duplicate(Arc::clone(&row.name)));
+            }
+            if let Some(route) = self.check_route(&path, row) {
+                self.snapshot.routes.push(route);
+            }
+        }
+        let routes = &self.snapshot.routes;
+        self.snapshot.route_order = routes.keys().collect();
+        self.snapshot.route_order.sort_by_key(|key| std::cmp::Reverse(routes[*key].specificity()));
+    }
+
+    fn check_route(&mut self, path: &str, row: &document::RouteDocument) -> Option<route::Route> {
+        let name = self.faults.check(format!("{path}.name"), name::RouteName::try_from(&row.name));
+        let prefix = self.faults.check(format!("{path}.path"), check_path(&row.path));
+        let pools = self.check_route_pools(path, row);
+        let deadline = fault::check_range(row.deadline_ms, 1, MAX_DEADLINE_MS);
+        let deadline = self.faults.check(format!("{path}.deadline_ms"), deadline);
+        let max_body = fault::check_range(row.max_body_bytes, 0, MAX_BODY_BYTES);
+        let max_body = self.faults.check(format!("{path}.max_body_bytes"), max_body);
+        let limit = self.faults.check(format!("{path}.rate"), check_route_limit(row));
+        Some(route::Route {
+            name: name?,
+            host: row.host.as_deref().map(|host| host.to_ascii_lowercase().into()),
+            path: prefix?,
+            methods: row.methods.iter().map(|method| method.to_ascii_uppercase().into()).collect(),
+            pools,
+            access: match row.access {
+                document::AccessDocument::Keyed => route::RouteAccess::Keyed,
+                document::AccessDocument::Open => route::RouteAccess::Open,
+            },
+            idempotence: match row.idempotent {
+                document::IdempotenceDocument::Method => route::RouteIdempotence::Method,
+                document::IdempotenceDocument::Always => route::RouteIdempotence::Always,
+                document::IdempotenceDocument::Never => route::RouteIdempotence::Never,
+            },
+            deadline: time::Duration::from_millis(deadline?),
+            max_body_bytes: max_body?,
+            limit: limit?,
+        })
+    }
+
+    fn check_route_pools(
+        &mut self,
+        path: &str,
+        row: &document::RouteDocument,
+    ) -> Vec<pool::PoolKey> {
+        if row.pools.is_empty() {
+            self.faults.add(format!("{path}.pools"), fault::FaultKind::Empty("pool"));
+        }
+        let mut pools = Vec::new();
+        for (index, name) in row.pools.iter().enumerate() {
+            let found = find_named(&self.pool_keys, "pools", name);
+            pools.extend(self.faults.check(format!("{path}.pools[{index}]"), found));
+        }
+        pools
+    }
+
+    fn add_teams(&mut self, raw: &document::TeamsDocument) {
+        for (index, row) in raw.teams.iter().enumerate() {
+            let path = format!("teams[{index}]");
+            let name =
+                self.faults.check(format!("{path}.name"), name::TeamName::try_from(&row.name));
+            let limit = self.faults.check(path.clone(), team::RateLimit::new(row.rate, row.burst));
+            let (Some(name), Some(limit)) = (name, limit) else {
+                continue;
+            };
+            let key = self.snapshot.teams.push(team::Team { name, limit });
+            if self.team_keys.insert(Arc::clone(&row.name), key).is_some() {
+                self.faults.add(path, fault::FaultKind::Duplicate(Arc::clone(&row.name)));
+            }
+        }
+    }
+
+    fn add_keys(&mut self, raw: &document::KeysDocument) {
+        for (index, row) in raw.keys.iter().enumerate() {
+            let path = format!("keys[{index}]");
+            let Some(credential) = self.check_key(&path, row) else {
+                continue;
+            };
+            let id = credential.id.text();
+            if self.snapshot.credentials.insert(Arc::clone(&id), credential).is_some() {
+                self.faults.add(path, fault::FaultKind::Duplicate(id));
+            }
+        }
+    }
+
+    fn check_key(
+        &mut self,
+        path: &str,
+        row: &document::KeyDocument,
+    ) -> Option<credential::Credential> {
+        let id = self.faults.check(format!("{path}.id"), name::KeyId::try_from(&row.id));
+        let found = find_named(&self.team_keys, "teams", &row.team);
+        let team = self.faults.check(format!("{path}.team"), found);
+        let hash = credential::KeyHash::try_from(&row.sha256);
+        let hash = self.faults.check(format!("{path}.sha256"), hash);
+        Some(credential::Credential { id: id?, team: team?, hash: hash? })
+    }
+
+    fn add_steering(&mut self, raw: &document::SteeringDocument) {
+        let ttl = fault::check_range(raw.lookup_ttl_ms, MIN_LOOKUP_TTL_MS, MAX_LOOKUP_TTL_MS);
+        if let Some(ttl) = self.faults.check("lookup_ttl_ms", ttl) {
+            self.snapshot.lookup_ttl = time::Duration::from_millis(ttl);
+        }
+        for (index, row) in raw.sites.iter().enumerate() {
+            let path = format!("sites[{index}]");
+            let Some(site) = self.check_site(&path, row) else {
+                continue;
+            };
+            let key = self.snapshot.sites.push(site);
+            if self.site_keys.insert(Arc::clone(&row.name), key).is_some() {
+                self.faults.add(path, fault::FaultKind::Duplicate(Arc::clone(&row.name)));
+            }
+        }
+        for (index, row) in raw.blocks.iter().enumerate() {
+            let path = format!("blocks[{index}]");
+            let prefix = site::AddressPrefix::try_from(&row.prefix);
+            let prefix = self.faults.check(format!("{path}.prefix"), prefix);
+            let found = find_named(&self.site_keys, "steering", &row.site);
+            let site = self.faults.check(format!("{path}.site"), found);
+            let (Some(prefix), Some(site)) = (prefix, site) else {
+                continue;
+            };
+            self.snapshot.blocks.push(site::ClientBlock { prefix, site });
+        }
+    }
+
+    fn check_site(&mut self, path: &str, row: &document::SiteDocument) -> Option<site::Site> {
+        let name = self.faults.check(format!("{path}.name"), name::SiteName::try_from(&row.name));
+        let region = name::RegionName::try_from(&row.region);
+        let region = self.faults.check(format!("{path}.region"), region);
+        let domain = name::DomainName::try_from(&row.failure_domain);
+        let domain = self.faults.check(format!("{path}.failure_domain"), domain);
+        Some(site::Site {
+            name: name?,
+            region: region?,
+            failure_domain: domain?,
+            draining: row.draining,
+        })
+    }
+
+    fn finish(self) -> Result<TableSnapshot, fault::FaultList> {
+        if self.faults.is_empty() { Ok(self.snapshot) } else { Err(self.faults) }
+    }
+}
+
+fn find_named<K: Copy>(
+    keys: &collections::HashMap<Arc<str>, K>,
+    object: &'static str,
+    name: &Arc<str>,
+) -> Result<K, fault::FaultKind> {
+    let found = keys.get(name).copied();
+    found.ok_or_else(|| fault::FaultKind::Unknown { object, name: Arc::clone(name) })
+}
+
+fn check_path(path: &Arc<str>) -> Result<Arc<str>, fault::FaultKind> {
+    if path.starts_with('/') && !path.contains(['?', '#', ' ']) {
+        return Ok(Arc::clone(path));
+    }
+    Err(fault::FaultKind::Form {
+        text: Arc::clone(path),
+        expected: "a path prefix that starts with `/` and has no query",
+    })
+}
+
+fn check_route_limit(
+    row: &document::RouteDocument,
+) -> Result<Option<team::RateLimit>, fault::FaultKind> {
+    match (row.rate, row.burst) {
+        (Some(rate), Some(burst)) => team::RateLimit::new(rate, burst).map(Some),
+        (None, None) => Ok(None),
+        (Some(_), None) => Err(fault::FaultKind::Incomplete { present: "rate", missing: "burst" }),
+        (None, Some(_)) => Err(fault::FaultKind::Incomplete { present: "burst", missing: "rate" }),
+    }
+}
--- /dev/null
+++ b/crates/state/tables/src/team.rs
@@ -0,0 +1,50 @@
+//! Checked teams and their limits.
+
+use marjoramwing_derives as derives;
+use marjoramwing_entity::entity_key;
+
+use crate::fault;
+use crate::name;
+
+entity_key! {
+    /// Key of a team.
+    pub struct TeamKey, "team"
+}
+
+const MAX_RATE: f64 = 1_000_000.0;
+const MIN_RATE: f64 = 0.001;
+const MAX_BURST: u32 = 1_000_000;
+
+/// A rate and a burst over all instances together.
+#[derives::measure]
+pub struct RateLimit {
+    /// Requests per second.
+    pub rate: f64,
+    /// Requests at once.
+    pub burst: u32,
+}
+
+impl RateLimit {
+    /// The smallest limit.
+    pub const LEAST: Self = Self { rate: MIN_RATE, burst: 1 };
+
+    /// Checks a rate and a burst.
+    ///
+    /// # Errors
+    ///
+    /// Returns a range fault when either is out of range.
+    pub fn new(rate: f64, burst: u32) -> Result<Self, fault::FaultKind> {
+        fault::check_range(rate, MIN_RATE, MAX_RATE)?;
+        fault::check_range(burst, 1, MAX_BURST)?;
+        Ok(Self { rate, burst })
+    }
+}
+
+/// A group of callers with a rate of its own.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Team {
+    /// Name of the team.
+    pub name: name::TeamName,
+    /// Limit over all instances.
+    pub limit: RateLimit,
+}
--- /dev/null
+++ b/crates/transport/node/src/callers/answer.rs
@@ -0,0 +1,139 @@
+//! Answers that the instance gives itself.
+//!
+//! Each names the outcome in a header and the remedy in its body.
+
+use std::time;
+
+use axum::response::IntoResponse;
+use marjoramwing_derives as derives;
+use marjoramwing_dispatch::exchange;
+
+/// Header that says whether a refused request ran.
+pub const OUTCOME_HEADER: http::HeaderName = http::HeaderName::from_static("marjoramwing-outcome");
+
+/// Why a request was refused.
+#[derives::record]
+#[derive(derive_more::Display)]
+pub enum RefusalKind {
+    /// The request is not one that can be passed on safely.
+    #[display("{_0}")]
+    BadRequest(&'static str),
+    /// No route serves the request.
+    #[display("no route serves this host, path and method; check the URL")]
+    NoRoute,
+    /// The route needs a key.
+    #[display("this route needs a team key; send it as `Authorization: Bearer KEY`")]
+    KeyMissing,
+    /// The key is not in force.
+    #[display("this key is not in force; ask your operators for a new one")]
+    KeyRefused,
+    /// A limit is used up.
+    #[display("the {limit} limit is used up; send again after the time in Retry-After")]
+    OverLimit {
+        /// Limit that is used up.
+        limit: &'static str,
+        /// Time until a token is expected.
+        retry_after: time::Duration,
+    },
+    /// The body is larger than the route allows.
+    #[display("the body is larger than the {_0} bytes that this route takes; send less")]
+    BodyTooLarge(u64),
+    /// The instance is not ready.
+    #[display("this instance has no tables yet; use another one from the look-up")]
+    NotReady,
+    /// No backend server took the request.
+    #[display("no backend server of this route takes requests now; send again later")]
+    NoServer,
+    /// The backend server broke off.
+    #[display(
+        "the backend server broke off; check whether the request took effect before you send it again"
+    )]
+    BrokenOff,
+    /// The deadline passed.
+    #[display(
+        "the route's deadline passed; check whether the request took effect before you send it again"
+    )]
+    DeadlinePassed,
+}
+
+/// A refusal with what is known of the request's outcome.
+#[derives::record]
+pub struct Refusal {
+    /// Why the request was refused.
+    pub kind: RefusalKind,
+    /// Whether the request ran.
+    pub outcome: exchange::RequestOutcome,
+}
+
+#[derive(serde::Serialize)]
+struct RefusalBody {
+    error: String,
+    outcome: String,
+}
+
+impl Refusal {
+    /// Makes a refusal of a request that did not run.
+    #[must_use]
+    pub const fn not_run(kind: RefusalKind) -> Self {
+        Self { kind, outcome: exchange::RequestOutcome::NotRun }
+    }
+
+    /// Returns the status of the answer.
+    #[must_use]
+    pub const fn status(&self) -> http::StatusCode {
+        match self.kind {
+            RefusalKind::BadRequest(_) => http::StatusCode::BAD_REQUEST,
+            RefusalKind::NoRoute => http::StatusCode::NOT_FOUND,
+            RefusalKind::KeyMissing | RefusalKind::KeyRefused => http::StatusCode::UNAUTHORIZED,
+            RefusalKind::OverLimit { .. } => http::StatusCode::TOO_MANY_REQUESTS,
+            RefusalKind::BodyTooLarge(_) => http::StatusCode::PAYLOAD_TOO_LARGE,
+            RefusalKind::NotReady | RefusalKind::NoServer => http::StatusCode::SERVICE_UNAVAILABLE,
+            RefusalKind::BrokenOff => http::StatusCode::BAD_GATEWAY,
+            RefusalKind::DeadlinePassed => http::StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Returns a short label for metrics.
+    #[must_use]
+    pub const fn label(&self) -> &'static str {
+        match self.kind {
+            RefusalKind::BadRequest(_) => "bad_request",
+            RefusalKind::NoRoute => "no_route",
+            RefusalKind::KeyMissing => "key_missing",
+            RefusalKind::KeyRefused => "key_refused",
+            RefusalKind::OverLimit { .. } => "over_limit",
+            RefusalKind::BodyTooLarge(_) => "body_too_large",
+            RefusalKind::NotReady => "not_ready",
+            RefusalKind::NoServer => "no_server",
+            RefusalKind::BrokenOff => "broken_off",
+            RefusalKind::DeadlinePassed => "deadline_passed",
+        }
+    }
+
+    fn retry_after(&self) -> Option<time::Duration> {
+        match self.kind {
+            RefusalKind::OverLimit { retry_after, .. } => Some(retry_after),
+            RefusalKind::NotReady | RefusalKind::NoServer => Some(time::Duration::from_secs(1)),
+            _ => None,
+        }
+    }
+}
+
+impl IntoResponse for Refusal {
+    fn into_response(self) -> axum::response::Response {
+        let body = RefusalBody { error: self.kind.to_string(), outcome: self.outcome.to_string() };
+        let mut response = (self.status(), axum::Json(body)).into_response();
+        let headers = response.headers_mut();
+        let outcome = http::HeaderValue::from_str(&self.outcome.to_string());
+        headers.insert(OUTCOME_HEADER, outcome.expect("an outcome is a valid header"));
+        if let Some(delay) = self.retry_after() {
+            let seconds = delay.as_secs_f64().ceil();
+            headers.insert(http::header::RETRY_AFTER, http::HeaderValue::from(seconds as u64));
+        }
+        if self.kind == RefusalKind::KeyMissing {
+            let scheme = http::HeaderValue::from_static("Bearer");
+            headers.insert(http::header::WWW_AUTHENTICATE, scheme);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/transport/node/src/callers/headers.rs
@@ -0,0 +1,54 @@
+//! Headers that must not pass through.
+
+use crate::callers::credential;
+
+/// Prefix of the headers that only the system itself may set.
+const INTERNAL_PREFIX: &str = "marjoramwing-";
+
+/// Header that tells a backend server the team of a request.
+pub const TEAM_HEADER: http::HeaderName = http::HeaderName::from_static("marjoramwing-team");
+
+/// Header that tells a backend server the milliseconds left for a request.
+pub const DEADLINE_HEADER: http::HeaderName =
+    http::HeaderName::from_static("marjoramwing-deadline-ms");
+
+const HOP_BY_HOP: [http::HeaderName; 7] = [
+    http::header::CONNECTION,
+    http::header::PROXY_AUTHENTICATE,
+    http::header::PROXY_AUTHORIZATION,
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::TRANSFER_ENCODING,
+    http::header::UPGRADE,
+];
+
+const KEEP_ALIVE: http::HeaderName = http::HeaderName::from_static("keep-alive");
+
+/// Removes hop-by-hop headers, those that `Connection` names included.
+pub fn remove_hop_by_hop(headers: &mut http::HeaderMap) {
+    for name in connection_options(headers) {
+        headers.remove(name);
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+}
+
+/// Removes keys and every header that only the system itself may set.
+pub fn remove_internal(headers: &mut http::HeaderMap) {
+    let internal = headers.keys().filter(|name| name.as_str().starts_with(INTERNAL_PREFIX));
+    let internal: Vec<_> = internal.cloned().collect();
+    for name in internal {
+        headers.remove(name);
+    }
+    headers.remove(http::header::AUTHORIZATION);
+    headers.remove(credential::KEY_HEADER);
+}
+
+fn connection_options(headers: &http::HeaderMap) -> Vec<http::HeaderName> {
+    let values = headers.get_all(http::header::CONNECTION).into_iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    let options = texts.flat_map(|text| text.split(','));
+    options.filter_map(|option| option.trim().parse().ok()).collect()
+}
--- /dev/null
+++ b/crates/transport/node/src/callers/mod.rs
@@ -0,0 +1,15 @@
+//! The caller port: look-up and the path of a request.
+//!
+//! - [`answer`]: answers that the instance gives itself.
+//! - [`credential`]: the key that comes with a request.
+//! - [`headers`]: headers that must not pass through.
+//! - [`lookup`]: which instance a caller is to use.
+//! - [`proxy`]: the path of a request to a backend server.
+//! - [`server`]: connections of callers.
+
+pub mod answer;
+pub mod credential;
+pub mod headers;
+pub mod lookup;
+pub mod proxy;
+pub mod server;
--- /dev/null
+++ b/crates/transport/node/src/inbox.rs
@@ -0,0 +1,16 @@
+//! Hands received envelopes to those who wait for them.
+
+use marjoramwing_peer::message;
+use tokio::sync::mpsc;
+
+use crate::peers::mesh;
+
+/// Routes received envelopes until the mesh ends.
+pub async fn route_envelopes(mut received: mpsc::Receiver<mesh::ReceivedEnvelope>) {
+    while let Some(envelope) = received.recv().await {
+        match envelope.body {
+            // Both belong to the handshake; a proven link carries neither.
+            message::Body::Hello(_) | message::Body::Proof(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/node/src/lib.rs
@@ -0,0 +1,25 @@
+//! The process of one instance: sockets, timers and tasks around the decisions.
+//!
+//! - [`admin`]: metrics, state dump, liveness and readiness for operators.
+//! - [`admission`]: admission of requests under limits.
+//! - [`backends`]: connections to backend servers.
+//! - [`callers`]: the caller port, look-up and the path of a request.
+//! - [`clock`]: the monotonic clock.
+//! - [`control`]: tasks that follow the store and the list of instances.
+//! - [`inbox`]: hands received envelopes to those who wait for them.
+//! - [`metrics`]: counters and gauges.
+//! - [`peers`]: links to other instances.
+//! - [`runtime`]: start and planned stop.
+//! - [`shared`]: tables that all tasks share, and their lock order.
+
+pub mod admin;
+pub mod admission;
+pub mod backends;
+pub mod callers;
+pub mod clock;
+pub mod control;
+pub mod inbox;
+pub mod metrics;
+pub mod peers;
+pub mod runtime;
+pub mod shared;
--- /dev/null
+++ b/crates/transport/node/src/runtime.rs
@@ -0,0 +1,124 @@
+//! Start and planned stop of an instance.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use marjoramwing_events::catalogue;
+use marjoramwing_events::emit;
+use marjoramwing_settings::settings;
+use marjoramwing_store_client::client;
+use tokio::signal::unix;
+use tokio::sync::mpsc;
+use tokio_util::sync as cancellation;
+
+use crate::admin;
+use crate::callers::server;
+use crate::control;
+use crate::inbox;
+use crate::peers::mesh;
+use crate::shared;
+
+/// Longest wait for open requests at a planned stop.
+const MAX_STOP_WAIT: time::Duration = time::Duration::from_secs(60);
+
+/// Why an instance could not start.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[display(
+        "cannot listen on {address} for {role} ({source}); free the port or change listen.{role}"
+    )]
+    Listen {
+        /// What the port is for.
+        role: &'static str,
+        /// Address that was tried.
+        address: net::SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// Signals cannot be received.
+    #[display("cannot receive signals ({_0}); check the process's limits")]
+    Signal(#[error(not(source))] std::io::Error),
+}
+
+/// Runs an instance until a planned stop has finished.
+///
+/// # Errors
+///
+/// Returns an error when a port or a signal cannot be had.
+pub async fn run_instance(settings: settings::InstanceSettings) -> Result<(), StartError> {
+    let listen = settings.listen;
+    let callers = bind("callers", listen.callers).await?;
+    let peers = bind("peers", listen.peers).await?;
+    let admin = bind("admin", listen.admin).await?;
+    let mut signals = StopSignals::new()?;
+    let shared = sync::Arc::new(shared::SharedTables::new(settings));
+    emit!(catalogue::INSTANCE_STARTED, instance = %shared.settings.identity.name,
+        callers = %listen.callers, peers = %listen.peers, admin = %listen.admin);
+    let stop = cancellation::CancellationToken::new();
+    let client =
+        client::StoreClient::new(shared.settings.store.address, shared.settings.store.timeout);
+    let follower = control::ConfigurationFollower::new(sync::Arc::clone(&shared), client.clone());
+    tokio::spawn(follower.run());
+    tokio::spawn(control::follow_listing(sync::Arc::clone(&shared), client));
+    let (sender, received) = mpsc::channel(mesh::INBOX_QUEUE);
+    let mesh = mesh::PeerMesh::new(sync::Arc::clone(&shared), sender);
+    tokio::spawn(mesh.accept_links(peers));
+    tokio::spawn(inbox::route_envelopes(received));
+    tokio::spawn(admin::serve_admin(sync::Arc::clone(&shared), admin, stop.clone()));
+    let serving = server::serve_callers(sync::Arc::clone(&shared), callers, stop.clone());
+    let serving = tokio::spawn(serving);
+    signals.wait().await;
+    emit!(catalogue::STOP_BEGAN, open = shared.metrics.open_requests.get());
+    shared.leave();
+    tokio::select! {
+        () = finish_requests(&shared, serving, &stop) => {}
+        () = signals.wait() => emit!(catalogue::STOP_FORCED),
+    }
+    Ok(())
+}
+
+async fn finish_requests(
+    shared: &shared::SharedTables,
+    serving: tokio::task::JoinHandle<()>,
+    stop: &cancellation::CancellationToken,
+) {
+    let cached_lookups = shared.tables.load().snapshot.lookup_ttl;
+    tokio::time::sleep(cached_lookups).await;
+    stop.cancel();
+    match tokio::time::timeout(MAX_STOP_WAIT, serving).await {
+        Ok(_) => emit!(catalogue::STOP_FINISHED),
+        Err(_) => {
+            emit!(catalogue::STOP_TIMED_OUT, open = shared.metrics.open_requests.get());
+        }
+    }
+}
+
+async fn bind(
+    role: &'static str,
+    address: net::SocketAddr,
+) -> Result<tokio::net::TcpListener, StartError> {
+    let bound = tokio::net::TcpListener::bind(address).await;
+    bound.map_err(|source| StartError::Listen { role, address, source })
+}
+
+struct StopSignals {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+}
+
+impl StopSignals {
+    fn new() -> Result<Self, StartError> {
+        let terminate = unix::signal(unix::SignalKind::terminate()).map_err(StartError::Signal)?;
+        let interrupt = unix::signal(unix::SignalKind::interrupt()).map_err(StartError::Signal)?;
+        Ok(Self { terminate, interrupt })
+    }
+
+    async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
