--- a/crates/state/tables/src/snapshot.rs
+++ b/crates/state/tables/src/snapshot.rs
@@ -248,9 +248,9 @@
             let name =
                 self.faults.check(format!("{path}.name"), name::TeamName::try_from(&row.name));
             let limit = self.faults.check(path.clone(), team::RateLimit::new(row.rate, row.burst));
-            let (Some(name), Some(limit)) = (name, limit) else {
-                continue;
-            };
+            let Some(name) = name else { continue };
+            // A stand-in limit keeps the name known, so that its keys show no second fault.
+            let limit = limit.unwrap_or(team::RateLimit::LEAST);
             let key = self.snapshot.teams.push(team::Team { name, limit });
             if self.team_keys.insert(Arc::clone(&row.name), key).is_some() {
                 self.faults.add(path, fault::FaultKind::Duplicate(Arc::clone(&row.name)));
