Learn the members through the peer mesh, with incarnations

Cause: the view of the members was a copy of the platform's lagging list, without incarnations, so that nothing above it could tell two runs of one process apart, and every instance read the list once a second.

Ruled out: death as a statement that is passed on. After regions had been apart, each side would spread its judgement on the other's living members. Only suspicion travels; each instance concludes a death by its own clock.

Change: MembershipKeeper, a gossip protocol in the manner of SWIM, as (event, now, rng) -> actions; direct and indirect probes, suspicion, refutation, bounded updates, digests with comparison on a lasting difference, planned leave and stop. The list is read every 10 s (1 s while nobody is known) and only names addresses to try. Member.incarnation is filled in; MemberView::by_incarnation finds a run; SharedTables::watch_members tells changes of the view. MemberView::live leaves suspects out unless they outnumber the live ones.

Shown to bite: with `refutes: false` a frozen instance that continues never returns (frozen_instance_stays_dead_without_refutation); with `forgives_pause: false` a process that continues buries others at once (process_that_continues_judges_at_once_without_forgiveness).

--- a/crates/coordination/membership/src/member.rs
+++ b/crates/coordination/membership/src/member.rs
@@ -6,6 +6,23 @@
 use marjoramwing_derives as derives;
 use marjoramwing_entity::incarnation;
 
+/// What an instance tells of itself; constant for one run of its process.
+#[derives::record]
+pub struct MemberProfile {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Address for callers.
+    pub callers: net::SocketAddr,
+    /// Address for peers.
+    pub peers: net::SocketAddr,
+    /// Site.
+    pub site: Arc<str>,
+    /// Region.
+    pub region: Arc<str>,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+}
+
 /// An instance as this one knows it.
 #[derives::record]
 #[derive(serde::Serialize)]
@@ -40,3 +57,24 @@
     /// Finishes its requests and takes no new ones.
     Leaving,
 }
+
+impl Member {
+    /// Makes a member from what it told of itself.
+    #[must_use]
+    pub fn new(
+        profile: &MemberProfile,
+        incarnation: incarnation::Incarnation,
+        state: MemberState,
+    ) -> Self {
+        Self {
+            name: Arc::clone(&profile.name),
+            callers: profile.callers,
+            peers: profile.peers,
+            site: Arc::clone(&profile.site),
+            region: Arc::clone(&profile.region),
+            failure_domain: Arc::clone(&profile.failure_domain),
+            incarnation: Some(incarnation),
+            state,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/membership/tests/support/mod.rs
@@ -0,0 +1,230 @@
+//! A seeded schedule over some membership keepers.
+
+use std::cmp;
+use std::collections;
+use std::net;
+use std::time;
+
+use marjoramwing_entity::incarnation;
+use marjoramwing_entity::time as entity_time;
+use marjoramwing_membership::keeper;
+use marjoramwing_membership::member;
+use marjoramwing_membership::message;
+use marjoramwing_membership::settings;
+use rand::RngExt;
+use rand::SeedableRng;
+
+const TICK: time::Duration = time::Duration::from_millis(200);
+
+/// What the links between keepers do.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct LinkFaults {
+    pub(crate) loss: f64,
+    pub(crate) repetition: f64,
+    /// Greatest delay; differing delays reorder messages.
+    pub(crate) delay_ms: u64,
+}
+
+pub(crate) struct Node {
+    pub(crate) keeper: keeper::MembershipKeeper,
+    pub(crate) address: net::SocketAddr,
+    pub(crate) incarnation: incarnation::Incarnation,
+    pub(crate) region: usize,
+    pub(crate) paused_until: entity_time::Timestamp,
+    pub(crate) dead: bool,
+}
+
+struct Delivery {
+    at: entity_time::Timestamp,
+    order: u64,
+    from: incarnation::Incarnation,
+    sender: net::SocketAddr,
+    to: net::SocketAddr,
+    message: message::MembershipMessage,
+}
+
+pub(crate) struct Schedule {
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) now: entity_time::Timestamp,
+    pub(crate) faults: LinkFaults,
+    /// Whether regions reach each other.
+    pub(crate) split: bool,
+    rng: rand_pcg::Pcg64Mcg,
+    queue: collections::BTreeMap<(entity_time::Timestamp, u64), Delivery>,
+    order: u64,
+    settings: settings::MembershipSettings,
+}
+
+impl Schedule {
+    pub(crate) fn new(count: usize, seed: u64, settings: settings::MembershipSettings) -> Self {
+        println!("seed {seed}");
+        let mut schedule = Self {
+            nodes: Vec::new(),
+            now: entity_time::Timestamp::from_millis(1_000),
+            faults: LinkFaults { loss: 0.0, repetition: 0.0, delay_ms: 60 },
+            split: false,
+            rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
+            queue: collections::BTreeMap::new(),
+            order: 0,
+            settings,
+        };
+        for index in 0..count {
+            schedule.start(index);
+        }
+        schedule.list_all();
+        schedule
+    }
+
+    /// Starts a process at the address of an index, in place of any before.
+    pub(crate) fn start(&mut self, index: usize) {
+        let address = address_of(index);
+        let incarnation = incarnation::Incarnation::from_u64(self.rng.random());
+        let region = index % 3;
+        let profile = member::MemberProfile {
+            name: format!("instance-{index}").into(),
+            callers: address,
+            peers: address,
+            site: "site".into(),
+            region: format!("region-{region}").into(),
+            failure_domain: "domain".into(),
+        };
+        let keeper = keeper::MembershipKeeper::new(profile, incarnation, self.settings, self.now);
+        let paused_until = entity_time::Timestamp::ZERO;
+        let node = Node { keeper, address, incarnation, region, paused_until, dead: false };
+        match self.nodes.get_mut(index) {
+            Some(old) => *old = node,
+            None => self.nodes.push(node),
+        }
+    }
+
+    /// Gives every keeper the addresses of all.
+    pub(crate) fn list_all(&mut self) {
+        let addresses: Vec<_> = self.nodes.iter().map(|node| node.address).collect();
+        for index in 0..self.nodes.len() {
+            self.handle(index, keeper::MembershipEvent::Listed(addresses.clone()));
+        }
+    }
+
+    pub(crate) fn handle(&mut self, index: usize, event: keeper::MembershipEvent) {
+        let mut actions = Vec::new();
+        let node = &mut self.nodes[index];
+        node.keeper.handle(event, self.now, &mut self.rng, &mut actions);
+        let (from, sender) = (node.incarnation, node.address);
+        for action in actions {
+            if let keeper::MembershipAction::Send { address, message } = action {
+                self.post(from, sender, address, &message);
+            }
+        }
+    }
+
+    pub(crate) fn run(&mut self, span: time::Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += TICK;
+            self.deliver_due();
+            for index in 0..self.nodes.len() {
+                if self.runs(index) {
+                    self.handle(index, keeper::MembershipEvent::Tick);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn pause(&mut self, index: usize, span: time::Duration) {
+        self.nodes[index].paused_until = self.now + span;
+    }
+
+    /// Tells whether a keeper sees another's run as present.
+    pub(crate) fn sees(&self, observer: usize, subject: usize) -> bool {
+        let view = self.nodes[observer].keeper.view();
+        view.by_incarnation(self.nodes[subject].incarnation).is_some()
+    }
+
+    /// Tells whether a keeper suspects another's run.
+    pub(crate) fn suspects(&self, observer: usize, subject: usize) -> bool {
+        let view = self.nodes[observer].keeper.view();
+        let member = view.by_incarnation(self.nodes[subject].incarnation);
+        member.is_some_and(|member| member.state == member::MemberState::Suspect)
+    }
+
+    /// Tells whether every running keeper sees exactly the running ones, live.
+    pub(crate) fn agrees(&self) -> bool {
+        let running: collections::BTreeSet<_> =
+            self.nodes.iter().filter(|node| !node.dead).map(|node| node.incarnation).collect();
+        let mut observers = self.nodes.iter().filter(|node| !node.dead);
+        observers.all(|node| {
+            let view = node.keeper.view();
+            let live: collections::BTreeSet<_> =
+                view.live().filter_map(|member| member.incarnation).collect();
+            live == running && view.members.len() == running.len()
+        })
+    }
+
+    fn runs(&self, index: usize) -> bool {
+        let node = &self.nodes[index];
+        !node.dead && node.paused_until <= self.now
+    }
+
+    fn post(
+        &mut self,
+        from: incarnation::Incarnation,
+        sender: net::SocketAddr,
+        to: net::SocketAddr,
+        message: &message::MembershipMessage,
+    ) {
+        let copies = if self.rng.random_bool(self.faults.repetition) { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.rng.random_bool(self.faults.loss) {
+                continue;
+            }
+            let delay = self.rng.random_range(0..=self.faults.delay_ms);
+            let at = self.now + time::Duration::from_millis(delay);
+            self.order += 1;
+            let order = self.order;
+            let message = message.clone();
+            let delivery = Delivery { at, order, from, sender, to, message };
+            self.queue.insert((at, order), delivery);
+        }
+    }
+
+    fn deliver_due(&mut self) {
+        while let Some(entry) = self.queue.first_entry()
+            && entry.key().0 <= self.now
+        {
+            let delivery = entry.remove();
+            let Some(index) = self.nodes.iter().position(|node| node.address == delivery.to) else {
+                continue;
+            };
+            let is_cut = self.split && self.region_of(delivery.sender) != self.nodes[index].region;
+            if is_cut || self.nodes[index].dead {
+                continue;
+            }
+            if !self.runs(index) {
+                // A paused process reads what waits once it continues.
+                let at = cmp::max(self.nodes[index].paused_until, delivery.at);
+                self.queue.insert((at, delivery.order), Delivery { at, ..delivery });
+                continue;
+            }
+            let event = keeper::MembershipEvent::Received {
+                from: delivery.from,
+                address: delivery.sender,
+                message: delivery.message,
+            };
+            self.handle(index, event);
+        }
+    }
+
+    fn region_of(&self, address: net::SocketAddr) -> usize {
+        let node = self.nodes.iter().find(|node| node.address == address);
+        node.map_or(0, |node| node.region)
+    }
+}
+
+pub(crate) fn address_of(index: usize) -> net::SocketAddr {
+    let index = u16::try_from(index).unwrap();
+    net::SocketAddr::from(([10, 0, 0, 1], 1_000 + index))
+}
+
+pub(crate) fn seconds(count: u64) -> time::Duration {
+    time::Duration::from_secs(count)
+}
--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -6,8 +6,10 @@
 //!
 //! - [`frame`]: the codec of frames.
 //! - [`handshake`]: proof of the deployment's secret.
-//! - [`message`]: the messages.
+//! - [`membership`]: messages about the members.
+//! - [`message`]: the envelope and the handshake's messages.
 
 pub mod frame;
 pub mod handshake;
+pub mod membership;
 pub mod message;
--- a/crates/transport/node/src/control.rs
+++ b/crates/transport/node/src/control/configuration.rs
@@ -1,4 +1,4 @@
-//! Tasks that follow the store and the list of instances.
+//! Follows the configuration objects of the store.
 
 use std::sync;
 use std::time;
@@ -7,9 +7,6 @@
 use marjoramwing_configuration::configuration;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
-use marjoramwing_membership::member;
-use marjoramwing_membership::view;
-use marjoramwing_object_api::listing;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
 use marjoramwing_store_client::client;
@@ -19,7 +16,6 @@
 
 const WATCH_WAIT: time::Duration = time::Duration::from_secs(10);
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
-const LISTING_PERIOD: time::Duration = time::Duration::from_secs(1);
 
 /// Follows the configuration objects of the store.
 #[derive(Debug)]
@@ -116,30 +112,3 @@
         }
     }
 }
-
-/// Follows the platform's list of instances until the task is cancelled.
-pub async fn follow_listing(shared: sync::Arc<shared::SharedTables>, client: client::StoreClient) {
-    loop {
-        if let Ok(list) = client.list_instances().await {
-            let members = list.instances.into_iter().map(member_from).collect();
-            shared.members.store(sync::Arc::new(view::MemberView::new(members)));
-        }
-        tokio::time::sleep(LISTING_PERIOD).await;
-    }
-}
-
-fn member_from(listed: listing::ListedInstance) -> member::Member {
-    member::Member {
-        name: listed.name,
-        callers: listed.callers,
-        peers: listed.peers,
-        site: listed.site,
-        region: listed.region,
-        failure_domain: listed.failure_domain,
-        incarnation: None,
-        state: match listed.state {
-            listing::ListedState::Live => member::MemberState::Live,
-            listing::ListedState::Leaving => member::MemberState::Leaving,
-        },
-    }
-}
--- /dev/null
+++ b/crates/transport/node/src/control/listing.rs
@@ -0,0 +1,36 @@
+//! Follows the platform's list of instances, which is only a hint.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use marjoramwing_membership::keeper;
+use marjoramwing_store_client::client;
+use tokio::sync::mpsc;
+
+use crate::shared;
+
+/// Time between two reads while no other instance is known.
+const JOIN_PERIOD: time::Duration = time::Duration::from_secs(1);
+/// Time between two reads otherwise.
+const LISTING_PERIOD: time::Duration = time::Duration::from_secs(10);
+
+/// Reads the list now and then until the task is cancelled.
+pub async fn follow_listing(
+    shared: sync::Arc<shared::SharedTables>,
+    client: client::StoreClient,
+    events: mpsc::Sender<keeper::MembershipEvent>,
+) {
+    loop {
+        if let Ok(list) = client.list_instances().await {
+            let addresses: Vec<net::SocketAddr> =
+                list.instances.into_iter().map(|listed| listed.peers).collect();
+            if events.send(keeper::MembershipEvent::Listed(addresses)).await.is_err() {
+                return;
+            }
+        }
+        let knows_others = shared.members.load().members.len() > 1;
+        let period = if knows_others { LISTING_PERIOD } else { JOIN_PERIOD };
+        tokio::time::sleep(period.mul_f64(rand::random_range(0.75..1.25))).await;
+    }
+}
--- a/crates/transport/node/src/inbox.rs
+++ b/crates/transport/node/src/inbox.rs
@@ -1,16 +1,36 @@
 //! Hands received envelopes to those who wait for them.
 
+use marjoramwing_membership::keeper;
 use marjoramwing_peer::message;
 use tokio::sync::mpsc;
 
 use crate::peers::mesh;
 
+/// Where each kind of envelope goes.
+///
+/// A full queue loses the envelope; the protocols above send again.
+#[derive(Debug, Clone)]
+pub struct InboxRoutes {
+    /// Takes what concerns the members.
+    pub membership: mpsc::Sender<keeper::MembershipEvent>,
+}
+
 /// Routes received envelopes until the mesh ends.
-pub async fn route_envelopes(mut received: mpsc::Receiver<mesh::ReceivedEnvelope>) {
+pub async fn route_envelopes(
+    mut received: mpsc::Receiver<mesh::ReceivedEnvelope>,
+    routes: InboxRoutes,
+) {
     while let Some(envelope) = received.recv().await {
         match envelope.body {
             // Both belong to the handshake; a proven link carries neither.
             message::Body::Hello(_) | message::Body::Proof(_) => {}
+            message::Body::Membership(raw) => {
+                let Some(address) = envelope.address else { continue };
+                let Ok(message) = raw.try_into() else { continue };
+                let from = envelope.from;
+                let event = keeper::MembershipEvent::Received { from, address, message };
+                let _ = routes.membership.try_send(event);
+            }
         }
     }
 }
--- a/crates/transport/node/src/lib.rs
+++ b/crates/transport/node/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`backends`]: connections to backend servers.
 //! - [`callers`]: the caller port, look-up and the path of a request.
 //! - [`clock`]: the monotonic clock.
-//! - [`control`]: tasks that follow the store and the list of instances.
+//! - [`control`]: tasks around the decisions on membership and configuration.
 //! - [`inbox`]: hands received envelopes to those who wait for them.
 //! - [`metrics`]: counters and gauges.
 //! - [`peers`]: links to other instances.
--- a/crates/transport/node/src/peers/mesh.rs
+++ b/crates/transport/node/src/peers/mesh.rs
@@ -74,6 +74,16 @@
         }
     }
 
+    /// Closes the link to a peer, so that the next envelope opens a new one.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a task panicked while it held the table of links.
+    pub fn reset(&self, address: net::SocketAddr) {
+        let mut links = self.links.lock().expect("no task panics while it holds the links");
+        links.remove(&address);
+    }
+
     /// Accepts links of peers until the task is cancelled.
     pub async fn accept_links(self, listener: tokio::net::TcpListener) {
         loop {
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -6,6 +6,7 @@
 
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
+use marjoramwing_membership::keeper;
 use marjoramwing_settings::settings;
 use marjoramwing_store_client::client;
 use tokio::signal::unix;
@@ -14,13 +15,17 @@
 
 use crate::admin;
 use crate::callers::server;
-use crate::control;
+use crate::control::configuration;
+use crate::control::listing;
+use crate::control::membership;
 use crate::inbox;
 use crate::peers::mesh;
 use crate::shared;
 
 /// Longest wait for open requests at a planned stop.
 const MAX_STOP_WAIT: time::Duration = time::Duration::from_secs(60);
+/// Time given to the last messages to peers before the process ends.
+const FAREWELL_WAIT: time::Duration = time::Duration::from_millis(200);
 
 /// Why an instance could not start.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
@@ -57,28 +62,46 @@
     emit!(catalogue::INSTANCE_STARTED, instance = %shared.settings.identity.name,
         callers = %listen.callers, peers = %listen.peers, admin = %listen.admin);
     let stop = cancellation::CancellationToken::new();
-    let client =
-        client::StoreClient::new(shared.settings.store.address, shared.settings.store.timeout);
-    let follower = control::ConfigurationFollower::new(sync::Arc::clone(&shared), client.clone());
-    tokio::spawn(follower.run());
-    tokio::spawn(control::follow_listing(sync::Arc::clone(&shared), client));
     let (sender, received) = mpsc::channel(mesh::INBOX_QUEUE);
     let mesh = mesh::PeerMesh::new(sync::Arc::clone(&shared), sender);
+    let membership = start_control(&shared, &mesh, received);
     tokio::spawn(mesh.accept_links(peers));
-    tokio::spawn(inbox::route_envelopes(received));
     tokio::spawn(admin::serve_admin(sync::Arc::clone(&shared), admin, stop.clone()));
     let serving = server::serve_callers(sync::Arc::clone(&shared), callers, stop.clone());
     let serving = tokio::spawn(serving);
     signals.wait().await;
     emit!(catalogue::STOP_BEGAN, open = shared.metrics.open_requests.get());
     shared.leave();
+    let _ = membership.send(keeper::MembershipEvent::Leave).await;
     tokio::select! {
         () = finish_requests(&shared, serving, &stop) => {}
         () = signals.wait() => emit!(catalogue::STOP_FORCED),
     }
+    if membership.send(keeper::MembershipEvent::Stop).await.is_ok() {
+        tokio::time::sleep(FAREWELL_WAIT).await;
+    }
     Ok(())
 }
 
+fn start_control(
+    shared: &sync::Arc<shared::SharedTables>,
+    mesh: &mesh::PeerMesh,
+    received: mpsc::Receiver<mesh::ReceivedEnvelope>,
+) -> mpsc::Sender<keeper::MembershipEvent> {
+    let store = shared.settings.store;
+    let client = client::StoreClient::new(store.address, store.timeout);
+    let follower =
+        configuration::ConfigurationFollower::new(sync::Arc::clone(shared), client.clone());
+    tokio::spawn(follower.run());
+    let (sender, events) = mpsc::channel(membership::EVENT_QUEUE);
+    let driver = membership::MembershipDriver::new(sync::Arc::clone(shared), mesh.clone(), events);
+    tokio::spawn(driver.run());
+    tokio::spawn(listing::follow_listing(sync::Arc::clone(shared), client, sender.clone()));
+    let routes = inbox::InboxRoutes { membership: sender.clone() };
+    tokio::spawn(inbox::route_envelopes(received, routes));
+    sender
+}
+
 async fn finish_requests(
     shared: &shared::SharedTables,
     serving: tokio::task::JoinHandle<()>,
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -14,6 +14,7 @@
 use marjoramwing_membership::view;
 use marjoramwing_settings::settings;
 use marjoramwing_tables::snapshot;
+use tokio::sync::watch;
 
 use crate::admission;
 use crate::backends::pool;
@@ -31,6 +32,7 @@
     pub tables: arc_swap::ArcSwap<configuration::AppliedTables>,
     /// Members as seen here.
     pub members: arc_swap::ArcSwap<view::MemberView>,
+    member_changes: watch::Sender<sync::Arc<view::MemberView>>,
     /// Connections to backend servers.
     pub connections: pool::ConnectionPool,
     /// Admission of requests under limits.
@@ -56,6 +58,7 @@
             incarnation: incarnation::Incarnation::from_u64(rand::random()),
             tables: arc_swap::ArcSwap::from_pointee(empty),
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
+            member_changes: watch::Sender::default(),
             connections: pool::ConnectionPool::default(),
             metrics: metrics::InstanceMetrics::new(),
             clock: clock::MonotonicClock::start(),
@@ -94,6 +97,19 @@
         self.tables.store(sync::Arc::new(applied));
     }
 
+    /// Publishes a changed view of the members.
+    pub fn publish_members(&self, view: view::MemberView) {
+        let view = sync::Arc::new(view);
+        self.members.store(sync::Arc::clone(&view));
+        self.member_changes.send_replace(view);
+    }
+
+    /// Subscribes to changes of the members.
+    #[must_use]
+    pub fn watch_members(&self) -> watch::Receiver<sync::Arc<view::MemberView>> {
+        self.member_changes.subscribe()
+    }
+
     /// Marks the instance as leaving.
     pub fn leave(&self) {
         self.leaving.store(true, atomic::Ordering::Release);
