Carry peer links both ways and replace silent ones; count membership's cost

Cause: each direction had its own connection, a connection gone silent was never noticed (its opener only waited for its end), links were unbounded in number, and a full inbox stopped the reading of a link.

Ruled out: TCP keepalive, whose time is the kernel's and which does not pass devices that answer on their own; a reader that waits for the inbox, since a slow consumer would make links look silent.

Change: empty envelopes as heartbeats, silence limit, idle limit, at most 128 links with the least recently used making room, accepted links reused for answers when the claimed address is the connection's own, frames of at most 1 KiB before the proof, bytes, losses and open links as metrics.

--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -72,4 +72,6 @@
     PEER_DISCONNECTED = 5002, DEBUG, "peer link ended", "none";
     /// A peer failed to prove the deployment's secret.
     PEER_REFUSED = 5003, WARN, "peer refused; it does not hold the deployment's secret", "give all instances the same peer secret";
+    /// A peer link carried nothing for long and was closed.
+    PEER_SILENT = 5004, WARN, "peer link went silent; closed, a new one is opened on demand", "look for a device between the instances that forgets connections";
 }
--- a/crates/protocol/peer/src/frame.rs
+++ b/crates/protocol/peer/src/frame.rs
@@ -1,6 +1,5 @@
 //! The codec of frames.
 
-use marjoramwing_derives as derives;
 use prost::Message;
 use tokio_util::codec;
 use tokio_util::codec::Decoder;
@@ -11,6 +10,11 @@
 /// Largest frame, in bytes: one object of the store and its envelope.
 pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
 
+/// Largest frame before the other end has proven the secret, in bytes.
+pub const MAX_HANDSHAKE_FRAME_BYTES: usize = 1024;
+/// Bytes of the length before each frame.
+const LENGTH_BYTES: usize = 4;
+
 /// Why a frame could not be read or written.
 #[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum FrameError {
@@ -29,21 +33,28 @@
 }
 
 impl EnvelopeCodec {
-    /// Makes a codec with the protocol's bound on frames.
+    /// Makes a codec with the handshake's bound on frames.
     #[must_use]
-    pub fn new() -> Self {
-        let frames =
-            codec::LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
-        Self { frames }
+    pub fn for_handshake() -> Self {
+        Self { frames: bounded_frames(MAX_HANDSHAKE_FRAME_BYTES) }
     }
-}
 
-impl Default for EnvelopeCodec {
-    fn default() -> Self {
-        Self::new()
+    /// Raises the bound on frames once the other end has proven the secret.
+    pub fn allow_messages(&mut self) {
+        self.frames.set_max_frame_length(MAX_FRAME_BYTES);
     }
 }
 
+fn bounded_frames(max_bytes: usize) -> codec::LengthDelimitedCodec {
+    codec::LengthDelimitedCodec::builder().max_frame_length(max_bytes).new_codec()
+}
+
+/// Returns the bytes that an envelope takes on a link.
+#[must_use]
+pub fn frame_bytes(envelope: &message::Envelope) -> u64 {
+    u64::try_from(envelope.encoded_len() + LENGTH_BYTES).unwrap_or(u64::MAX)
+}
+
 impl Decoder for EnvelopeCodec {
     type Item = message::Envelope;
     type Error = FrameError;
@@ -70,13 +81,3 @@
         Ok(())
     }
 }
-
-/// Counts what a link carried.
-#[derives::value]
-#[derive(Default)]
-pub struct LinkCount {
-    /// Frames.
-    pub frames: u64,
-    /// Bytes.
-    pub bytes: u64,
-}
--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -56,6 +56,12 @@
 }
 
 impl Envelope {
+    /// Makes an envelope without a body, which only shows that the link works.
+    #[must_use]
+    pub const fn heartbeat() -> Self {
+        Self { body: None }
+    }
+
     /// Wraps a body.
     #[must_use]
     pub const fn new(body: Body) -> Self {
--- a/crates/transport/node/src/inbox.rs
+++ b/crates/transport/node/src/inbox.rs
@@ -4,7 +4,7 @@
 use marjoramwing_peer::message;
 use tokio::sync::mpsc;
 
-use crate::peers::mesh;
+use crate::peers::carrier;
 
 /// Where each kind of envelope goes.
 ///
@@ -17,7 +17,7 @@
 
 /// Routes received envelopes until the mesh ends.
 pub async fn route_envelopes(
-    mut received: mpsc::Receiver<mesh::ReceivedEnvelope>,
+    mut received: mpsc::Receiver<carrier::ReceivedEnvelope>,
     routes: InboxRoutes,
 ) {
     while let Some(envelope) = received.recv().await {
--- a/crates/transport/node/src/metrics.rs
+++ b/crates/transport/node/src/metrics.rs
@@ -22,6 +22,12 @@
     pub refused_objects: prometheus::IntCounter,
     /// Frames carried between instances.
     pub peer_frames: prometheus::IntCounterVec,
+    /// Bytes of the frames carried between instances.
+    pub peer_bytes: prometheus::IntCounterVec,
+    /// Envelopes lost since a queue was full.
+    pub peer_lost: prometheus::IntCounter,
+    /// Links to other instances open now.
+    pub peer_links: prometheus::IntGauge,
 }
 
 impl InstanceMetrics {
@@ -60,6 +66,18 @@
                 &registry,
                 counters("peer_frames_total", "Frames between instances.", &["direction"]),
             ),
+            peer_bytes: register(
+                &registry,
+                counters("peer_bytes_total", "Bytes between instances.", &["direction"]),
+            ),
+            peer_lost: register(
+                &registry,
+                counter("peer_lost_total", "Envelopes lost since a queue was full."),
+            ),
+            peer_links: register(
+                &registry,
+                gauge("peer_links", "Links to other instances open now."),
+            ),
             registry,
         }
     }
--- a/crates/transport/node/src/peers/link.rs
+++ b/crates/transport/node/src/peers/link.rs
@@ -58,7 +58,7 @@
     stream: tokio::net::TcpStream,
     role: handshake::LinkRole,
 ) -> Result<ProvenLink, LinkError> {
-    let mut stream = codec::Framed::new(stream, frame::EnvelopeCodec::new());
+    let mut stream = codec::Framed::new(stream, frame::EnvelopeCodec::for_handshake());
     let ours = make_hello(shared);
     stream.send(message::Envelope::new(message::Body::Hello(ours.clone()))).await?;
     let Some(message::Body::Hello(hello)) = receive(&mut stream).await? else {
@@ -73,6 +73,7 @@
         return Err(handshake::HandshakeError::Order.into());
     };
     pair.verify(secret, role.other(), &proof)?;
+    stream.codec_mut().allow_messages();
     Ok(ProvenLink { stream, hello })
 }
 
--- a/crates/transport/node/src/peers/mesh.rs
+++ b/crates/transport/node/src/peers/mesh.rs
@@ -1,20 +1,18 @@
 //! All links of an instance.
 
-use std::collections;
 use std::net;
 use std::sync;
 use std::time;
 
-use futures_util::SinkExt;
-use futures_util::StreamExt;
-use marjoramwing_entity::incarnation;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
 use marjoramwing_peer::handshake;
 use marjoramwing_peer::message;
 use tokio::sync::mpsc;
 
+use crate::peers::carrier;
 use crate::peers::link;
+use crate::peers::table;
 use crate::shared;
 
 /// Envelopes that wait for one link.
@@ -23,41 +21,41 @@
 pub const INBOX_QUEUE: usize = 4_096;
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
-/// Time after which an unused link is closed.
-const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(60);
-
-/// An envelope from a peer.
-#[derive(Debug)]
-pub struct ReceivedEnvelope {
-    /// Run of the peer's process.
-    pub from: incarnation::Incarnation,
-    /// Peer address that the sender gave.
-    pub address: Option<net::SocketAddr>,
-    /// What was sent.
-    pub body: message::Body,
-}
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
 /// Sends envelopes to peers, opening links as needed.
 ///
 /// Sending never waits: an envelope for a link that is full or broken is lost,
-/// and the protocols above send again.
+/// and the protocols above send again. A link carries envelopes both ways,
+/// whichever end opened it.
 #[derive(Debug, Clone)]
 pub struct PeerMesh {
     shared: sync::Arc<shared::SharedTables>,
-    links: sync::Arc<sync::Mutex<LinkTable>>,
-    inbox: mpsc::Sender<ReceivedEnvelope>,
+    links: sync::Arc<sync::Mutex<table::LinkTable>>,
+    inbox: mpsc::Sender<carrier::ReceivedEnvelope>,
+    limits: carrier::LinkLimits,
 }
 
-type LinkTable = collections::HashMap<net::SocketAddr, mpsc::Sender<message::Body>>;
-
 impl PeerMesh {
     /// Makes a mesh without links that hands received envelopes to `inbox`.
     #[must_use]
     pub fn new(
         shared: sync::Arc<shared::SharedTables>,
-        inbox: mpsc::Sender<ReceivedEnvelope>,
+        inbox: mpsc::Sender<carrier::ReceivedEnvelope>,
+    ) -> Self {
+        Self::with_limits(shared, inbox, carrier::LinkLimits::default())
+    }
+
+    /// Makes a mesh with other periods and bounds.
+    #[must_use]
+    pub fn with_limits(
+        shared: sync::Arc<shared::SharedTables>,
+        inbox: mpsc::Sender<carrier::ReceivedEnvelope>,
+        limits: carrier::LinkLimits,
     ) -> Self {
-        Self { shared, links: sync::Arc::default(), inbox }
+        let links = table::LinkTable::new(limits.max_links);
+        Self { shared, links: sync::Arc::new(sync::Mutex::new(links)), inbox, limits }
     }
 
     /// Queues an envelope for a peer.
@@ -66,11 +64,12 @@
     ///
     /// Panics if a task panicked while it held the table of links.
     pub fn send(&self, address: net::SocketAddr, body: message::Body) {
-        let mut links = self.links.lock().expect("no task panics while it holds the links");
-        let link = links.entry(address).or_insert_with(|| self.open(address));
-        if let Err(mpsc::error::TrySendError::Closed(body)) = link.try_send(body) {
-            *link = self.open(address);
-            let _ = link.try_send(body);
+        let queue = {
+            let mut links = self.lock();
+            links.get(address).unwrap_or_else(|| self.open(address, &mut links))
+        };
+        if queue.try_send(body).is_err() {
+            self.shared.metrics.peer_lost.inc();
         }
     }
 
@@ -80,35 +79,48 @@
     ///
     /// Panics if a task panicked while it held the table of links.
     pub fn reset(&self, address: net::SocketAddr) {
-        let mut links = self.links.lock().expect("no task panics while it holds the links");
-        links.remove(&address);
+        self.lock().remove(address);
+    }
+
+    /// Returns the number of links that this instance sends on.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a task panicked while it held the table of links.
+    #[must_use]
+    pub fn link_count(&self) -> usize {
+        self.lock().len()
     }
 
     /// Accepts links of peers until the task is cancelled.
     pub async fn accept_links(self, listener: tokio::net::TcpListener) {
+        let permits = sync::Arc::new(tokio::sync::Semaphore::new(self.limits.max_accepted));
         loop {
+            let Ok(permit) = sync::Arc::clone(&permits).acquire_owned().await else { return };
             let Ok((stream, address)) = listener.accept().await else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
             let mesh = self.clone();
             tokio::spawn(async move {
-                let role = handshake::LinkRole::Acceptor;
-                match link::shake_hands(&mesh.shared, stream, role).await {
-                    Ok(proven) => mesh.receive_all(proven).await,
-                    Err(error) => emit!(catalogue::PEER_REFUSED, peer = %address, error = %error),
-                }
+                mesh.run_accepted(stream, address).await;
+                drop(permit);
             });
         }
     }
 
-    fn open(&self, address: net::SocketAddr) -> mpsc::Sender<message::Body> {
+    fn open(&self, address: net::SocketAddr, links: &mut table::LinkTable) -> table::LinkQueue {
         let (sender, receiver) = mpsc::channel(LINK_QUEUE);
+        let number = links.insert(address, sender.clone());
         let mesh = self.clone();
-        tokio::spawn(async move { mesh.run_link(address, receiver).await });
+        tokio::spawn(async move {
+            mesh.run_opened(address, receiver).await;
+            mesh.lock().remove_number(address, number);
+        });
         sender
     }
 
-    async fn run_link(&self, address: net::SocketAddr, queue: mpsc::Receiver<message::Body>) {
+    async fn run_opened(&self, address: net::SocketAddr, queue: mpsc::Receiver<message::Body>) {
         let connect = tokio::net::TcpStream::connect(address);
         let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, connect).await else {
             return;
@@ -117,40 +129,60 @@
         match link::shake_hands(&self.shared, stream, handshake::LinkRole::Opener).await {
             Ok(proven) => {
                 emit!(catalogue::PEER_CONNECTED, peer = %address);
-                self.carry(proven, queue).await;
+                self.carrier(handshake::LinkRole::Opener).carry(proven, queue).await;
                 emit!(catalogue::PEER_DISCONNECTED, peer = %address);
             }
             Err(error) => emit!(catalogue::PEER_REFUSED, peer = %address, error = %error),
         }
     }
 
-    async fn carry(&self, link: link::ProvenLink, mut queue: mpsc::Receiver<message::Body>) {
-        let (mut sink, mut stream) = link.stream.split();
-        loop {
-            tokio::select! {
-                queued = tokio::time::timeout(IDLE_TIMEOUT, queue.recv()) => {
-                    let Ok(Some(body)) = queued else { return };
-                    self.shared.metrics.peer_frames.with_label_values(&["sent"]).inc();
-                    if sink.send(message::Envelope::new(body)).await.is_err() {
-                        return;
-                    }
-                }
-                // An opener's link carries no envelopes back: this only notices its end.
-                _ = stream.next() => return,
+    async fn run_accepted(&self, stream: tokio::net::TcpStream, remote: net::SocketAddr) {
+        let _ = stream.set_nodelay(true);
+        let role = handshake::LinkRole::Acceptor;
+        let proven = match link::shake_hands(&self.shared, stream, role).await {
+            Ok(proven) => proven,
+            Err(error) => {
+                emit!(catalogue::PEER_REFUSED, peer = %remote, error = %error);
+                return;
             }
+        };
+        let (sender, queue) = mpsc::channel(LINK_QUEUE);
+        let claimed = proven.hello.peer_address.parse().ok();
+        let registered = claimed.and_then(|address| self.register(address, remote, &sender));
+        // An unregistered link keeps its sender, so that it is not taken for closed.
+        let kept = registered.is_none().then_some(sender);
+        self.carrier(role).carry(proven, queue).await;
+        drop(kept);
+        if let (Some(address), Some(number)) = (claimed, registered) {
+            self.lock().remove_number(address, number);
         }
     }
 
-    async fn receive_all(&self, mut link: link::ProvenLink) {
-        let from = incarnation::Incarnation::from_u64(link.hello.incarnation);
-        let address = link.hello.peer_address.parse().ok();
-        while let Some(Ok(envelope)) = link.stream.next().await {
-            self.shared.metrics.peer_frames.with_label_values(&["received"]).inc();
-            let Some(body) = envelope.body else { continue };
-            let received = ReceivedEnvelope { from, address, body };
-            if self.inbox.send(received).await.is_err() {
-                return;
-            }
+    /// Sends on an accepted link from now on, unless another link to the peer is open.
+    fn register(
+        &self,
+        address: net::SocketAddr,
+        remote: net::SocketAddr,
+        queue: &table::LinkQueue,
+    ) -> Option<table::LinkNumber> {
+        // A peer speaks only for its own IP address.
+        if address.ip() != remote.ip() {
+            return None;
+        }
+        let mut links = self.lock();
+        (!links.contains(address)).then(|| links.insert(address, queue.clone()))
+    }
+
+    fn carrier(&self, role: handshake::LinkRole) -> carrier::LinkCarrier {
+        carrier::LinkCarrier {
+            shared: sync::Arc::clone(&self.shared),
+            limits: self.limits,
+            role,
+            inbox: self.inbox.clone(),
         }
     }
+
+    fn lock(&self) -> sync::MutexGuard<'_, table::LinkTable> {
+        self.links.lock().expect("no task panics while it holds the links")
+    }
 }
--- /dev/null
+++ b/crates/transport/node/src/peers/table.rs
@@ -0,0 +1,97 @@
+//! The open links by peer address.
+//!
+//! Invariant: never more links than the limit; the one that was unused the
+//! longest makes room.
+
+use std::collections;
+use std::net;
+
+use marjoramwing_peer::message;
+use tokio::sync::mpsc;
+
+/// Takes the envelopes for one link.
+pub type LinkQueue = mpsc::Sender<message::Body>;
+
+/// Names one link among all that this process ever opened.
+pub type LinkNumber = u64;
+
+#[derive(Debug)]
+struct LinkEntry {
+    number: LinkNumber,
+    queue: LinkQueue,
+    last_use: u64,
+}
+
+/// Open links, of which the least recently used makes room for a new one.
+#[derive(Debug)]
+pub struct LinkTable {
+    entries: collections::HashMap<net::SocketAddr, LinkEntry>,
+    max_links: usize,
+    last_number: LinkNumber,
+    last_use: u64,
+}
+
+impl LinkTable {
+    /// Makes an empty table.
+    #[must_use]
+    pub fn new(max_links: usize) -> Self {
+        Self { entries: collections::HashMap::new(), max_links, last_number: 0, last_use: 0 }
+    }
+
+    /// Returns the queue of the link to a peer and notes its use.
+    pub fn get(&mut self, address: net::SocketAddr) -> Option<LinkQueue> {
+        self.last_use += 1;
+        let entry = self.entries.get_mut(&address)?;
+        if entry.queue.is_closed() {
+            self.entries.remove(&address);
+            return None;
+        }
+        entry.last_use = self.last_use;
+        Some(entry.queue.clone())
+    }
+
+    /// Adds the link to a peer, in place of any before, and returns its number.
+    pub fn insert(&mut self, address: net::SocketAddr, queue: LinkQueue) -> LinkNumber {
+        if self.entries.len() >= self.max_links && !self.entries.contains_key(&address) {
+            let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.last_use);
+            if let Some(oldest) = oldest.map(|(address, _)| *address) {
+                self.entries.remove(&oldest);
+            }
+        }
+        self.last_number += 1;
+        self.last_use += 1;
+        let number = self.last_number;
+        self.entries.insert(address, LinkEntry { number, queue, last_use: self.last_use });
+        number
+    }
+
+    /// Removes the link to a peer; its task ends.
+    pub fn remove(&mut self, address: net::SocketAddr) {
+        self.entries.remove(&address);
+    }
+
+    /// Removes the link to a peer if it still is the one of that number.
+    pub fn remove_number(&mut self, address: net::SocketAddr, number: LinkNumber) {
+        if self.entries.get(&address).is_some_and(|entry| entry.number == number) {
+            self.entries.remove(&address);
+        }
+    }
+
+    /// Tells whether a link to a peer is open.
+    #[must_use]
+    pub fn contains(&self, address: net::SocketAddr) -> bool {
+        self.entries.get(&address).is_some_and(|entry| !entry.queue.is_closed())
+    }
+
+    /// Returns the number of links.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no link is open.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -19,6 +19,7 @@
 use crate::control::listing;
 use crate::control::membership;
 use crate::inbox;
+use crate::peers::carrier;
 use crate::peers::mesh;
 use crate::shared;
 
@@ -86,7 +87,7 @@
 fn start_control(
     shared: &sync::Arc<shared::SharedTables>,
     mesh: &mesh::PeerMesh,
-    received: mpsc::Receiver<mesh::ReceivedEnvelope>,
+    received: mpsc::Receiver<carrier::ReceivedEnvelope>,
 ) -> mpsc::Sender<keeper::MembershipEvent> {
     let store = shared.settings.store;
     let client = client::StoreClient::new(store.address, store.timeout);
