--- a/crates/coordination/configuration/src/candidate.rs
+++ b/crates/coordination/configuration/src/candidate.rs
@@ -87,7 +87,7 @@
             TableObject::Routes => CandidateDocument::Routes(parse(&text)?),
             TableObject::Pools => CandidateDocument::Pools(parse(&text)?),
             TableObject::Teams => CandidateDocument::Teams(parse(&text)?),
-            TableObject::Keys => CandidateDocument::Keys(parse(&text)?),
+            TableObject::Keys => CandidateDocument::Keys(parse_keys(&text)?),
             TableObject::Steering => CandidateDocument::Steering(parse(&text)?),
         };
         Ok(Self { version, document, text })
@@ -98,3 +98,11 @@
     let parsed = serde_json::from_slice(text);
     parsed.map(Arc::new).map_err(|error| fault::FaultKind::Syntax(error.to_string().into()))
 }
+
+/// Parses keys without quoting the text, which may hold a key by mistake.
+fn parse_keys(text: &[u8]) -> Result<Arc<document::KeysDocument>, fault::FaultKind> {
+    serde_json::from_slice(text).map(Arc::new).map_err(|error| {
+        let place = format!("line {}, column {}", error.line(), error.column());
+        fault::FaultKind::Syntax(format!("not a keys object at {place}").into())
+    })
+}
--- /dev/null
+++ b/crates/coordination/configuration/tests/fleet.rs
@@ -0,0 +1,272 @@
+//! A change is in force everywhere within seconds and never taken back.
+
+#[expect(dead_code, reason = "shared by several test files")]
+mod support;
+
+use std::time;
+
+use marjoramwing_configuration::candidate::TableObject as Object;
+use marjoramwing_configuration::settings;
+use marjoramwing_configuration::status;
+use marjoramwing_configuration::trust;
+use support::fleet;
+
+/// Time in which a change has to be in force everywhere.
+const IN_FORCE: time::Duration = time::Duration::from_secs(11);
+const COUNT: usize = 42;
+const REGIONS: usize = 7;
+
+fn seconds(count: u64) -> time::Duration {
+    time::Duration::from_secs(count)
+}
+
+fn started(seed: u64) -> fleet::Fleet {
+    started_with(seed, settings::ConfigurationSettings::default())
+}
+
+fn started_with(seed: u64, settings: settings::ConfigurationSettings) -> fleet::Fleet {
+    let mut fleet = fleet::Fleet::new(COUNT, REGIONS, seed, settings);
+    fleet.put_all();
+    fleet.run(seconds(20));
+    for object in Object::ALL {
+        assert!(fleet.in_force(object, 1), "{object} is in force after the start");
+    }
+    fleet
+}
+
+fn change(fleet: &mut fleet::Fleet, object: Object) -> u64 {
+    fleet.store.put(object.object_name(), support::plain(object))
+}
+
+/// Changes an object while links lose, repeat and reorder; returns the slowest.
+fn slowest_change(seed: u64, settings: settings::ConfigurationSettings) -> Option<time::Duration> {
+    let mut fleet = started_with(seed, settings);
+    (fleet.loss, fleet.repetition, fleet.delay_ms) = (0.1, 0.1, 300);
+    let mut slowest = time::Duration::ZERO;
+    for round in 0..20 {
+        let object = Object::ALL[round % Object::ALL.len()];
+        let version = change(&mut fleet, object);
+        slowest = slowest.max(fleet.time_to_force(object, version, seconds(50))?);
+        fleet.run(seconds(3));
+    }
+    assert!(fleet.reverted.is_empty());
+    println!("slowest of 20 changes: {slowest:?}");
+    Some(slowest)
+}
+
+fn check_change(seed: u64) {
+    let slowest = slowest_change(seed, settings::ConfigurationSettings::default());
+    assert!(slowest.is_some_and(|slowest| slowest <= IN_FORCE));
+}
+
+marjoramwing_testing::cases! { check_change:
+    change_over_faulty_links_seed_1 => (1);
+    change_over_faulty_links_seed_2 => (2);
+    change_over_faulty_links_seed_3 => (3);
+}
+
+/// Kills whoever applies a change first, with all watchers of its region.
+fn slowest_with_dying_relays(
+    seed: u64,
+    settings: settings::ConfigurationSettings,
+) -> Option<time::Duration> {
+    let mut fleet = started_with(seed, settings);
+    let mut slowest = time::Duration::ZERO;
+    for round in 0..REGIONS {
+        let version = change(&mut fleet, Object::Keys);
+        let start = fleet.now;
+        let first = loop {
+            fleet.run(time::Duration::from_millis(50));
+            let watchers = fleet.watchers().into_iter();
+            let mut watchers = watchers.filter(|watcher| !fleet.nodes[*watcher].dead);
+            let first =
+                watchers.find(|watcher| fleet.nodes[*watcher].keeper.applied().keys == version);
+            if let Some(first) = first {
+                break first;
+            }
+        };
+        let region = fleet.nodes[first].region;
+        let lost: Vec<_> = fleet.watchers().into_iter().collect();
+        let lost = lost.into_iter().filter(|watcher| fleet.nodes[*watcher].region == region);
+        for watcher in lost.collect::<Vec<_>>() {
+            fleet.nodes[watcher].dead = true;
+        }
+        fleet.time_to_force(Object::Keys, version, seconds(50))?;
+        slowest = slowest.max(fleet.now.since(start));
+        for index in 0..COUNT {
+            if fleet.nodes[index].dead {
+                fleet.restart(index);
+            }
+        }
+        fleet.run(seconds(10));
+        println!("round {round}: slowest {slowest:?}");
+    }
+    assert!(fleet.reverted.is_empty());
+    Some(slowest)
+}
+
+fn check_dying_relays(seed: u64) {
+    let slowest = slowest_with_dying_relays(seed, settings::ConfigurationSettings::default());
+    assert!(slowest.is_some_and(|slowest| slowest <= IN_FORCE));
+}
+
+marjoramwing_testing::cases! { check_dying_relays:
+    withdrawn_key_while_relays_die_seed_1 => (1);
+    withdrawn_key_while_relays_die_seed_2 => (2);
+    withdrawn_key_while_relays_die_seed_3 => (3);
+}
+
+#[test]
+fn change_misses_instances_without_repairs() {
+    let settings = settings::ConfigurationSettings { repairs: false, ..Default::default() };
+    let slowest = (1..4).map(|seed| slowest_change(seed, settings));
+    assert!(slowest.into_iter().any(|slowest| slowest.is_none_or(|slowest| slowest > IN_FORCE)));
+}
+
+#[test]
+fn stale_and_slow_store_reverts_nothing() {
+    let mut fleet = started(4);
+    fleet.store.stale = 0.5;
+    for round in 0..20 {
+        let object = Object::ALL[round % Object::ALL.len()];
+        let version = change(&mut fleet, object);
+        let time = fleet.time_to_force(object, version, seconds(60));
+        assert!(time.is_some_and(|time| time <= IN_FORCE), "took {time:?}");
+    }
+    assert!(fleet.reverted.is_empty());
+}
+
+#[test]
+fn starting_instance_takes_tables_from_peers_while_the_store_is_down() {
+    let mut fleet = started(5);
+    fleet.store.down = true;
+    fleet.run(seconds(60));
+    fleet.restart(8);
+    let time = fleet.time_to_force(Object::Routes, 1, seconds(60));
+    assert!(time.is_some_and(|time| time <= seconds(5)), "took {time:?}");
+    fleet.run(seconds(30));
+    assert_eq!(fleet.nodes[8].keeper.trust(), trust::KeyTrust::Outage);
+}
+
+#[test]
+fn paused_instance_catches_up() {
+    let mut fleet = started(6);
+    fleet.nodes[8].paused_until = fleet.now + seconds(60);
+    let version = change(&mut fleet, Object::Keys);
+    fleet.run(seconds(60));
+    let time = fleet.time_to_force(Object::Keys, version, seconds(60));
+    assert!(time.is_some_and(|time| time <= seconds(5)), "took {time:?}");
+}
+
+#[test]
+fn ages_stay_under_the_bound_in_ordinary_times() {
+    let mut fleet = started(7);
+    let bound = settings::ConfigurationSettings::default().max_age;
+    let mut oldest = time::Duration::ZERO;
+    for _ in 0..60 {
+        fleet.run(seconds(1));
+        for node in &fleet.nodes {
+            let age = node.keeper.age(fleet.now);
+            assert!(age.is_some_and(|age| age < bound), "{age:?}");
+            assert_eq!(node.keeper.trust(), trust::KeyTrust::Fresh);
+            oldest = oldest.max(age.unwrap());
+        }
+    }
+    println!("oldest tables: {oldest:?}");
+}
+
+#[test]
+fn outage_is_told_from_being_cut_off() {
+    let mut fleet = started(8);
+    fleet.store.down = true;
+    fleet.run(seconds(40));
+    for node in &fleet.nodes {
+        assert_eq!(node.keeper.trust(), trust::KeyTrust::Outage);
+    }
+    fleet.store.down = false;
+    fleet.run(seconds(20));
+    for node in &fleet.nodes {
+        assert_eq!(node.keeper.trust(), trust::KeyTrust::Fresh);
+    }
+}
+
+/// Trust of an instance that reaches neither store nor peers.
+fn trust_when_cut_off(settings: settings::ConfigurationSettings) -> trust::KeyTrust {
+    let mut fleet = started_with(9, settings);
+    fleet.nodes[8].cut_off = true;
+    fleet.run(seconds(40));
+    assert_eq!(fleet.nodes[9].keeper.trust(), trust::KeyTrust::Fresh);
+    fleet.nodes[8].keeper.trust()
+}
+
+#[test]
+fn cut_off_instance_refuses_keys() {
+    let settings = settings::ConfigurationSettings::default();
+    assert_eq!(trust_when_cut_off(settings), trust::KeyTrust::Refused);
+}
+
+#[test]
+fn cut_off_instance_goes_on_if_told_so() {
+    let undecided = settings::UndecidedKeys::Serve;
+    let settings = settings::ConfigurationSettings { undecided, ..Default::default() };
+    assert_eq!(trust_when_cut_off(settings), trust::KeyTrust::Served);
+}
+
+#[test]
+fn cut_off_instance_takes_it_for_an_outage_without_witnesses() {
+    let settings = settings::ConfigurationSettings { witnesses: false, ..Default::default() };
+    assert_eq!(trust_when_cut_off(settings), trust::KeyTrust::Outage);
+}
+
+#[test]
+fn lost_region_of_the_store_is_undecided() {
+    let mut fleet = started(10);
+    fleet.lost_region = Some(0);
+    fleet.run(seconds(40));
+    for node in &fleet.nodes {
+        let is_near_store = node.region == 0;
+        let expected =
+            if is_near_store { trust::KeyTrust::Fresh } else { trust::KeyTrust::Refused };
+        assert_eq!(node.keeper.trust(), expected);
+    }
+}
+
+#[test]
+fn instance_that_reaches_only_peers_stays_fresh() {
+    let mut fleet = started(11);
+    // Region 3 is cut from the store alone.
+    fleet.store_cut_region = Some(3);
+    fleet.run(seconds(60));
+    for node in &fleet.nodes {
+        assert_eq!(node.keeper.trust(), trust::KeyTrust::Fresh);
+    }
+    let version = change(&mut fleet, Object::Keys);
+    let time = fleet.time_to_force(Object::Keys, version, seconds(60));
+    assert!(time.is_some_and(|time| time <= IN_FORCE), "took {time:?}");
+}
+
+fn status_of(fleet: &fleet::Fleet, object: Object) -> Option<status::StatusDocument> {
+    let found = fleet.store.find(&status::status_name(object))?;
+    serde_json::from_slice(&found.value).ok()
+}
+
+#[test]
+fn faulty_object_is_reported_once_and_cleared() {
+    let mut fleet = started(12);
+    let version = fleet.store.put(Object::Routes.object_name(), "{".into());
+    let keys = change(&mut fleet, Object::Keys);
+    assert!(fleet.time_to_force(Object::Keys, keys, IN_FORCE).is_some());
+    fleet.run(seconds(30));
+    let told = status_of(&fleet, Object::Routes).expect("the fault is reported");
+    assert_eq!((told.version, told.faults.len()), (version, 1));
+    assert_eq!(fleet.store.writes, 1, "one of the watchers writes");
+    assert!(fleet.nodes.iter().all(|node| node.keeper.applied().routes == 1));
+    let dump = fleet.nodes[0].keeper.dump(fleet.now);
+    assert_eq!(dump.held.len(), 1);
+    let version = change(&mut fleet, Object::Routes);
+    assert!(fleet.time_to_force(Object::Routes, version, IN_FORCE).is_some());
+    fleet.run(seconds(30));
+    let told = status_of(&fleet, Object::Routes).expect("the report is kept");
+    assert_eq!((told.version, told.faults.len()), (version, 0));
+    assert!(fleet.nodes[0].keeper.dump(fleet.now).held.is_empty());
+}
--- /dev/null
+++ b/crates/coordination/configuration/tests/selector.rs
@@ -0,0 +1,246 @@
+//! Accepted versions never fall, and faulty objects never replace good ones.
+
+#[expect(dead_code, reason = "shared by several test files")]
+mod support;
+
+use marjoramwing_configuration::candidate::TableObject as Object;
+use marjoramwing_configuration::group;
+use marjoramwing_configuration::selector;
+use marjoramwing_tables::snapshot;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+
+fn started() -> selector::VersionSelector {
+    started_with(selector::SelectorRules::default())
+}
+
+fn started_with(rules: selector::SelectorRules) -> selector::VersionSelector {
+    let mut selector = selector::VersionSelector::new(rules);
+    selector.offer(Object::Routes, 4, support::routes(&["web"]));
+    selector.offer(Object::Pools, 2, support::pools(&["web"]));
+    selector.offer(Object::Steering, 1, support::steering());
+    selector.offer(Object::Teams, 1, support::teams(&["one"]));
+    selector.offer(Object::Keys, 1, support::keys(&["one"]));
+    assert!(selector.select().is_some());
+    selector
+}
+
+#[test]
+fn older_version_is_stale() {
+    let mut selector = started();
+    assert!(!selector.offer(Object::Routes, 3, support::routes(&["web"])));
+    assert!(selector.select().is_none());
+    assert_eq!(selector.applied().routes, 4);
+}
+
+#[test]
+fn route_waits_for_its_pool() {
+    let mut selector = started();
+    selector.offer(Object::Routes, 5, support::routes(&["new"]));
+    assert!(selector.select().is_none());
+    assert_eq!(selector.applied().routes, 4);
+    assert!(selector.faults(Object::Routes).to_string().contains("`new`"));
+    selector.offer(Object::Pools, 3, support::pools(&["web", "new"]));
+    assert!(selector.select().is_some());
+    assert_eq!((selector.applied().routes, selector.applied().pools), (5, 3));
+    assert!(selector.faults(Object::Routes).is_empty());
+}
+
+#[test]
+fn pool_that_a_route_names_stays_until_the_route_lets_go() {
+    let mut selector = started();
+    selector.offer(Object::Pools, 3, support::pools(&["new"]));
+    assert!(selector.select().is_none());
+    selector.offer(Object::Routes, 5, support::routes(&["new"]));
+    assert!(selector.select().is_some());
+    assert_eq!((selector.applied().routes, selector.applied().pools), (5, 3));
+}
+
+/// Offers a faulty object of one group and a good one of another.
+fn applied_beside_fault(rules: selector::SelectorRules, faulty: Object, good: Object) -> u64 {
+    let mut selector = started_with(rules);
+    selector.offer(faulty, 9, "{".into());
+    selector.select();
+    let text = match good {
+        Object::Routes => support::routes(&["web"]),
+        other => support::plain(other),
+    };
+    selector.offer(good, 9, text);
+    selector.select().map_or(0, |tables| group::version_of(&tables.versions, good))
+}
+
+fn check_apart(faulty: Object, good: Object) {
+    assert_eq!(applied_beside_fault(selector::SelectorRules::default(), faulty, good), 9);
+    let together = selector::SelectorRules { apart: false, ..Default::default() };
+    assert_eq!(applied_beside_fault(together, faulty, good), 0, "held back when applied together");
+}
+
+marjoramwing_testing::cases! { check_apart:
+    faulty_keys_hold_back_no_routes => (Object::Keys, Object::Routes);
+    faulty_routes_hold_back_no_keys => (Object::Routes, Object::Keys);
+    faulty_teams_hold_back_no_steering => (Object::Teams, Object::Steering);
+    faulty_steering_holds_back_no_pools => (Object::Steering, Object::Pools);
+}
+
+#[test]
+fn faulty_newest_does_not_hide_a_good_one_before() {
+    let mut selector = started();
+    selector.offer(Object::Routes, 5, support::routes(&["new"]));
+    selector.offer(Object::Routes, 6, "{".into());
+    assert!(selector.select().is_none());
+    selector.offer(Object::Pools, 3, support::pools(&["new"]));
+    assert!(selector.select().is_some());
+    assert_eq!(selector.applied().routes, 5);
+    assert!(!selector.faults(Object::Routes).is_empty(), "the newest is still faulty");
+}
+
+#[test]
+fn faults_of_keys_hold_no_key_text() {
+    let mut selector = started();
+    let secret = "one-1.a-secret-that-nobody-may-see";
+    let text = format!(r#"{{"keys": [{{"id": "one-1", "team": "one", "sha256": "{secret}"}}]}}"#);
+    selector.offer(Object::Keys, 2, text.into());
+    selector.select();
+    let text = format!(r#"{{"keys": "{secret}"}}"#);
+    assert!(!selector.faults(Object::Keys).is_empty());
+    assert!(!selector.faults(Object::Keys).to_string().contains("nobody-may-see"));
+    selector.offer(Object::Keys, 3, text.into());
+    assert!(!selector.faults(Object::Keys).is_empty());
+    assert!(!selector.faults(Object::Keys).to_string().contains("nobody-may-see"));
+}
+
+/// One version of one object in a random history.
+#[derive(Clone)]
+struct Offered {
+    object: Object,
+    version: u64,
+    text: bytes::Bytes,
+}
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+fn random_history(rng: &mut rand_pcg::Pcg64Mcg) -> Vec<Offered> {
+    let mut history = Vec::new();
+    for object in [Object::Routes, Object::Pools, Object::Keys, Object::Teams, Object::Steering] {
+        for version in 1..=rng.random_range(1..=6) {
+            let names: Vec<_> = NAMES.into_iter().filter(|_| rng.random_bool(0.5)).collect();
+            let is_faulty = rng.random_bool(0.2);
+            let text = match object {
+                _ if is_faulty => "{".into(),
+                Object::Routes => support::routes(&names),
+                Object::Pools => support::pools(&names),
+                Object::Keys => support::keys(&names),
+                Object::Teams => support::teams(&names),
+                Object::Steering => support::steering(),
+            };
+            history.push(Offered { object, version, text });
+        }
+    }
+    history
+}
+
+/// Tries every pair of versions read so far, from the greatest down.
+fn search_naively(seen: &[Offered], applied: &snapshot::TableVersions) -> snapshot::TableVersions {
+    let mut best = *applied;
+    for (first, second) in [
+        (Object::Routes, Object::Pools),
+        (Object::Keys, Object::Teams),
+        (Object::Steering, Object::Steering),
+    ] {
+        let mut found = None;
+        for left in choices(seen, first, applied) {
+            for right in choices(seen, second, applied) {
+                let fits = first != second || left.0 == right.0;
+                if found < Some((left.0, right.0)) && fits && parse_pair(&left, &right) {
+                    found = Some((left.0, right.0));
+                }
+            }
+        }
+        if let Some((left, right)) = found {
+            *group::version_mut(&mut best, first) = left;
+            *group::version_mut(&mut best, second) = right;
+        }
+    }
+    best
+}
+
+type Choice = (u64, Object, Option<bytes::Bytes>);
+
+fn choices(seen: &[Offered], object: Object, applied: &snapshot::TableVersions) -> Vec<Choice> {
+    let least = group::version_of(applied, object);
+    let none = (0, object, None);
+    let of_object = seen.iter().filter(|offered| offered.object == object);
+    let read = of_object.map(|offered| (offered.version, object, Some(offered.text.clone())));
+    [none].into_iter().chain(read).filter(|(version, _, _)| *version >= least).collect()
+}
+
+fn parse_pair(left: &Choice, right: &Choice) -> bool {
+    let mut whole = serde_json::json!({
+        "routes": {"routes": []}, "pools": {"pools": []}, "teams": {"teams": []},
+        "keys": {"keys": []}, "steering": {"sites": []},
+    });
+    for (_, object, text) in [left, right] {
+        let Some(text) = text else { continue };
+        let Ok(value) = serde_json::from_slice(text) else { return false };
+        whole[object.to_string()] = value;
+    }
+    let Ok(documents) = serde_json::from_value::<snapshot::TableDocuments>(whole) else {
+        return false;
+    };
+    snapshot::TableSnapshot::try_from(&documents).is_ok()
+}
+
+/// Offers a history in random order, with repetitions, and compares each step.
+fn check_against_naive_search(seed: u64) {
+    println!("seed {seed}");
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+    for _ in 0..20 {
+        let mut history = random_history(&mut rng);
+        history.shuffle(&mut rng);
+        let mut selector = selector::VersionSelector::default();
+        let mut seen: Vec<Offered> = Vec::new();
+        for offered in history {
+            let newest = group::version_of(&selector.newest(), offered.object);
+            let before = selector.applied();
+            selector.offer(offered.object, offered.version, offered.text.clone());
+            selector.select();
+            if offered.version > newest {
+                seen.push(offered);
+            }
+            assert!(group::covers(&selector.applied(), &before), "a version fell");
+            assert_eq!(selector.applied(), search_naively(&seen, &before));
+        }
+    }
+}
+
+marjoramwing_testing::cases! { check_against_naive_search:
+    naive_search_seed_1 => (1);
+    naive_search_seed_2 => (2);
+    naive_search_seed_3 => (3);
+    naive_search_seed_4 => (4);
+}
+
+/// Tells whether any version fell while stale reads came in.
+fn falls_under_stale_reads(rules: selector::SelectorRules) -> bool {
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(9);
+    let mut selector = started_with(rules);
+    (0..200).any(|_| {
+        let before = selector.applied();
+        let version = rng.random_range(1..20);
+        selector.offer(Object::Routes, version, support::routes(&["web"]));
+        selector.select();
+        !group::covers(&selector.applied(), &before)
+    })
+}
+
+#[test]
+fn stale_reads_never_lower_a_version() {
+    assert!(!falls_under_stale_reads(selector::SelectorRules::default()));
+}
+
+#[test]
+fn stale_reads_lower_a_version_without_the_rule() {
+    let rules = selector::SelectorRules { never_lower: false, ..Default::default() };
+    assert!(falls_under_stale_reads(rules));
+}
--- /dev/null
+++ b/crates/coordination/configuration/tests/support/fleet.rs
@@ -0,0 +1,427 @@
+//! A seeded schedule over some configuration keepers and one faked store.
+
+use std::collections;
+use std::net;
+use std::sync::Arc;
+use std::time;
+
+use marjoramwing_configuration::candidate;
+use marjoramwing_configuration::group;
+use marjoramwing_configuration::keeper;
+use marjoramwing_configuration::message;
+use marjoramwing_configuration::settings;
+use marjoramwing_entity::incarnation;
+use marjoramwing_entity::time as entity_time;
+use marjoramwing_membership::member;
+use marjoramwing_membership::view;
+use marjoramwing_objects::object;
+use marjoramwing_objects::operation;
+use rand::RngExt;
+use rand::SeedableRng;
+
+const STEP: time::Duration = time::Duration::from_millis(50);
+const STEPS_PER_TICK: u64 = 4;
+const STORE_DELAY: time::Duration = time::Duration::from_millis(50);
+const STORE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// The store as the schedule fakes it.
+#[derive(Default)]
+pub(crate) struct FakedStore {
+    pub(crate) objects: Vec<FakedObject>,
+    pub(crate) down: bool,
+    /// Answers reads with the version before, now and then.
+    pub(crate) stale: f64,
+    pub(crate) calls: u64,
+    pub(crate) writes: u64,
+    revision: u64,
+}
+
+pub(crate) struct FakedObject {
+    pub(crate) name: object::ObjectName,
+    pub(crate) version: u64,
+    pub(crate) value: bytes::Bytes,
+    before: Option<(u64, bytes::Bytes)>,
+    revision: u64,
+}
+
+impl FakedStore {
+    pub(crate) fn put(&mut self, name: object::ObjectName, value: bytes::Bytes) -> u64 {
+        self.revision += 1;
+        let revision = self.revision;
+        if let Some(object) = self.objects.iter_mut().find(|object| object.name == name) {
+            object.before = Some((object.version, object.value.clone()));
+            object.version += 1;
+            object.value = value;
+            object.revision = revision;
+            return object.version;
+        }
+        self.objects.push(FakedObject { name, version: 1, value, before: None, revision });
+        1
+    }
+
+    pub(crate) fn find(&self, name: &object::ObjectName) -> Option<&FakedObject> {
+        self.objects.iter().find(|object| object.name == *name)
+    }
+
+    fn run(
+        &mut self,
+        operation: &operation::StoreOperation,
+        rng: &mut rand_pcg::Pcg64Mcg,
+    ) -> operation::StoreAnswer {
+        self.calls += 1;
+        if self.down {
+            return operation::StoreAnswer::Unknown;
+        }
+        let is_stale = rng.random_bool(self.stale);
+        let found = self.find(operation.object());
+        match operation {
+            operation::StoreOperation::Read(_) => {
+                let Some(object) = found else { return operation::StoreAnswer::Missing };
+                let newest = (object.version, object.value.clone());
+                let before = object.before.clone().filter(|_| is_stale);
+                let (version, value) = before.unwrap_or(newest);
+                let version = object::ObjectVersion(version);
+                operation::StoreAnswer::Found(operation::StoredObject { version, value })
+            }
+            operation::StoreOperation::Write(write) => {
+                let current = found.map(|object| object::ObjectVersion(object.version));
+                if current != write.expected {
+                    return operation::StoreAnswer::Conflict(current);
+                }
+                self.writes += 1;
+                let version = self.put(write.name.clone(), write.value.clone());
+                operation::StoreAnswer::Written(object::ObjectVersion(version))
+            }
+        }
+    }
+
+    fn changes(&self, after: u64) -> operation::WatchAnswer {
+        let tables = self.objects.iter().filter(|o| o.name.kind == object::ObjectKind::Tables);
+        let newer = tables.filter(|object| object.revision > after);
+        let changes = newer.map(|object| operation::ObjectChange {
+            name: object.name.clone(),
+            version: object::ObjectVersion(object.version),
+        });
+        operation::WatchAnswer { revision: self.revision, changes: changes.collect() }
+    }
+}
+
+pub(crate) struct Node {
+    pub(crate) keeper: keeper::ConfigurationKeeper,
+    pub(crate) address: net::SocketAddr,
+    run: incarnation::Incarnation,
+    pub(crate) region: usize,
+    pub(crate) dead: bool,
+    pub(crate) cut_off: bool,
+    pub(crate) paused_until: entity_time::Timestamp,
+    watch: Option<OpenWatch>,
+}
+
+struct OpenWatch {
+    after: u64,
+    deadline: entity_time::Timestamp,
+    timeout: entity_time::Timestamp,
+}
+
+enum Delivery {
+    Message(net::SocketAddr, message::ConfigurationMessage),
+    Store(keeper::ConfigurationEvent),
+}
+
+pub(crate) struct Fleet {
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) store: FakedStore,
+    pub(crate) now: entity_time::Timestamp,
+    pub(crate) loss: f64,
+    pub(crate) repetition: f64,
+    /// Greatest delay of a message; differing delays reorder.
+    pub(crate) delay_ms: u64,
+    /// Versions that an instance took back, which must stay empty.
+    pub(crate) reverted: Vec<usize>,
+    pub(crate) messages: u64,
+    /// Regions whose peers and store are out of reach for the others.
+    pub(crate) lost_region: Option<usize>,
+    /// Region that reaches its peers but not the store.
+    pub(crate) store_cut_region: Option<usize>,
+    rng: rand_pcg::Pcg64Mcg,
+    queue: collections::BTreeMap<(entity_time::Timestamp, u64), (usize, Delivery)>,
+    order: u64,
+    steps: u64,
+    settings: settings::ConfigurationSettings,
+    regions: usize,
+}
+
+impl Fleet {
+    pub(crate) fn new(
+        count: usize,
+        regions: usize,
+        seed: u64,
+        settings: settings::ConfigurationSettings,
+    ) -> Self {
+        println!("seed {seed}");
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            store: FakedStore::default(),
+            now: entity_time::Timestamp::from_millis(60_000),
+            loss: 0.0,
+            repetition: 0.0,
+            delay_ms: 110,
+            reverted: Vec::new(),
+            messages: 0,
+            lost_region: None,
+            store_cut_region: None,
+            rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
+            queue: collections::BTreeMap::new(),
+            order: 0,
+            steps: 0,
+            settings,
+            regions,
+        };
+        for index in 0..count {
+            let node = fleet.make_node(index);
+            fleet.nodes.push(node);
+        }
+        fleet.tell_members();
+        fleet
+    }
+
+    /// Puts a first good version of every object into the store.
+    pub(crate) fn put_all(&mut self) {
+        for object in candidate::TableObject::ALL {
+            let text = super::plain(object);
+            self.store.put(object.object_name(), text);
+        }
+    }
+
+    /// Replaces a process by one that knows nothing.
+    pub(crate) fn restart(&mut self, index: usize) {
+        self.nodes[index] = self.make_node(index);
+        self.tell_members();
+    }
+
+    pub(crate) fn run(&mut self, span: time::Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += STEP;
+            self.steps += 1;
+            self.deliver_due();
+            for index in 0..self.nodes.len() {
+                self.advance_watch(index);
+                // Instances do not tick in step.
+                let is_due = (self.steps + index as u64).is_multiple_of(STEPS_PER_TICK);
+                if is_due && self.runs(index) {
+                    self.handle(index, keeper::ConfigurationEvent::Tick);
+                }
+            }
+        }
+    }
+
+    /// Runs until all running instances apply a version, and returns the time.
+    pub(crate) fn time_to_force(
+        &mut self,
+        object: candidate::TableObject,
+        version: u64,
+        most: time::Duration,
+    ) -> Option<time::Duration> {
+        let start = self.now;
+        while self.now.since(start) < most {
+            self.run(STEP);
+            if self.in_force(object, version) {
+                return Some(self.now.since(start));
+            }
+        }
+        None
+    }
+
+    pub(crate) fn in_force(&self, object: candidate::TableObject, version: u64) -> bool {
+        let mut running =
+            self.nodes.iter().filter(|node| !node.dead && node.paused_until <= self.now);
+        running.all(|node| group::version_of(&node.keeper.applied(), object) >= version)
+    }
+
+    pub(crate) fn watchers(&self) -> Vec<usize> {
+        let nodes = self.nodes.iter().enumerate();
+        let watchers = nodes.filter(|(_, node)| node.keeper.dump(self.now).watcher);
+        watchers.map(|(index, _)| index).collect()
+    }
+
+    fn make_node(&mut self, index: usize) -> Node {
+        let region = index % self.regions;
+        let run = incarnation::Incarnation::from_u64(self.rng.random());
+        let keeper = keeper::ConfigurationKeeper::new(
+            run,
+            region_name(region),
+            self.settings,
+            self.now,
+            &mut self.rng,
+        );
+        let port = u16::try_from(index).unwrap();
+        Node {
+            keeper,
+            address: net::SocketAddr::from(([10, 0, 0, 1], 1_000 + port)),
+            run,
+            region,
+            dead: false,
+            cut_off: false,
+            paused_until: entity_time::Timestamp::ZERO,
+            watch: None,
+        }
+    }
+
+    /// Gives every keeper a view of all members, also of dead ones.
+    pub(crate) fn tell_members(&mut self) {
+        let members = self.nodes.iter().enumerate().map(|(index, node)| member::Member {
+            name: format!("instance-{index:03}").into(),
+            callers: node.address,
+            peers: node.address,
+            site: "site".into(),
+            region: region_name(node.region),
+            failure_domain: "domain".into(),
+            incarnation: Some(node.run),
+            state: member::MemberState::Live,
+        });
+        let view = Arc::new(view::MemberView::new(members.collect()));
+        for index in 0..self.nodes.len() {
+            self.handle(index, keeper::ConfigurationEvent::Members(Arc::clone(&view)));
+        }
+    }
+
+    fn handle(&mut self, index: usize, event: keeper::ConfigurationEvent) {
+        let mut actions = Vec::new();
+        let node = &mut self.nodes[index];
+        let before = node.keeper.applied();
+        node.keeper.handle(event, self.now, &mut self.rng, &mut actions);
+        if !group::covers(&node.keeper.applied(), &before) {
+            self.reverted.push(index);
+        }
+        for action in actions {
+            self.carry_out(index, action);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, action: keeper::ConfigurationAction) {
+        match action {
+            keeper::ConfigurationAction::Send { address, message } => {
+                self.messages += 1;
+                let copies = if self.rng.random_bool(self.repetition) { 2 } else { 1 };
+                for _ in 0..copies {
+                    self.post(index, address, message.clone());
+                }
+            }
+            keeper::ConfigurationAction::Watch { after, wait } => {
+                self.store.calls += 1;
+                let deadline = self.now + wait + STORE_DELAY;
+                let timeout = deadline + STORE_TIMEOUT;
+                self.nodes[index].watch = Some(OpenWatch { after, deadline, timeout });
+            }
+            keeper::ConfigurationAction::Read(object) => {
+                let operation = operation::StoreOperation::Read(object.object_name());
+                let answer = self.call(index, &operation);
+                self.answer(index, keeper::ConfigurationEvent::Read { object, answer });
+            }
+            keeper::ConfigurationAction::Status { object, operation } => {
+                let answer = self.call(index, &operation);
+                self.answer(index, keeper::ConfigurationEvent::Status { object, answer });
+            }
+            keeper::ConfigurationAction::Apply(_)
+            | keeper::ConfigurationAction::Refused(_)
+            | keeper::ConfigurationAction::Trust(_) => {}
+        }
+    }
+
+    fn call(&mut self, index: usize, call: &operation::StoreOperation) -> operation::StoreAnswer {
+        if self.reaches_store(index) {
+            self.store.run(call, &mut self.rng)
+        } else {
+            operation::StoreAnswer::Unknown
+        }
+    }
+
+    fn answer(&mut self, index: usize, event: keeper::ConfigurationEvent) {
+        let at = self.now + STORE_DELAY;
+        self.enqueue(at, index, Delivery::Store(event));
+    }
+
+    fn post(&mut self, from: usize, to: net::SocketAddr, message: message::ConfigurationMessage) {
+        let Some(target) = self.nodes.iter().position(|node| node.address == to) else { return };
+        if self.rng.random_bool(self.loss) || !self.reaches(from, target) {
+            return;
+        }
+        let delay = self.rng.random_range(0..=self.delay_ms);
+        let at = self.now + time::Duration::from_millis(delay);
+        let sender = self.nodes[from].address;
+        self.enqueue(at, target, Delivery::Message(sender, message));
+    }
+
+    fn enqueue(&mut self, at: entity_time::Timestamp, index: usize, delivery: Delivery) {
+        self.order += 1;
+        self.queue.insert((at, self.order), (index, delivery));
+    }
+
+    fn deliver_due(&mut self) {
+        while let Some(entry) = self.queue.first_entry()
+            && entry.key().0 <= self.now
+        {
+            let ((_, order), (index, delivery)) = entry.remove_entry();
+            if self.nodes[index].dead {
+                continue;
+            }
+            if !self.runs(index) {
+                let at = self.nodes[index].paused_until;
+                self.queue.insert((at, order), (index, delivery));
+                continue;
+            }
+            let event = match delivery {
+                Delivery::Message(address, message) => {
+                    keeper::ConfigurationEvent::Received { address, message }
+                }
+                Delivery::Store(event) => event,
+            };
+            self.handle(index, event);
+        }
+    }
+
+    fn advance_watch(&mut self, index: usize) {
+        if !self.runs(index) {
+            return;
+        }
+        let Some(watch) = &self.nodes[index].watch else { return };
+        let answer = if !self.reaches_store(index) || self.store.down {
+            if self.now < watch.timeout {
+                return;
+            }
+            None
+        } else {
+            let answer = self.store.changes(watch.after);
+            if answer.changes.is_empty() && self.now < watch.deadline {
+                return;
+            }
+            Some(answer)
+        };
+        self.nodes[index].watch = None;
+        self.answer(index, keeper::ConfigurationEvent::Watched(answer));
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (&self.nodes[from], &self.nodes[to]);
+        let is_lost = |node: &Node| self.lost_region == Some(node.region);
+        !from.cut_off && !to.cut_off && !to.dead && is_lost(from) == is_lost(to)
+    }
+
+    fn reaches_store(&self, index: usize) -> bool {
+        let node = &self.nodes[index];
+        // The store is in the first region.
+        let is_apart = self.lost_region.is_some_and(|lost| (lost == 0) != (lost == node.region));
+        let is_cut = self.store_cut_region == Some(node.region);
+        !node.cut_off && !is_apart && !is_cut
+    }
+
+    fn runs(&self, index: usize) -> bool {
+        let node = &self.nodes[index];
+        !node.dead && node.paused_until <= self.now
+    }
+}
+
+fn region_name(region: usize) -> Arc<str> {
+    format!("region-{region}").into()
+}
--- a/crates/coordination/membership/src/keeper.rs
+++ b/crates/coordination/membership/src/keeper.rs
@@ -157,7 +157,9 @@
             if self.leaving { member::MemberState::Leaving } else { member::MemberState::Live };
         let mut members = vec![member::Member::new(&self.own, self.incarnation, state)];
         members.extend(self.roster.iter().filter_map(|(run, record)| record.to_member(run)));
-        view::MemberView::new(members)
+        let dead = self.roster.iter().filter(|(_, record)| record.is_dead());
+        let dead_regions = dead.map(|(_, record)| Arc::clone(&record.profile.region));
+        view::MemberView::new(members).with_regions(dead_regions)
     }
 
     /// Returns the keeper's state for operators.
--- a/crates/coordination/membership/src/view.rs
+++ b/crates/coordination/membership/src/view.rs
@@ -1,5 +1,7 @@
 //! An immutable view of the members.
 
+use std::sync::Arc;
+
 use marjoramwing_entity::incarnation;
 
 use crate::member;
@@ -9,6 +11,8 @@
 pub struct MemberView {
     /// The members.
     pub members: Vec<member::Member>,
+    /// Regions of all members that are remembered, dead ones too.
+    pub regions: Vec<Arc<str>>,
     counts_suspects: bool,
 }
 
@@ -24,7 +28,18 @@
         let suspects = of_state(member::MemberState::Suspect);
         // Suspicion of most members at once tells of the network, not of them.
         let counts_suspects = suspects > of_state(member::MemberState::Live);
-        Self { members, counts_suspects }
+        let mut view = Self { members, regions: Vec::new(), counts_suspects };
+        view.regions = view.members.iter().map(|member| Arc::clone(&member.region)).collect();
+        view.sort_regions();
+        view
+    }
+
+    /// Adds the regions of members that are only remembered.
+    #[must_use]
+    pub fn with_regions(mut self, regions: impl IntoIterator<Item = Arc<str>>) -> Self {
+        self.regions.extend(regions);
+        self.sort_regions();
+        self
     }
 
     /// Iterates over the members that take new requests.
@@ -46,6 +61,11 @@
         self.members.iter().find(|member| member.incarnation == Some(incarnation))
     }
 
+    fn sort_regions(&mut self) {
+        self.regions.sort_unstable();
+        self.regions.dedup();
+    }
+
     fn is_live(&self, member: &member::Member) -> bool {
         match member.state {
             member::MemberState::Live => true,
--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -55,6 +55,8 @@
     STORE_UNREACHABLE = 2003, WARN, "object API did not answer; retrying", "check the platform's object API; traffic goes on with the tables in force";
     /// The store answers again.
     STORE_REACHABLE = 2004, INFO, "object API answers again", "none";
+    /// Whether keyed requests are served has changed, or why.
+    KEY_TRUST_CHANGED = 2005, WARN, "belief in the keys changed", "when refused: restore the way to the object API or to peers of other regions, or change the setting for the undecided case";
 
     /// A caller's connection ended with an error.
     CALLER_CONNECTION_FAILED = 3001, DEBUG, "caller connection ended with an error", "none";
--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -4,11 +4,13 @@
 //! A link starts with a handshake in which both ends prove that they hold the
 //! deployment's secret; only then are other messages accepted.
 //!
+//! - [`configuration`]: messages about the configuration.
 //! - [`frame`]: the codec of frames.
 //! - [`handshake`]: proof of the deployment's secret.
 //! - [`membership`]: messages about the members.
 //! - [`message`]: the envelope and the handshake's messages.
 
+pub mod configuration;
 pub mod frame;
 pub mod handshake;
 pub mod membership;
--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -1,5 +1,6 @@
 //! The messages between instances.
 
+use crate::configuration;
 use crate::membership;
 
 /// Version of the protocol that this program speaks.
@@ -9,7 +10,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// What the frame carries.
-    #[prost(oneof = "Body", tags = "1, 2, 3")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4")]
     pub body: Option<Body>,
 }
 
@@ -25,6 +26,9 @@
     /// About the members.
     #[prost(message, tag = "3")]
     Membership(membership::Membership),
+    /// About the configuration.
+    #[prost(message, tag = "4")]
+    Configuration(configuration::Configuration),
 }
 
 /// Introduces an end of a link.
--- a/crates/state/tables/src/credential.rs
+++ b/crates/state/tables/src/credential.rs
@@ -48,8 +48,9 @@
     type Error = fault::FaultKind;
 
     fn try_from(text: &Arc<str>) -> Result<Self, Self::Error> {
+        // The text may be a key by mistake, so the fault does not quote it.
         parse_hash(text).ok_or_else(|| fault::FaultKind::Form {
-            text: Arc::clone(text),
+            text: format!("<{} bytes>", text.len()).into(),
             expected: "a SHA-256 hash of 64 lower-case hexadecimal digits",
         })
     }
--- a/crates/state/tables/src/snapshot.rs
+++ b/crates/state/tables/src/snapshot.rs
@@ -92,6 +92,14 @@
         credential.hash.matches(&presented).then_some(credential.team)
     }
 
+    /// Tells whether a key that was accepted before is still in force for its team.
+    #[must_use]
+    pub fn grants(&self, id: &str, hash: &credential::KeyHash, team: &str) -> bool {
+        self.credentials.get(id).is_some_and(|credential| {
+            credential.hash.matches(hash) && self.teams[credential.team].name.as_str() == team
+        })
+    }
+
     /// Returns the number of keys in force.
     #[must_use]
     pub fn credential_count(&self) -> usize {
--- a/crates/transport/node/src/control/configuration.rs
+++ b/crates/transport/node/src/control/configuration.rs
@@ -1,114 +1,170 @@
-//! Follows the configuration objects of the store.
+//! Drives the decisions on configuration.
 
 use std::sync;
 use std::time;
 
 use marjoramwing_configuration::candidate;
-use marjoramwing_configuration::configuration;
+use marjoramwing_configuration::keeper;
+use marjoramwing_configuration::settings;
+use marjoramwing_configuration::trust;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
+use marjoramwing_peer::message;
 use marjoramwing_store_client::client;
-use marjoramwing_tables::fault;
+use rand::SeedableRng;
+use tokio::sync::mpsc;
 
+use crate::peers::mesh;
 use crate::shared;
 
-const WATCH_WAIT: time::Duration = time::Duration::from_secs(10);
-const RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
+/// Events that wait for the task.
+pub const EVENT_QUEUE: usize = 1_024;
+/// Time between two ticks of the decisions.
+const TICK_PERIOD: time::Duration = time::Duration::from_millis(200);
 
-/// Follows the configuration objects of the store.
+/// Carries out what the configuration keeper decides.
 #[derive(Debug)]
-pub struct ConfigurationFollower {
+pub struct ConfigurationDriver {
     shared: sync::Arc<shared::SharedTables>,
+    mesh: mesh::PeerMesh,
     client: client::StoreClient,
-    keeper: configuration::ConfigurationKeeper,
-    revision: u64,
+    events: mpsc::Receiver<keeper::ConfigurationEvent>,
+    /// Brings the answers of the store back.
+    answers: mpsc::Sender<keeper::ConfigurationEvent>,
+    keeper: keeper::ConfigurationKeeper,
+    rng: rand_pcg::Pcg64Mcg,
     reachable: bool,
 }
 
-impl ConfigurationFollower {
-    /// Makes a follower that knows no object yet.
+impl ConfigurationDriver {
+    /// Makes a driver that knows no object yet.
     #[must_use]
-    pub fn new(shared: sync::Arc<shared::SharedTables>, client: client::StoreClient) -> Self {
-        let keeper = configuration::ConfigurationKeeper::default();
-        Self { shared, client, keeper, revision: 0, reachable: true }
+    pub fn new(
+        shared: sync::Arc<shared::SharedTables>,
+        mesh: mesh::PeerMesh,
+        client: client::StoreClient,
+        answers: mpsc::Sender<keeper::ConfigurationEvent>,
+        events: mpsc::Receiver<keeper::ConfigurationEvent>,
+    ) -> Self {
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(rand::random());
+        let keeper = keeper::ConfigurationKeeper::new(
+            shared.incarnation,
+            shared.settings.identity.region.text(),
+            settings::ConfigurationSettings::default(),
+            shared.now(),
+            &mut rng,
+        );
+        Self { shared, mesh, client, events, answers, keeper, rng, reachable: true }
     }
 
-    /// Follows the store until the task is cancelled.
+    /// Runs until the task is cancelled.
     pub async fn run(mut self) {
+        let mut ticks = tokio::time::interval(TICK_PERIOD);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut members = self.shared.watch_members();
+        members.mark_changed();
         loop {
-            match self.follow_once().await {
-                Ok(()) => self.note_reachable(),
-                Err(error) => {
-                    self.note_unreachable(&error);
-                    tokio::time::sleep(RETRY_DELAY).await;
-                }
-            }
+            let event = tokio::select! {
+                event = self.events.recv() => event,
+                _ = ticks.tick() => Some(keeper::ConfigurationEvent::Tick),
+                changed = members.changed() => changed.ok().map(|()| {
+                    let view = sync::Arc::clone(&members.borrow_and_update());
+                    keeper::ConfigurationEvent::Members(view)
+                }),
+            };
+            let Some(event) = event else { return };
+            self.handle(event);
         }
     }
 
-    async fn follow_once(&mut self) -> Result<(), client::StoreError> {
-        let kind = object::ObjectKind::Tables;
-        let request = operation::WatchRequest { kind, after: self.revision, wait: WATCH_WAIT };
-        let answer = self.client.watch(&request).await?;
-        let mut objects = Vec::new();
-        for change in &answer.changes {
-            if let Some(table) = candidate::TableObject::from_name(&change.name) {
-                objects.extend(self.read(table).await?);
-            }
+    fn handle(&mut self, event: keeper::ConfigurationEvent) {
+        let is_tick = matches!(event, keeper::ConfigurationEvent::Tick);
+        let mut actions = Vec::new();
+        let now = self.shared.now();
+        self.keeper.handle(event, now, &mut self.rng, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+        if is_tick {
+            self.publish();
         }
-        self.accept_all(objects);
-        self.revision = answer.revision;
-        Ok(())
     }
 
-    async fn read(
-        &self,
-        table: candidate::TableObject,
-    ) -> Result<Option<candidate::CandidateObject>, client::StoreError> {
-        let answer = self.client.read(&table.object_name()).await?;
-        let operation::StoreAnswer::Found(stored) = answer else { return Ok(None) };
-        match candidate::CandidateObject::parse(table, stored.version.0, stored.value) {
-            Ok(object) => Ok(Some(object)),
-            Err(kind) => {
-                let mut faults = fault::FaultList::default();
-                faults.add(table.to_string(), kind);
-                self.refuse(&faults);
-                Ok(None)
+    fn carry_out(&self, action: keeper::ConfigurationAction) {
+        match action {
+            keeper::ConfigurationAction::Send { address, message } => {
+                self.mesh.send(address, message::Body::Configuration(message.into()));
+            }
+            keeper::ConfigurationAction::Watch { after, wait } => self.watch(after, wait),
+            keeper::ConfigurationAction::Read(table) => self.read(table),
+            keeper::ConfigurationAction::Status { object, operation } => {
+                self.run_status(object, operation);
+            }
+            keeper::ConfigurationAction::Apply(applied) => {
+                emit!(catalogue::TABLES_APPLIED, versions = ?applied.versions);
+                self.shared.apply(applied);
+            }
+            keeper::ConfigurationAction::Refused(object) => self.note_refused(object),
+            keeper::ConfigurationAction::Trust(trust) => {
+                emit!(catalogue::KEY_TRUST_CHANGED, trust = ?trust);
+                self.shared.set_key_trust(trust);
             }
         }
     }
 
-    fn accept_all(&mut self, objects: Vec<candidate::CandidateObject>) {
-        match self.keeper.accept_all(objects) {
-            configuration::AcceptOutcome::Applied(applied) => self.apply(applied),
-            configuration::AcceptOutcome::Stale => {}
-            configuration::AcceptOutcome::Refused(faults) => self.refuse(&faults),
-        }
+    fn watch(&self, after: u64, wait: time::Duration) {
+        let (client, answers) = (self.client.clone(), self.answers.clone());
+        let kind = object::ObjectKind::Tables;
+        tokio::spawn(async move {
+            let request = operation::WatchRequest { kind, after, wait };
+            let answer = client.watch(&request).await.ok();
+            let _ = answers.send(keeper::ConfigurationEvent::Watched(answer)).await;
+        });
     }
 
-    fn apply(&self, applied: configuration::AppliedTables) {
-        emit!(catalogue::TABLES_APPLIED, versions = ?applied.versions);
-        self.shared.apply(applied);
+    fn read(&self, table: candidate::TableObject) {
+        let (client, answers) = (self.client.clone(), self.answers.clone());
+        tokio::spawn(async move {
+            let answer = client.run(&operation::StoreOperation::Read(table.object_name())).await;
+            let _ = answers.send(keeper::ConfigurationEvent::Read { object: table, answer }).await;
+        });
     }
 
-    fn refuse(&self, faults: &fault::FaultList) {
-        self.shared.metrics.refused_objects.inc();
-        emit!(catalogue::TABLES_REFUSED, faults = %faults);
+    fn run_status(&self, object: candidate::TableObject, operation: operation::StoreOperation) {
+        let (client, answers) = (self.client.clone(), self.answers.clone());
+        tokio::spawn(async move {
+            let answer = client.run(&operation).await;
+            let _ = answers.send(keeper::ConfigurationEvent::Status { object, answer }).await;
+        });
     }
 
-    fn note_reachable(&mut self) {
-        if !self.reachable {
-            self.reachable = true;
-            emit!(catalogue::STORE_REACHABLE);
+    fn note_refused(&self, object: candidate::TableObject) {
+        let dump = self.keeper.dump(self.shared.now());
+        self.shared.metrics.refused_objects.inc();
+        let held = dump.held.into_iter().find(|held| held.object == object);
+        if let Some(held) = held {
+            let faults = held.faults.join("\n");
+            emit!(catalogue::TABLES_REFUSED, object = %object, version = held.version,
+                faults = %faults);
         }
     }
 
-    fn note_unreachable(&mut self, error: &client::StoreError) {
-        if self.reachable {
-            self.reachable = false;
-            emit!(catalogue::STORE_UNREACHABLE, error = %error);
+    /// Shows the keeper's state in metrics, the dump and the log.
+    fn publish(&mut self) {
+        let dump = self.keeper.dump(self.shared.now());
+        let metrics = &self.shared.metrics;
+        metrics.held_objects.set(i64::try_from(dump.held.len()).unwrap_or(i64::MAX));
+        metrics.tables_age_ms.set(dump.age_ms.map_or(-1, |age| i64::try_from(age).unwrap_or(-1)));
+        metrics.keys_trusted.set(i64::from(dump.keys != trust::KeyTrust::Refused));
+        let is_reachable = dump.failing_ms.is_none();
+        match (self.reachable, is_reachable) {
+            (true, false) => emit!(catalogue::STORE_UNREACHABLE),
+            (false, true) => emit!(catalogue::STORE_REACHABLE),
+            _ => {}
         }
+        self.reachable = is_reachable;
+        self.shared.control.set_configuration(dump);
     }
 }
--- a/crates/transport/node/src/control/membership.rs
+++ b/crates/transport/node/src/control/membership.rs
@@ -62,6 +62,10 @@
     }
 
     fn handle(&mut self, event: keeper::MembershipEvent) {
+        if matches!(event, keeper::MembershipEvent::Tick) {
+            let dump = self.keeper.dump(self.shared.now());
+            self.shared.control.set_membership(dump, self.mesh.link_count());
+        }
         let mut actions = Vec::new();
         self.keeper.handle(event, self.shared.now(), &mut self.rng, &mut actions);
         for action in actions {
--- a/crates/transport/node/src/control/mod.rs
+++ b/crates/transport/node/src/control/mod.rs
@@ -1,9 +1,11 @@
 //! Tasks around the decisions on membership and configuration.
 //!
-//! - [`configuration`]: follows the configuration objects of the store.
+//! - [`configuration`]: drives the decisions on configuration and keys.
+//! - [`dump`]: their state for operators.
 //! - [`listing`]: follows the platform's list of instances.
 //! - [`membership`]: drives the decisions on membership.
 
 pub mod configuration;
+pub mod dump;
 pub mod listing;
 pub mod membership;
--- a/crates/transport/node/src/inbox.rs
+++ b/crates/transport/node/src/inbox.rs
@@ -1,5 +1,6 @@
 //! Hands received envelopes to those who wait for them.
 
+use marjoramwing_configuration::keeper as configuration;
 use marjoramwing_membership::keeper;
 use marjoramwing_peer::message;
 use tokio::sync::mpsc;
@@ -13,6 +14,8 @@
 pub struct InboxRoutes {
     /// Takes what concerns the members.
     pub membership: mpsc::Sender<keeper::MembershipEvent>,
+    /// Takes what concerns the configuration.
+    pub configuration: mpsc::Sender<configuration::ConfigurationEvent>,
 }
 
 /// Routes received envelopes until the mesh ends.
@@ -31,6 +34,12 @@
                 let event = keeper::MembershipEvent::Received { from, address, message };
                 let _ = routes.membership.try_send(event);
             }
+            message::Body::Configuration(raw) => {
+                let Some(address) = envelope.address else { continue };
+                let Ok(message) = raw.try_into() else { continue };
+                let event = configuration::ConfigurationEvent::Received { address, message };
+                let _ = routes.configuration.try_send(event);
+            }
         }
     }
 }
--- a/crates/transport/node/src/metrics.rs
+++ b/crates/transport/node/src/metrics.rs
@@ -20,6 +20,12 @@
     pub table_versions: prometheus::IntGaugeVec,
     /// Sets of table objects refused.
     pub refused_objects: prometheus::IntCounter,
+    /// Objects whose newest version is faulty or does not fit.
+    pub held_objects: prometheus::IntGauge,
+    /// Age of the tables in milliseconds; -1 before the first confirmation.
+    pub tables_age_ms: prometheus::IntGauge,
+    /// Whether keyed requests are served.
+    pub keys_trusted: prometheus::IntGauge,
     /// Frames carried between instances.
     pub peer_frames: prometheus::IntCounterVec,
     /// Bytes of the frames carried between instances.
@@ -62,6 +68,18 @@
                 &registry,
                 counter("refused_objects_total", "Sets of table objects refused."),
             ),
+            held_objects: register(
+                &registry,
+                gauge("held_objects", "Objects whose newest version is not in force."),
+            ),
+            tables_age_ms: register(
+                &registry,
+                gauge("tables_age_ms", "Time since the store confirmed the tables."),
+            ),
+            keys_trusted: register(
+                &registry,
+                gauge("keys_trusted", "Whether keyed requests are served."),
+            ),
             peer_frames: register(
                 &registry,
                 counters("peer_frames_total", "Frames between instances.", &["direction"]),
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -91,14 +91,20 @@
 ) -> mpsc::Sender<keeper::MembershipEvent> {
     let store = shared.settings.store;
     let client = client::StoreClient::new(store.address, store.timeout);
-    let follower =
-        configuration::ConfigurationFollower::new(sync::Arc::clone(shared), client.clone());
-    tokio::spawn(follower.run());
     let (sender, events) = mpsc::channel(membership::EVENT_QUEUE);
     let driver = membership::MembershipDriver::new(sync::Arc::clone(shared), mesh.clone(), events);
     tokio::spawn(driver.run());
-    tokio::spawn(listing::follow_listing(sync::Arc::clone(shared), client, sender.clone()));
-    let routes = inbox::InboxRoutes { membership: sender.clone() };
+    tokio::spawn(listing::follow_listing(sync::Arc::clone(shared), client.clone(), sender.clone()));
+    let (answers, events) = mpsc::channel(configuration::EVENT_QUEUE);
+    let driver = configuration::ConfigurationDriver::new(
+        sync::Arc::clone(shared),
+        mesh.clone(),
+        client.clone(),
+        answers.clone(),
+        events,
+    );
+    tokio::spawn(driver.run());
+    let routes = inbox::InboxRoutes { membership: sender.clone(), configuration: answers };
     tokio::spawn(inbox::route_envelopes(received, routes));
     sender
 }
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -8,17 +8,20 @@
 use std::sync::atomic;
 
 use marjoramwing_configuration::configuration;
+use marjoramwing_configuration::trust;
 use marjoramwing_dispatch::picker;
 use marjoramwing_entity::incarnation;
 use marjoramwing_entity::time;
 use marjoramwing_membership::view;
 use marjoramwing_settings::settings;
+use marjoramwing_tables::credential;
 use marjoramwing_tables::snapshot;
 use tokio::sync::watch;
 
 use crate::admission;
 use crate::backends::pool;
 use crate::clock;
+use crate::control::dump;
 use crate::metrics;
 
 /// The shared tables of one instance.
@@ -37,11 +40,15 @@
     pub connections: pool::ConnectionPool,
     /// Admission of requests under limits.
     pub admission: admission::AdmissionControl,
+    /// State of the control tasks for the dump.
+    pub control: dump::ControlBoard,
     /// Metrics of the instance.
     pub metrics: metrics::InstanceMetrics,
     clock: clock::MonotonicClock,
     picker: sync::Mutex<picker::BackendPicker>,
     leaving: atomic::AtomicBool,
+    keys_trusted: atomic::AtomicBool,
+    was_confirmed: atomic::AtomicBool,
     seed: atomic::AtomicUsize,
 }
 
@@ -65,6 +72,9 @@
             admission: admission::AdmissionControl::default(),
             picker: sync::Mutex::default(),
             leaving: atomic::AtomicBool::new(false),
+            keys_trusted: atomic::AtomicBool::new(false),
+            was_confirmed: atomic::AtomicBool::new(false),
+            control: dump::ControlBoard::default(),
             seed: atomic::AtomicUsize::new(0),
         }
     }
@@ -110,6 +120,30 @@
         self.member_changes.subscribe()
     }
 
+    /// Notes whether the keys may be believed.
+    pub fn set_key_trust(&self, trust: trust::KeyTrust) {
+        self.keys_trusted.store(trust.is_trusted(), atomic::Ordering::Release);
+        self.was_confirmed.fetch_or(trust.is_trusted(), atomic::Ordering::AcqRel);
+    }
+
+    /// Tells whether keyed requests may be served.
+    ///
+    /// Not while the tables are older than their greatest age and this
+    /// instance may be the one that is cut off.
+    #[must_use]
+    pub fn keys_trusted(&self) -> bool {
+        self.keys_trusted.load(atomic::Ordering::Acquire)
+    }
+
+    /// Tells whether a key that was accepted before still works.
+    ///
+    /// For requests and answers that are under way: `team` is the name of the
+    /// team that the key spoke for when it was accepted.
+    #[must_use]
+    pub fn key_in_force(&self, id: &str, hash: &credential::KeyHash, team: &str) -> bool {
+        self.keys_trusted() && self.tables.load().snapshot.grants(id, hash, team)
+    }
+
     /// Marks the instance as leaving.
     pub fn leave(&self) {
         self.leaving.store(true, atomic::Ordering::Release);
@@ -122,9 +156,13 @@
     }
 
     /// Tells whether the instance has tables and takes requests.
+    ///
+    /// It has once all objects were read and the keys were believed; an
+    /// instance that is cut off later still serves open routes.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.tables.load().versions.routes > 0
+        let was_confirmed = self.was_confirmed.load(atomic::Ordering::Acquire);
+        !self.is_leaving() && was_confirmed && self.tables.load().versions.routes > 0
     }
 
     fn record_versions(&self, versions: &snapshot::TableVersions) {
