Steer callers by blocks, rendezvous and a capped shift plan

Cause: look-ups sorted all members by a text hash for each call and knew neither region failure nor caps. Ruled out: caps kept by the giver of answers (callers cache, a block's traffic is unknown); one planner by lease (lags as much, and is a single point). Change: an immutable table per set of tables and members; one team's callers of a region gather on few instances; a planner without I/O moves shares of a region's clients in steps under caps, headroom and spare capacity, holds until a step is measured, freezes without reports. regions, headrooms, shifts and spread_rate in the steering object. Caps off, settling off, freeze off: each test then sees the breach. Open: reports between instances, admission of foreign requests at arrival.

--- a/crates/coordination/steering/src/lib.rs
+++ b/crates/coordination/steering/src/lib.rs
@@ -1,5 +1,13 @@
 //! Which entry instances a caller is to use.
 //!
 //! - [`lookup`]: the answer to one look-up.
+//! - [`plan`]: which share of a region's clients other regions serve.
+//! - [`planner`]: moves clients between regions under caps.
+//! - [`rendezvous`]: stable scores that spread keys over instances.
+//! - [`table`]: an immutable table for look-ups.
 
 pub mod lookup;
+pub mod plan;
+pub mod planner;
+pub mod rendezvous;
+pub mod table;
--- a/crates/coordination/steering/src/lookup.rs
+++ b/crates/coordination/steering/src/lookup.rs
@@ -1,86 +1,154 @@
 //! The answer to one look-up.
+//!
+//! The callers of one team in one region are gathered on few instances, so
+//! that the shares of the team's limit gather there too.
 
-use std::cmp;
-use std::hash;
 use std::net;
 
 use marjoramwing_derives as derives;
-use marjoramwing_membership::member;
-use marjoramwing_membership::view;
-use marjoramwing_tables::site;
-use marjoramwing_tables::snapshot;
+use marjoramwing_entity::primary;
+use marjoramwing_tables::region;
 
-/// What a caller tells of itself.
-#[derive(Debug, Clone, Copy)]
-pub struct LookupQuery<'a> {
+use crate::plan;
+use crate::rendezvous;
+use crate::table;
+
+/// Members of the serving region that an answer names.
+const MEMBERS_OF_REGION: usize = 4;
+/// Members of other regions that an answer names, for callers that reach no other.
+const MEMBERS_ELSEWHERE: usize = 2;
+
+/// What a look-up is asked.
+#[derives::value]
+pub struct LookupQuery {
     /// Address of the caller.
     pub client: net::IpAddr,
-    /// Name that gathers one team's callers on few instances.
-    pub affinity: &'a str,
+    /// Region to assume for a client without a block.
+    pub default_region: Option<region::RegionKey>,
+    /// Seed that gathers the callers of one team.
+    pub affinity: u64,
+    /// Members over which the team's callers of one region are spread.
+    pub spread: usize,
 }
 
-/// How near a member is to a caller; smaller is nearer.
+/// What a look-up found.
 #[derives::value]
-enum SiteDistance {
-    SameSite,
-    SameRegion,
-    OtherRegion,
+pub enum LookupOutcome {
+    /// Members were found.
+    Found {
+        /// Region that is to serve the caller.
+        region: region::RegionKey,
+    },
+    /// Every region that could serve the caller has reached its cap.
+    Capped,
+    /// No member takes requests.
+    NoMember,
 }
 
-/// Orders the live members for a caller, the preferred first.
-#[must_use]
-pub fn order_members<'a>(
-    tables: &snapshot::TableSnapshot,
-    view: &'a view::MemberView,
-    query: &LookupQuery<'_>,
-) -> Vec<&'a member::Member> {
-    let home = find_home(tables, query.client);
-    let mut members: Vec<_> = view.live().collect();
-    members.sort_by_cached_key(|member| {
-        let distance = distance_from(home.map(|key| &tables.sites[key]), member);
-        let weight = rendezvous_weight(query.affinity, &member.name);
-        (distance, cmp::Reverse(weight))
-    });
-    members
+/// Buffers of a look-up, cleared and reused.
+#[derive(Debug, Default)]
+pub struct LookupContext {
+    /// Members to use, the preferred first.
+    pub members: Vec<table::MemberIndex>,
+    best: Vec<ScoredMember>,
 }
 
-fn find_home(tables: &snapshot::TableSnapshot, client: net::IpAddr) -> Option<site::SiteKey> {
-    let blocks = tables.blocks.iter().filter(|block| contains(&block.prefix, client));
-    blocks.max_by_key(|block| block.prefix.length).map(|block| block.site)
+#[derives::value]
+struct ScoredMember {
+    score: u64,
+    index: table::MemberIndex,
 }
 
-fn contains(prefix: &site::AddressPrefix, client: net::IpAddr) -> bool {
-    let length = u32::from(prefix.length);
-    match (prefix.address, client) {
-        (net::IpAddr::V4(block), net::IpAddr::V4(client)) => {
-            let differing = block.to_bits() ^ client.to_bits();
-            differing.leading_zeros() >= length
-        }
-        (net::IpAddr::V6(block), net::IpAddr::V6(client)) => {
-            let differing = block.to_bits() ^ client.to_bits();
-            differing.leading_zeros() >= length
-        }
-        _ => false,
+/// Finds the members that a caller is to use, the preferred first.
+pub fn find_members(
+    context: &mut LookupContext,
+    table: &table::SteeringTable,
+    plan: &plan::ShiftPlan,
+    query: &LookupQuery,
+) -> LookupOutcome {
+    context.members.clear();
+    let Some(region) = choose_region(table, plan, query) else {
+        return LookupOutcome::Capped;
+    };
+    push_region(context, table, region, query);
+    push_elsewhere(context, table, region, query);
+    if context.members.is_empty() {
+        return LookupOutcome::NoMember;
     }
+    LookupOutcome::Found { region }
 }
 
-fn distance_from(home: Option<&site::Site>, member: &member::Member) -> SiteDistance {
-    let Some(home) = home else {
-        return SiteDistance::OtherRegion;
+fn choose_region(
+    table: &table::SteeringTable,
+    plan: &plan::ShiftPlan,
+    query: &LookupQuery,
+) -> Option<region::RegionKey> {
+    let Some(home) = table.find_home(query.client) else {
+        let default = query.default_region.or_else(|| table.regions.keys().next());
+        return default;
     };
-    if home.name.as_str() == &*member.site && !home.draining {
-        SiteDistance::SameSite
-    } else if home.region.as_str() == &*member.region {
-        SiteDistance::SameRegion
-    } else {
-        SiteDistance::OtherRegion
+    match plan.place(home, query.client) {
+        plan::Placement::Home => Some(home),
+        plan::Placement::Shifted(to) => Some(to),
+        plan::Placement::Capped => None,
     }
 }
 
-fn rendezvous_weight(affinity: &str, member: &str) -> u64 {
-    let mut hasher = fnv::FnvHasher::default();
-    hash::Hasher::write(&mut hasher, affinity.as_bytes());
-    hash::Hasher::write(&mut hasher, b"\0");
-    hash::Hasher::write(&mut hasher, member.as_bytes());
-    hash::Hasher::finish(&hasher)
+fn push_region(
+    context: &mut LookupContext,
+    table: &table::SteeringTable,
+    region: region::RegionKey,
+    query: &LookupQuery,
+) {
+    let Some(entry) = table.regions.get(region) else { return };
+    select_best(&mut context.best, &entry.members, query.affinity);
+    let best = &context.best;
+    let spread = query.spread.clamp(1, best.len().max(1));
+    let first = plan::ClientPosition::of(query.client).slot(spread);
+    let rotated = (0..best.len()).map(|offset| match offset {
+        offset if offset < spread => (first + offset) % spread,
+        offset => offset,
+    });
+    context.members.extend(rotated.map(|position| best[position].index));
+}
+
+fn push_elsewhere(
+    context: &mut LookupContext,
+    table: &table::SteeringTable,
+    serving: region::RegionKey,
+    query: &LookupQuery,
+) {
+    let full = context.members.len() + MEMBERS_ELSEWHERE;
+    for region in regions_after(&table.regions, serving) {
+        if context.members.len() >= full {
+            return;
+        }
+        // Seldom used, so a plain remainder does in place of scores.
+        let members = &table.regions[region].members;
+        let slot = (query.affinity as usize).checked_rem(members.len());
+        context.members.extend(slot.map(|slot| members[slot].index));
+    }
+}
+
+/// Iterates over the other regions, starting behind one of them.
+fn regions_after<V>(
+    regions: &primary::PrimaryMap<region::RegionKey, V>,
+    start: region::RegionKey,
+) -> impl Iterator<Item = region::RegionKey> {
+    let after = regions.keys().filter(move |key| *key > start);
+    after.chain(regions.keys().filter(move |key| *key < start))
+}
+
+/// Keeps the members with the greatest scores, the best first.
+fn select_best(best: &mut Vec<ScoredMember>, members: &[table::LiveMember], affinity: u64) {
+    best.clear();
+    for member in members {
+        let score = rendezvous::score(affinity, member.seed);
+        if best.len() == MEMBERS_OF_REGION && best.last().is_some_and(|last| score <= last.score) {
+            continue;
+        }
+        let better = best.iter().take_while(|known| known.score >= score).count();
+        best.truncate(MEMBERS_OF_REGION - 1);
+        best.insert(better, ScoredMember { score, index: member.index });
+    }
 }
--- /dev/null
+++ b/crates/coordination/steering/src/table.rs
@@ -0,0 +1,131 @@
+//! An immutable table for look-ups.
+//!
+//! Built off the hot path when tables or members change. Members are named
+//! by their index in the view that the table was built from, which the table
+//! keeps.
+
+use std::collections;
+use std::net;
+use std::sync::Arc;
+
+use marjoramwing_blocks::builder;
+use marjoramwing_blocks::table;
+use marjoramwing_entity::entity_key;
+use marjoramwing_entity::primary;
+use marjoramwing_membership::member;
+use marjoramwing_membership::view;
+use marjoramwing_tables::region;
+use marjoramwing_tables::site;
+use marjoramwing_tables::snapshot;
+
+use crate::rendezvous;
+
+entity_key! {
+    /// Index of a member in the table's view.
+    pub struct MemberIndex, "member"
+}
+
+/// A member that takes new requests, with its seed for scores.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LiveMember {
+    pub(crate) index: MemberIndex,
+    pub(crate) seed: u64,
+}
+
+/// What a look-up needs to know of one region.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RegionEntry {
+    pub(crate) members: Vec<LiveMember>,
+}
+
+/// Everything that look-ups read.
+#[derive(Debug, Clone)]
+pub struct SteeringTable {
+    pub(crate) regions: primary::PrimaryMap<region::RegionKey, RegionEntry>,
+    blocks: Arc<table::BlockTable>,
+    site_regions: primary::PrimaryMap<site::SiteKey, region::RegionKey>,
+    view: Arc<view::MemberView>,
+}
+
+impl SteeringTable {
+    /// Builds the table of a snapshot's sites and a view's live members.
+    #[must_use]
+    pub fn new(
+        tables: &snapshot::TableSnapshot,
+        blocks: Arc<table::BlockTable>,
+        view: Arc<view::MemberView>,
+    ) -> Self {
+        let site_regions = tables.sites.values().map(|site| site.region).collect();
+        let mut regions: primary::PrimaryMap<_, RegionEntry> =
+            tables.regions.values().map(|_| RegionEntry::default()).collect();
+        let region_of = RegionFinder::new(tables);
+        for (index, member) in view.members.iter().enumerate() {
+            if let Some(region) = region_of.serving(member) {
+                let index = marjoramwing_entity::key::EntityKey::from_index(index);
+                let seed = rendezvous::seed_of(&member.name);
+                regions[region].members.push(LiveMember { index, seed });
+            }
+        }
+        Self { regions, blocks, site_regions, view }
+    }
+
+    /// Returns the home region of a client.
+    #[must_use]
+    pub fn find_home(&self, client: net::IpAddr) -> Option<region::RegionKey> {
+        let site = self.blocks.find(client)?;
+        self.site_regions.get(site).copied()
+    }
+
+    /// Returns the member of an index.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the index is not one that this table gave.
+    #[must_use]
+    pub fn member(&self, index: MemberIndex) -> &member::Member {
+        &self.view.members[marjoramwing_entity::key::EntityKey::index(index)]
+    }
+
+    /// Returns the number of members that serve a region.
+    #[must_use]
+    pub fn serving_count(&self, region: region::RegionKey) -> usize {
+        self.regions.get(region).map_or(0, |entry| entry.members.len())
+    }
+}
+
+/// Builds the block table of a snapshot.
+#[must_use]
+pub fn build_blocks(tables: &snapshot::TableSnapshot) -> Arc<table::BlockTable> {
+    let mut builder = builder::TableBuilder::default();
+    for block in &tables.blocks {
+        builder.add(&block.prefix, block.site);
+    }
+    Arc::new(builder.build())
+}
+
+/// Finds the region that a member serves.
+struct RegionFinder<'a> {
+    regions: collections::HashMap<&'a str, region::RegionKey>,
+    draining: collections::HashSet<&'a str>,
+}
+
+impl<'a> RegionFinder<'a> {
+    fn new(tables: &'a snapshot::TableSnapshot) -> Self {
+        let regions = tables.regions.iter().map(|(key, region)| (region.name.as_str(), key));
+        let draining = tables.sites.values().filter(|site| site.draining);
+        Self {
+            regions: regions.collect(),
+            draining: draining.map(|site| site.name.as_str()).collect(),
+        }
+    }
+
+    /// Returns a member's region if the member takes new requests.
+    fn serving(&self, member: &member::Member) -> Option<region::RegionKey> {
+        let is_live = member.state == member::MemberState::Live;
+        let is_draining = self.draining.contains(&*member.site);
+        if !is_live || is_draining {
+            return None;
+        }
+        self.regions.get(&*member.region).copied()
+    }
+}
--- a/crates/state/entity/src/secondary.rs
+++ b/crates/state/entity/src/secondary.rs
@@ -26,6 +26,12 @@
     }
 }
 
+impl<K: key::EntityKey, V: Clone + Default> Default for SecondaryMap<K, V> {
+    fn default() -> Self {
+        Self::new(V::default())
+    }
+}
+
 impl<K: key::EntityKey, V: Clone> ops::Index<K> for SecondaryMap<K, V> {
     type Output = V;
 
--- a/crates/state/tables/src/document.rs
+++ b/crates/state/tables/src/document.rs
@@ -163,6 +163,15 @@
     /// Blocks of client addresses and their home sites.
     #[serde(default)]
     pub blocks: Vec<BlockDocument>,
+    /// Traffic that regions take for clients of others; regions come from sites.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub headrooms: Vec<HeadroomDocument>,
+    /// Bounds on the traffic that one region takes for the clients of another.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub shifts: Vec<ShiftDocument>,
+    /// Requests per second of one team for which look-ups name one more instance.
+    #[serde(default = "default_spread_rate")]
+    pub spread_rate: f64,
     /// Time for which callers may use a look-up answer, in milliseconds.
     #[serde(default = "default_lookup_ttl_ms")]
     pub lookup_ttl_ms: u64,
@@ -183,6 +192,32 @@
     pub draining: bool,
 }
 
+/// The traffic that one region takes for clients of all others.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct HeadroomDocument {
+    /// Region that serves the clients.
+    pub region: Arc<str>,
+    /// Requests per second over all instances.
+    pub rate: f64,
+    /// Requests at once over all instances.
+    pub burst: u32,
+}
+
+/// A bound on the traffic that one region takes for the clients of another.
+#[derives::document]
+#[serde(deny_unknown_fields)]
+pub struct ShiftDocument {
+    /// Home region of the clients.
+    pub from: Arc<str>,
+    /// Region that serves them.
+    pub to: Arc<str>,
+    /// Requests per second over all instances.
+    pub rate: f64,
+    /// Requests at once over all instances.
+    pub burst: u32,
+}
+
 /// One block of client addresses.
 #[derives::document]
 #[serde(deny_unknown_fields)]
@@ -195,6 +230,7 @@
 
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
 const DEFAULT_MAX_BODY_BYTES: u64 = 1 << 20;
+const DEFAULT_SPREAD_RATE: f64 = 200.0;
 const DEFAULT_LOOKUP_TTL_MS: u64 = 2_000;
 
 fn default_deadline_ms() -> u64 {
@@ -205,6 +241,10 @@
     DEFAULT_MAX_BODY_BYTES
 }
 
+fn default_spread_rate() -> f64 {
+    DEFAULT_SPREAD_RATE
+}
+
 fn default_lookup_ttl_ms() -> u64 {
     DEFAULT_LOOKUP_TTL_MS
 }
--- a/crates/state/tables/src/lib.rs
+++ b/crates/state/tables/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`fault`]: what is wrong with a document, where, and the remedy.
 //! - [`name`]: checked names.
 //! - [`credential`]: team keys, kept as hashes only.
-//! - [`route`], [`pool`], [`team`], [`site`]: the checked rows.
+//! - [`route`], [`pool`], [`team`], [`site`], [`region`]: the checked rows.
 //! - [`snapshot`]: one immutable set of all tables, made from documents.
 
 pub mod credential;
@@ -12,7 +12,9 @@
 pub mod fault;
 pub mod name;
 pub mod pool;
+pub mod region;
 pub mod route;
 pub mod site;
 pub mod snapshot;
+mod steering;
 pub mod team;
--- /dev/null
+++ b/crates/state/tables/src/region.rs
@@ -0,0 +1,32 @@
+//! Checked regions and the caps on traffic between them.
+
+use marjoramwing_derives as derives;
+use marjoramwing_entity::entity_key;
+
+use crate::name;
+use crate::team;
+
+entity_key! {
+    /// Key of a region.
+    pub struct RegionKey, "region"
+}
+
+/// A region of sites.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Region {
+    /// Name of the region.
+    pub name: name::RegionName,
+    /// Traffic that the region takes for clients of all other regions.
+    pub headroom: Option<team::RateLimit>,
+}
+
+/// A bound on the traffic that one region takes for the clients of another.
+#[derives::measure]
+pub struct ShiftCap {
+    /// Home region of the clients.
+    pub from: RegionKey,
+    /// Region that serves them.
+    pub to: RegionKey,
+    /// Bound over all instances.
+    pub limit: team::RateLimit,
+}
--- a/crates/state/tables/src/site.rs
+++ b/crates/state/tables/src/site.rs
@@ -8,6 +8,7 @@
 
 use crate::fault;
 use crate::name;
+use crate::region;
 
 entity_key! {
     /// Key of a site.
@@ -20,7 +21,7 @@
     /// Name of the site.
     pub name: name::SiteName,
     /// Region of the site.
-    pub region: name::RegionName,
+    pub region: region::RegionKey,
     /// Failure domain of the site.
     pub failure_domain: name::DomainName,
     /// Whether traffic is to leave the site.
--- a/crates/state/tables/src/snapshot.rs
+++ b/crates/state/tables/src/snapshot.rs
@@ -16,6 +16,7 @@
 use crate::fault;
 use crate::name;
 use crate::pool;
+use crate::region;
 use crate::route;
 use crate::site;
 use crate::team;
@@ -23,8 +24,6 @@
 const MAX_DEADLINE_MS: u64 = 600_000;
 const MAX_BODY_BYTES: u64 = 1 << 30;
 const MAX_SLOTS: u32 = 100_000;
-const MIN_LOOKUP_TTL_MS: u64 = 100;
-const MAX_LOOKUP_TTL_MS: u64 = 300_000;
 
 /// Versions of the objects that a snapshot was made from.
 #[derives::value]
@@ -71,6 +70,12 @@
     pub sites: primary::PrimaryMap<site::SiteKey, site::Site>,
     /// Blocks of clients with their home sites.
     pub blocks: Vec<site::ClientBlock>,
+    /// Regions of the sites.
+    pub regions: primary::PrimaryMap<region::RegionKey, region::Region>,
+    /// Bounds on the traffic between regions.
+    pub shifts: Vec<region::ShiftCap>,
+    /// Requests per second of one team for which look-ups name one more instance.
+    pub spread_rate: f64,
     /// Time for which callers may use a look-up answer.
     pub lookup_ttl: time::Duration,
     credentials: collections::HashMap<Arc<str>, credential::Credential>,
@@ -115,12 +120,13 @@
 
 /// Gathers checked rows and all faults of the documents.
 #[derive(Debug, Default)]
-struct SnapshotBuilder {
-    snapshot: TableSnapshot,
-    faults: fault::FaultList,
+pub(crate) struct SnapshotBuilder {
+    pub(crate) snapshot: TableSnapshot,
+    pub(crate) faults: fault::FaultList,
     pool_keys: collections::HashMap<Arc<str>, pool::PoolKey>,
     team_keys: collections::HashMap<Arc<str>, team::TeamKey>,
-    site_keys: collections::HashMap<Arc<str>, site::SiteKey>,
+    pub(crate) site_keys: collections::HashMap<Arc<str>, site::SiteKey>,
+    pub(crate) region_keys: collections::HashMap<Arc<str>, region::RegionKey>,
     route_names: collections::HashSet<Arc<str>>,
 }
 
@@ -284,54 +290,12 @@
         Some(credential::Credential { id: id?, team: team?, hash: hash? })
     }
 
-    fn add_steering(&mut self, raw: &document::SteeringDocument) {
-        let ttl = fault::check_range(raw.lookup_ttl_ms, MIN_LOOKUP_TTL_MS, MAX_LOOKUP_TTL_MS);
-        if let Some(ttl) = self.faults.check("lookup_ttl_ms", ttl) {
-            self.snapshot.lookup_ttl = time::Duration::from_millis(ttl);
-        }
-        for (index, row) in raw.sites.iter().enumerate() {
-            let path = format!("sites[{index}]");
-            let Some(site) = self.check_site(&path, row) else {
-                continue;
-            };
-            let key = self.snapshot.sites.push(site);
-            if self.site_keys.insert(Arc::clone(&row.name), key).is_some() {
-                self.faults.add(path, fault::FaultKind::Duplicate(Arc::clone(&row.name)));
-            }
-        }
-        for (index, row) in raw.blocks.iter().enumerate() {
-            let path = format!("blocks[{index}]");
-            let prefix = site::AddressPrefix::try_from(&row.prefix);
-            let prefix = self.faults.check(format!("{path}.prefix"), prefix);
-            let found = find_named(&self.site_keys, "steering", &row.site);
-            let site = self.faults.check(format!("{path}.site"), found);
-            let (Some(prefix), Some(site)) = (prefix, site) else {
-                continue;
-            };
-            self.snapshot.blocks.push(site::ClientBlock { prefix, site });
-        }
-    }
-
-    fn check_site(&mut self, path: &str, row: &document::SiteDocument) -> Option<site::Site> {
-        let name = self.faults.check(format!("{path}.name"), name::SiteName::try_from(&row.name));
-        let region = name::RegionName::try_from(&row.region);
-        let region = self.faults.check(format!("{path}.region"), region);
-        let domain = name::DomainName::try_from(&row.failure_domain);
-        let domain = self.faults.check(format!("{path}.failure_domain"), domain);
-        Some(site::Site {
-            name: name?,
-            region: region?,
-            failure_domain: domain?,
-            draining: row.draining,
-        })
-    }
-
     fn finish(self) -> Result<TableSnapshot, fault::FaultList> {
         if self.faults.is_empty() { Ok(self.snapshot) } else { Err(self.faults) }
     }
 }
 
-fn find_named<K: Copy>(
+pub(crate) fn find_named<K: Copy>(
     keys: &collections::HashMap<Arc<str>, K>,
     object: &'static str,
     name: &Arc<str>,
--- a/crates/transport/node/src/admin.rs
+++ b/crates/transport/node/src/admin.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync as cancellation;
 
 use crate::shared;
+use crate::steering;
 
 type SharedState = extract::State<sync::Arc<shared::SharedTables>>;
 
@@ -77,6 +78,7 @@
     teams: usize,
     keys: usize,
     members: Vec<member::Member>,
+    regions: Vec<steering::RegionDump>,
 }
 
 async fn dump_state(extract::State(shared): SharedState) -> axum::response::Response {
@@ -91,6 +93,7 @@
         teams: tables.snapshot.teams.len(),
         keys: tables.snapshot.credential_count(),
         members: shared.members.load().members.clone(),
+        regions: shared.steering.dump(),
     };
     axum::Json(dump).into_response()
 }
--- a/crates/transport/node/src/callers/answer.rs
+++ b/crates/transport/node/src/callers/answer.rs
@@ -41,6 +41,11 @@
     /// The instance is not ready.
     #[display("this instance has no tables yet; use another one from the look-up")]
     NotReady,
+    /// Every region that could serve the caller has reached its cap.
+    #[display(
+        "your region is out of service and the others have reached their caps; ask again later"
+    )]
+    ShiftCapped,
     /// No backend server took the request.
     #[display("no backend server of this route takes requests now; send again later")]
     NoServer,
@@ -87,7 +92,9 @@
             RefusalKind::KeyMissing | RefusalKind::KeyRefused => http::StatusCode::UNAUTHORIZED,
             RefusalKind::OverLimit { .. } => http::StatusCode::TOO_MANY_REQUESTS,
             RefusalKind::BodyTooLarge(_) => http::StatusCode::PAYLOAD_TOO_LARGE,
-            RefusalKind::NotReady | RefusalKind::NoServer => http::StatusCode::SERVICE_UNAVAILABLE,
+            RefusalKind::NotReady | RefusalKind::ShiftCapped | RefusalKind::NoServer => {
+                http::StatusCode::SERVICE_UNAVAILABLE
+            }
             RefusalKind::BrokenOff => http::StatusCode::BAD_GATEWAY,
             RefusalKind::DeadlinePassed => http::StatusCode::GATEWAY_TIMEOUT,
         }
@@ -104,6 +111,7 @@
             RefusalKind::OverLimit { .. } => "over_limit",
             RefusalKind::BodyTooLarge(_) => "body_too_large",
             RefusalKind::NotReady => "not_ready",
+            RefusalKind::ShiftCapped => "shift_capped",
             RefusalKind::NoServer => "no_server",
             RefusalKind::BrokenOff => "broken_off",
             RefusalKind::DeadlinePassed => "deadline_passed",
@@ -113,7 +121,9 @@
     fn retry_after(&self) -> Option<time::Duration> {
         match self.kind {
             RefusalKind::OverLimit { retry_after, .. } => Some(retry_after),
-            RefusalKind::NotReady | RefusalKind::NoServer => Some(time::Duration::from_secs(1)),
+            RefusalKind::NotReady | RefusalKind::ShiftCapped | RefusalKind::NoServer => {
+                Some(time::Duration::from_secs(1))
+            }
             _ => None,
         }
     }
--- a/crates/transport/node/src/callers/lookup.rs
+++ b/crates/transport/node/src/callers/lookup.rs
@@ -7,10 +7,12 @@
 use axum::response::IntoResponse;
 use marjoramwing_steering::lookup;
 use marjoramwing_tables::credential as tables_credential;
+use marjoramwing_tables::snapshot;
 
 use crate::callers::answer;
 use crate::callers::credential;
 use crate::shared;
+use crate::steering;
 
 /// Path at which callers ask which instance to use.
 pub const LOOKUP_PATH: &str = "/.well-known/marjoramwing/lookup";
@@ -48,17 +50,35 @@
     };
     let tables = sync::Arc::clone(&shared.tables.load().snapshot);
     if tables.routes.is_empty() {
-        return answer::Refusal::not_run(answer::RefusalKind::NotReady).into_response();
+        return refuse(answer::RefusalKind::NotReady);
     }
     let team = key_text
         .and_then(tables_credential::PresentedKey::parse)
         .and_then(|key| tables.authenticate(&key));
-    let affinity = team.map_or("", |team| tables.teams[team].name.as_str());
-    let client = parameters.client.unwrap_or(peer.ip());
-    let members = shared.members.load();
-    let query = lookup::LookupQuery { client, affinity };
-    let ordered = lookup::order_members(&tables, &members, &query);
-    let instances = ordered.into_iter().map(|member| LookupInstance {
+    let caller = steering::LookupCaller {
+        client: parameters.client.unwrap_or(peer.ip()),
+        team: team.map(|team| &tables.teams[team]),
+    };
+    let mut context = lookup::LookupContext::default();
+    let own_region = shared.settings.identity.region.as_str();
+    let outcome = shared.steering.find_members(&mut context, &tables, own_region, &caller);
+    match outcome {
+        lookup::LookupOutcome::Found { .. } => name_members(&shared, &tables, &context),
+        lookup::LookupOutcome::Capped => refuse(answer::RefusalKind::ShiftCapped),
+        lookup::LookupOutcome::NoMember => refuse(answer::RefusalKind::NotReady),
+    }
+}
+
+fn name_members(
+    shared: &shared::SharedTables,
+    tables: &snapshot::TableSnapshot,
+    context: &lookup::LookupContext,
+) -> axum::response::Response {
+    let Some(table) = shared.steering.table() else {
+        return refuse(answer::RefusalKind::NotReady);
+    };
+    let members = context.members.iter().map(|index| table.member(*index));
+    let instances = members.map(|member| LookupInstance {
         address: member.callers,
         region: sync::Arc::clone(&member.region),
         failure_domain: sync::Arc::clone(&member.failure_domain),
@@ -66,3 +86,7 @@
     let ttl_ms = u64::try_from(tables.lookup_ttl.as_millis()).unwrap_or(u64::MAX);
     axum::Json(LookupAnswer { instances: instances.collect(), ttl_ms }).into_response()
 }
+
+fn refuse(kind: answer::RefusalKind) -> axum::response::Response {
+    answer::Refusal::not_run(kind).into_response()
+}
--- a/crates/transport/node/src/lib.rs
+++ b/crates/transport/node/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`peers`]: links to other instances.
 //! - [`runtime`]: start and planned stop.
 //! - [`shared`]: tables that all tasks share, and their lock order.
+//! - [`steering`]: steering of callers between regions.
 
 pub mod admin;
 pub mod admission;
@@ -23,3 +24,4 @@
 pub mod peers;
 pub mod runtime;
 pub mod shared;
+pub mod steering;
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -18,6 +18,7 @@
 use crate::inbox;
 use crate::peers::mesh;
 use crate::shared;
+use crate::steering;
 
 /// Longest wait for open requests at a planned stop.
 const MAX_STOP_WAIT: time::Duration = time::Duration::from_secs(60);
@@ -66,6 +67,7 @@
     let mesh = mesh::PeerMesh::new(sync::Arc::clone(&shared), sender);
     tokio::spawn(mesh.accept_links(peers));
     tokio::spawn(inbox::route_envelopes(received));
+    tokio::spawn(steering::run_steering(sync::Arc::clone(&shared)));
     tokio::spawn(admin::serve_admin(sync::Arc::clone(&shared), admin, stop.clone()));
     let serving = server::serve_callers(sync::Arc::clone(&shared), callers, stop.clone());
     let serving = tokio::spawn(serving);
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::backends::pool;
 use crate::clock;
 use crate::metrics;
+use crate::steering;
 
 /// The shared tables of one instance.
 #[derive(Debug)]
@@ -35,6 +36,8 @@
     pub connections: pool::ConnectionPool,
     /// Admission of requests under limits.
     pub admission: admission::AdmissionControl,
+    /// Steering of callers.
+    pub steering: steering::SteeringControl,
     /// Metrics of the instance.
     pub metrics: metrics::InstanceMetrics,
     clock: clock::MonotonicClock,
@@ -57,6 +60,7 @@
             tables: arc_swap::ArcSwap::from_pointee(empty),
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
             connections: pool::ConnectionPool::default(),
+            steering: steering::SteeringControl::default(),
             metrics: metrics::InstanceMetrics::new(),
             clock: clock::MonotonicClock::start(),
             admission: admission::AdmissionControl::default(),
