Operators' commands: conditional edits, check across files, look-up, dump

Cause: the binary knew only serve and check, parsed by hand; operators could not edit a table, and a lost answer of the object API had no cure.

Ruled out: repeating a write whose answer was lost. With the platform's answers lost after the effect, the repeat calls an edit that took effect a lost race (test without_read_back_an_edit_that_took_effect_is_called_lost keeps that). Also ruled out: refusing to send the write again at all, since then an answer lost before the effect leaves the edit undone; the same conditional write goes out again only after a read-back showed that the version is still the expected one, so at most one of the two takes effect.

Check of the table documents goes on when one of them cannot be read.

Conclusion: an edit ends as done, lost, refused or unknown, and says so by its exit code; "unknown" remains when another edit hides the answer.

--- a/crates/marjoramwing/src/main.rs
+++ b/crates/marjoramwing/src/main.rs
@@ -1,82 +1,63 @@
 //! The `marjoramwing` binary: an instance and the operators' commands.
 
 use std::env;
-use std::path;
 use std::process;
 
-use marjoramwing_node::runtime;
-use marjoramwing_operator::check;
 use marjoramwing_operator::command;
-use marjoramwing_settings::settings;
+
+mod serve;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 const USAGE: &str = "\
-marjoramwing COMMAND [OPTIONS]
+Usage: marjoramwing COMMAND [OPTIONS]
 
 Commands:
-  serve -c FILE          run an instance
-  check -c FILE          check a settings file
-  check -t DIRECTORY     check a directory of table documents
+    serve     run an instance
+    check     check settings files and table documents
+    route     list, get, set and delete routes
+    pool      list, get, set and delete pools of backend servers
+    team      list, get, set and delete teams
+    key       list, grant and withdraw team keys
+    lookup    ask an instance which instances a caller is to use
+    dump      print the state of an instance
 
 Options:
-  --help                 print this text
-  --version              print the version
+    -h, --help      print this text; after a command, that command's
+    -V, --version   print the version
+
+Exit codes:
 ";
 
 fn main() -> process::ExitCode {
     let arguments: Vec<String> = env::args().skip(1).collect();
-    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    match words[..] {
-        ["serve", "-c", file] => serve(path::Path::new(file)),
-        ["check", "-c", file] => check::check_settings(path::Path::new(file)).into(),
-        ["check", "-t", directory] => check::check_tables(path::Path::new(directory)).into(),
-        ["--help"] => {
-            print!("{USAGE}");
-            command::CommandExit::Done.into()
-        }
-        ["--version"] => {
-            println!("marjoramwing {}", env!("CARGO_PKG_VERSION"));
-            command::CommandExit::Done.into()
-        }
-        _ => {
-            eprint!("{USAGE}");
-            command::CommandExit::Usage.into()
-        }
-    }
-}
-
-fn serve(file: &path::Path) -> process::ExitCode {
-    let settings = match settings::InstanceSettings::load(file) {
-        Ok(settings) => settings,
-        Err(faults) => {
-            for fault in &faults.faults {
-                eprintln!("{}: {fault}", file.display());
-            }
-            return command::CommandExit::Faulty.into();
-        }
+    let Some((name, rest)) = arguments.split_first() else {
+        return refuse("name a command");
     };
-    start_logs();
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    let result = match runtime {
-        Ok(runtime) => runtime.block_on(runtime::run_instance(settings)),
-        Err(error) => {
-            eprintln!("cannot start worker threads ({error}); raise the process's limits");
-            return command::CommandExit::Faulty.into();
-        }
+    let exit = match name.as_str() {
+        "serve" => Some(serve::run(rest)),
+        "-h" | "--help" => Some(print_help()),
+        "-V" | "--version" => Some(print_version()),
+        name => command::run(name, rest),
     };
-    match result {
-        Ok(()) => command::CommandExit::Done.into(),
-        Err(error) => {
-            eprintln!("{error}");
-            command::CommandExit::Faulty.into()
-        }
+    exit.map_or_else(|| refuse(&format!("there is no command `{name}`")), Into::into)
+}
+
+fn print_help() -> command::CommandExit {
+    print!("{USAGE}");
+    for exit in command::CommandExit::ALL {
+        println!("    {}  {}", exit.code(), exit.meaning());
     }
+    command::CommandExit::Done
+}
+
+fn print_version() -> command::CommandExit {
+    println!("marjoramwing {}", env!("CARGO_PKG_VERSION"));
+    command::CommandExit::Done
 }
 
-fn start_logs() {
-    let filter = tracing_subscriber::EnvFilter::try_from_env("MARJORAMWING_LOG")
-        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).json().init();
+fn refuse(reason: &str) -> process::ExitCode {
+    eprintln!("{reason}; see marjoramwing --help");
+    command::CommandExit::Usage.into()
 }
--- /dev/null
+++ b/crates/marjoramwing/src/serve.rs
@@ -0,0 +1,67 @@
+//! `marjoramwing serve`: runs an instance.
+
+use std::path;
+
+use marjoramwing_node::runtime;
+use marjoramwing_operator::command;
+use marjoramwing_operator::options;
+use marjoramwing_settings::settings;
+
+const SPEC: options::CommandSpec = options::CommandSpec {
+    synopsis: "serve -c FILE",
+    purpose: "Runs an instance until a planned stop (SIGTERM or SIGINT) has finished. Logs go \
+              to standard error as JSON; $MARJORAMWING_LOG sets their level.",
+    exits: &[command::CommandExit::Faulty, command::CommandExit::Cut],
+};
+
+/// Runs the command.
+pub(crate) fn run(arguments: &[String]) -> command::CommandExit {
+    let mut options = getopts::Options::new();
+    options.optopt("c", "settings", "settings file", "FILE");
+    let matches = match SPEC.parse(options, arguments) {
+        Ok(matches) => matches,
+        Err(exit) => return exit,
+    };
+    match (matches.opt_str("settings"), &matches.free[..]) {
+        (Some(file), []) => serve(path::Path::new(&file)),
+        _ => {
+            eprintln!("name the settings file with -c; see marjoramwing serve --help");
+            command::CommandExit::Usage
+        }
+    }
+}
+
+fn serve(file: &path::Path) -> command::CommandExit {
+    let settings = match settings::InstanceSettings::load(file) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            for fault in &faults.faults {
+                eprintln!("{}: {fault}", file.display());
+            }
+            return command::CommandExit::Faulty;
+        }
+    };
+    start_logs();
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(runtime::run_instance(settings)),
+        Err(error) => {
+            eprintln!("cannot start worker threads ({error}); raise the process's limits");
+            return command::CommandExit::Faulty;
+        }
+    };
+    match result {
+        Ok(runtime::StopOutcome::Finished) => command::CommandExit::Done,
+        Ok(runtime::StopOutcome::Cut) => command::CommandExit::Cut,
+        Err(error) => {
+            eprintln!("{}: {error}", file.display());
+            command::CommandExit::Faulty
+        }
+    }
+}
+
+fn start_logs() {
+    let filter = tracing_subscriber::EnvFilter::try_from_env("MARJORAMWING_LOG")
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).json().init();
+}
--- /dev/null
+++ b/crates/marjoramwing/tests/cli_check.rs
@@ -0,0 +1,113 @@
+//! `check` tells every fault of every file in one run.
+
+use std::fs;
+use std::path;
+use std::process;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_marjoramwing");
+const DEPLOYMENTS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deployments");
+
+/// A directory of files to check.
+struct CheckedFiles {
+    directory: path::PathBuf,
+}
+
+impl CheckedFiles {
+    fn new(name: &str, files: &[(&str, String)]) -> Self {
+        let directory = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let _ = fs::remove_dir_all(&directory);
+        fs::create_dir_all(directory.join("instances")).unwrap();
+        for (file, text) in files {
+            fs::write(directory.join(file), text).unwrap();
+        }
+        Self { directory }
+    }
+
+    /// Runs `check` and returns its exit code and what it told.
+    fn check(&self, words: &[&str]) -> (i32, String) {
+        let mut command = process::Command::new(BINARY);
+        command.arg("check").args(words).env_clear().current_dir(&self.directory);
+        let output = command.output().unwrap();
+        let told = String::from_utf8([output.stdout, output.stderr].concat()).unwrap();
+        (output.status.code().unwrap(), told)
+    }
+}
+
+fn settings(name: &str, port: u16, site: &str) -> String {
+    format!(
+        r#"
+        [instance]
+        name = "{name}"
+        site = "{site}"
+        region = "west"
+        failure_domain = "west-a"
+        [listen]
+        callers = "127.0.0.1:{port}"
+        peers = "127.0.0.1:{}"
+        admin = "127.0.0.1:{}"
+        [store]
+        address = "127.0.0.1:1"
+        [secrets]
+        peer_env = "PEER"
+        admin_env = "ADMIN"
+        "#,
+        port + 1,
+        port + 2
+    )
+}
+
+fn tables(routes: &str, pools: &str) -> Vec<(&'static str, String)> {
+    let steering = r#"{"sites": [{"name": "west", "region": "west", "failure_domain": "west-b"}]}"#;
+    vec![
+        ("routes.json", routes.to_owned()),
+        ("pools.json", pools.to_owned()),
+        ("teams.json", r#"{"teams": []}"#.to_owned()),
+        ("keys.json", r#"{"keys": [{"id": "a", "team": "b", "sha256": "c"}]}"#.to_owned()),
+        ("steering.json", steering.to_owned()),
+    ]
+}
+
+#[test]
+fn faults_of_all_files_are_told_at_once() {
+    let routes = r#"{"routes": [{"name": "shop", "path": "/shop", "pools": ["main"]}]}"#;
+    let mut files = tables(routes, r#"{"pools": []}"#);
+    files.push(("instances/a.toml", settings("one", 4000, "west")));
+    files.push(("instances/b.toml", settings("one", 4001, "east")));
+    files.push(("instances/c.toml", "[instance]\nname = 1".to_owned()));
+    let files = CheckedFiles::new("all-faults", &files);
+    let (code, told) = files.check(&["-c", "instances", "-t", ".", "--without-secrets"]);
+    assert_eq!(code, 1);
+    insta::assert_snapshot!(told);
+}
+
+#[test]
+fn unread_document_causes_no_second_fault() {
+    let routes = r#"{"routes": [{"name": "shop", "path": "/shop", "pools": ["main"]}]}"#;
+    let files = CheckedFiles::new("unread", &tables(routes, "{"));
+    let (code, told) = files.check(&["-t", "."]);
+    assert_eq!(code, 1);
+    insta::assert_snapshot!(told);
+}
+
+#[test]
+fn absent_secrets_are_told() {
+    let files = [("instances/a.toml", settings("one", 4000, "west"))];
+    let files = CheckedFiles::new("secrets", &files);
+    assert_eq!(files.check(&["-c", "instances", "--without-secrets"]), (0, String::new()));
+    let (code, told) = files.check(&["-c", "instances/a.toml", "--json"]);
+    assert_eq!(code, 1);
+    insta::assert_snapshot!(told);
+}
+
+fn check_deployment(name: &str) {
+    let files = CheckedFiles::new(&format!("deployment-{name}"), &[]);
+    let instances = format!("{DEPLOYMENTS}/{name}/instances");
+    let tables = format!("{DEPLOYMENTS}/{name}/tables");
+    let told = files.check(&["-c", &instances, "-t", &tables, "--without-secrets"]);
+    assert_eq!(told, (0, String::new()));
+}
+
+marjoramwing_testing::cases! { check_deployment:
+    consorzio_has_no_fault => ("consorzio");
+    mycotrail_has_no_fault => ("mycotrail");
+}
--- a/crates/protocol/settings/src/fault.rs
+++ b/crates/protocol/settings/src/fault.rs
@@ -53,6 +53,9 @@
         /// Member that names an environment variable.
         env: &'static str,
     },
+    /// The file of a secret cannot be read.
+    #[display("the secret file {_0}; check the path and its permissions")]
+    SecretFile(Arc<str>),
     /// An environment variable is not set.
     #[display("the environment variable `{_0}` is not set; export it before the start")]
     Environment(Arc<str>),
--- a/crates/protocol/settings/src/secret.rs
+++ b/crates/protocol/settings/src/secret.rs
@@ -44,6 +44,15 @@
 }
 
 impl SecretSource<'_> {
+    /// Returns the path of the member that names the secret.
+    pub(crate) fn path(&self) -> String {
+        match (self.file, self.env) {
+            (Some(_), None) => format!("secrets.{}", self.file_member),
+            (None, Some(_)) => format!("secrets.{}", self.env_member),
+            _ => "secrets".to_owned(),
+        }
+    }
+
     pub(crate) fn load(&self) -> Result<SharedSecret, fault::FaultKind> {
         let text = match (self.file, self.env) {
             (Some(file), None) => read_file(file)?,
@@ -65,7 +74,8 @@
 
 fn read_file(file: &path::Path) -> Result<String, fault::FaultKind> {
     fs::read_to_string(file).map_err(|error| {
-        fault::FaultKind::Unreadable(format!("{}: {error}", file.display()).into())
+        let reason = format!("{} cannot be read ({error})", file.display());
+        fault::FaultKind::SecretFile(reason.into())
     })
 }
 
--- a/crates/protocol/settings/src/settings.rs
+++ b/crates/protocol/settings/src/settings.rs
@@ -127,8 +127,8 @@
         let identity = check_identity(&mut faults, &raw.instance);
         let listen = check_listen(&mut faults, &raw.listen);
         let store = check_store(&mut faults, &raw.store);
-        let peer_secret = faults.check("secrets", peer_source(&raw.secrets).load());
-        let admin_secret = faults.check("secrets", admin_source(&raw.secrets).load());
+        let peer_secret = check_secret(&mut faults, &peer_source(&raw.secrets));
+        let admin_secret = check_secret(&mut faults, &admin_source(&raw.secrets));
         let callers = check_callers(&mut faults, &raw.callers);
         let objective = match raw.objective.weigh {
             document::WeighDocument::Fairness => DeploymentObjective::Fairness,
@@ -235,6 +235,13 @@
     Err(fault::FaultKind::Range { value, low, high })
 }
 
+fn check_secret(
+    faults: &mut fault::FaultList,
+    source: &secret::SecretSource<'_>,
+) -> Option<secret::SharedSecret> {
+    faults.check(&source.path(), source.load())
+}
+
 fn peer_source(raw: &document::SecretsDocument) -> secret::SecretSource<'_> {
     secret::SecretSource {
         file: raw.peer_file.as_deref(),
--- a/crates/protocol/settings/tests/settings.rs
+++ b/crates/protocol/settings/tests/settings.rs
@@ -35,7 +35,7 @@
     instance.region: `` is not a name; use 1 to 63 of a-z, 0-9, `-`, `_` and `.`
     listen.callers: `localhost:7101` is not an address; write an IP address and port such as 10.0.0.1:7100
     store.timeout_ms: 1 is out of range; use 50 to 60000
-    secrets: the environment variable `MARJORAMWING_TEST_NOT_SET` is not set; export it before the start
+    secrets.peer_env: the environment variable `MARJORAMWING_TEST_NOT_SET` is not set; export it before the start
     secrets: needs exactly one of `admin_file` and `admin_env`; set one and remove the other
     callers.max_header_bytes: 1 is out of range; use 8192 to 1048576
     ");
--- a/crates/state/tables/src/document.rs
+++ b/crates/state/tables/src/document.rs
@@ -13,6 +13,9 @@
 pub struct RoutesDocument {
     /// All routes; the most specific match serves a request.
     pub routes: Vec<RouteDocument>,
+    /// Random identifier of the last edit, written by the edit itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub edit_id: Option<Arc<str>>,
 }
 
 /// One route of the `routes` object.
@@ -84,6 +87,9 @@
 pub struct PoolsDocument {
     /// All pools.
     pub pools: Vec<PoolDocument>,
+    /// Random identifier of the last edit, written by the edit itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub edit_id: Option<Arc<str>>,
 }
 
 /// One pool of the `pools` object.
@@ -118,6 +124,9 @@
 pub struct TeamsDocument {
     /// All teams.
     pub teams: Vec<TeamDocument>,
+    /// Random identifier of the last edit, written by the edit itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub edit_id: Option<Arc<str>>,
 }
 
 /// One team of the `teams` object.
@@ -139,6 +148,9 @@
 pub struct KeysDocument {
     /// All keys in force; withdrawing a key removes its entry.
     pub keys: Vec<KeyDocument>,
+    /// Random identifier of the last edit, written by the edit itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub edit_id: Option<Arc<str>>,
 }
 
 /// One team key, as a hash.
@@ -166,6 +178,9 @@
     /// Time for which callers may use a look-up answer, in milliseconds.
     #[serde(default = "default_lookup_ttl_ms")]
     pub lookup_ttl_ms: u64,
+    /// Random identifier of the last edit, written by the edit itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub edit_id: Option<Arc<str>>,
 }
 
 /// One site of the `steering` object.
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use marjoramwing_derives as derives;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
 use marjoramwing_settings::settings;
@@ -25,33 +26,59 @@
 /// Why an instance could not start.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
 pub enum StartError {
-    /// An address cannot be listened on.
-    #[display(
-        "cannot listen on {address} for {role} ({source}); free the port or change listen.{role}"
-    )]
-    Listen {
-        /// What the port is for.
-        role: &'static str,
-        /// Address that was tried.
-        address: net::SocketAddr,
-        /// What the system said.
-        source: std::io::Error,
-    },
+    /// Addresses cannot be listened on.
+    #[display("{}", join_faults(_0))]
+    Listen(#[error(not(source))] Vec<ListenFault>),
     /// Signals cannot be received.
     #[display("cannot receive signals ({_0}); check the process's limits")]
     Signal(#[error(not(source))] std::io::Error),
 }
 
+/// An address that cannot be listened on.
+#[derive(Debug, derive_more::Display)]
+#[display(
+    "listen.{role}: cannot listen on {address} ({reason}); free the port or change the setting"
+)]
+pub struct ListenFault {
+    /// What the port is for.
+    pub role: &'static str,
+    /// Address that was tried.
+    pub address: net::SocketAddr,
+    /// What the system said.
+    pub reason: std::io::Error,
+}
+
+fn join_faults(faults: &[ListenFault]) -> String {
+    let texts: Vec<_> = faults.iter().map(ToString::to_string).collect();
+    texts.join("\n")
+}
+
+/// How a stop ended.
+#[derives::value]
+pub enum StopOutcome {
+    /// Every open request was finished.
+    Finished,
+    /// Requests were still open at a second signal or the longest wait's end.
+    Cut,
+}
+
 /// Runs an instance until a planned stop has finished.
 ///
 /// # Errors
 ///
-/// Returns an error when a port or a signal cannot be had.
-pub async fn run_instance(settings: settings::InstanceSettings) -> Result<(), StartError> {
+/// Returns every port that cannot be had, or that signals cannot be received.
+pub async fn run_instance(settings: settings::InstanceSettings) -> Result<StopOutcome, StartError> {
     let listen = settings.listen;
-    let callers = bind("callers", listen.callers).await?;
-    let peers = bind("peers", listen.peers).await?;
-    let admin = bind("admin", listen.admin).await?;
+    let callers = bind("callers", listen.callers).await;
+    let peers = bind("peers", listen.peers).await;
+    let admin = bind("admin", listen.admin).await;
+    let (callers, peers, admin) = match (callers, peers, admin) {
+        (Ok(callers), Ok(peers), Ok(admin)) => (callers, peers, admin),
+        (callers, peers, admin) => {
+            let faults = [callers.err(), peers.err(), admin.err()];
+            return Err(StartError::Listen(faults.into_iter().flatten().collect()));
+        }
+    };
     let mut signals = StopSignals::new()?;
     let shared = sync::Arc::new(shared::SharedTables::new(settings));
     emit!(catalogue::INSTANCE_STARTED, instance = %shared.settings.identity.name,
@@ -73,24 +100,30 @@
     emit!(catalogue::STOP_BEGAN, open = shared.metrics.open_requests.get());
     shared.leave();
     tokio::select! {
-        () = finish_requests(&shared, serving, &stop) => {}
-        () = signals.wait() => emit!(catalogue::STOP_FORCED),
+        outcome = finish_requests(&shared, serving, &stop) => Ok(outcome),
+        () = signals.wait() => {
+            emit!(catalogue::STOP_FORCED);
+            Ok(StopOutcome::Cut)
+        }
     }
-    Ok(())
 }
 
 async fn finish_requests(
     shared: &shared::SharedTables,
     serving: tokio::task::JoinHandle<()>,
     stop: &cancellation::CancellationToken,
-) {
+) -> StopOutcome {
     let cached_lookups = shared.tables.load().snapshot.lookup_ttl;
     tokio::time::sleep(cached_lookups).await;
     stop.cancel();
     match tokio::time::timeout(MAX_STOP_WAIT, serving).await {
-        Ok(_) => emit!(catalogue::STOP_FINISHED),
+        Ok(_) => {
+            emit!(catalogue::STOP_FINISHED);
+            StopOutcome::Finished
+        }
         Err(_) => {
             emit!(catalogue::STOP_TIMED_OUT, open = shared.metrics.open_requests.get());
+            StopOutcome::Cut
         }
     }
 }
@@ -98,9 +131,9 @@
 async fn bind(
     role: &'static str,
     address: net::SocketAddr,
-) -> Result<tokio::net::TcpListener, StartError> {
+) -> Result<tokio::net::TcpListener, ListenFault> {
     let bound = tokio::net::TcpListener::bind(address).await;
-    bound.map_err(|source| StartError::Listen { role, address, source })
+    bound.map_err(|reason| ListenFault { role, address, reason })
 }
 
 struct StopSignals {
--- a/crates/transport/operator/src/check.rs
+++ b/crates/transport/operator/src/check.rs
@@ -1,64 +1,252 @@
-//! Checks settings and tables without any process.
+//! `marjoramwing check`: checks settings and tables without any process.
+//!
+//! Every fault of every file is printed in one run, each with its file, the
+//! path of the member and the remedy.
 
+use std::collections;
 use std::fs;
 use std::path;
+use std::sync::Arc;
 
+use marjoramwing_settings::document as settings_document;
+use marjoramwing_settings::fault as settings_fault;
 use marjoramwing_settings::settings;
+use marjoramwing_tables::fault as tables_fault;
 use marjoramwing_tables::snapshot;
 
 use crate::command;
+use crate::options;
+use crate::output;
 
-/// Checks a settings file and prints every fault with its path and remedy.
+const SPEC: options::CommandSpec = options::CommandSpec {
+    synopsis: "check [-c FILE_OR_DIRECTORY]... [-t DIRECTORY] [OPTIONS]",
+    purpose: "Checks settings files, alone and against each other, and a directory of table \
+              documents; prints every fault with its remedy.",
+    exits: &[command::CommandExit::Faulty],
+};
+
+/// One fault with the file that has it.
+#[derive(Debug, PartialEq, Eq, serde::Serialize)]
+struct FileFault {
+    file: String,
+    path: String,
+    fault: String,
+}
+
+/// Settings as written, for the comparison of files.
+struct ReadSettings {
+    file: path::PathBuf,
+    document: settings_document::SettingsDocument,
+}
+
+/// All faults found so far.
+#[derive(Default)]
+struct CheckReport {
+    faults: Vec<FileFault>,
+}
+
+/// Runs the command.
 #[must_use]
-pub fn check_settings(file: &path::Path) -> command::CommandExit {
-    match settings::InstanceSettings::load(file) {
-        Ok(_) => command::CommandExit::Done,
-        Err(faults) => {
+pub fn run(arguments: &[String]) -> command::CommandExit {
+    let mut options = getopts::Options::new();
+    options.optmulti("c", "settings", "settings file, or directory of them", "PATH");
+    options.optopt("t", "tables", "directory of table documents", "DIRECTORY");
+    options.optflag("", "without-secrets", "do not ask for the secrets that settings name");
+    options.optflag("j", "json", "print JSON for scripts");
+    let matches = match SPEC.parse(options, arguments) {
+        Ok(matches) => matches,
+        Err(exit) => return exit,
+    };
+    let (paths, tables) = (matches.opt_strs("settings"), matches.opt_str("tables"));
+    if !matches.free.is_empty() || (paths.is_empty() && tables.is_none()) {
+        eprintln!("name settings with -c or tables with -t; see marjoramwing check --help");
+        return command::CommandExit::Usage;
+    }
+    let mut report = CheckReport::default();
+    let read = report.check_settings(&paths, matches.opt_present("without-secrets"));
+    report.compare_settings(&read);
+    if let Some(directory) = tables {
+        let documents = report.check_tables(path::Path::new(&directory));
+        report.compare_sites(&read, &documents);
+    }
+    report.print(matches.opt_present("json"))
+}
+
+impl CheckReport {
+    fn add(&mut self, file: &path::Path, path: &str, fault: String) {
+        let file = file.display().to_string();
+        self.faults.push(FileFault { file, path: path.to_owned(), fault });
+    }
+
+    fn print(&self, json: bool) -> command::CommandExit {
+        if json {
+            output::print_json(&self.faults);
+        } else {
+            for fault in &self.faults {
+                eprintln!("{}: {}: {}", fault.file, fault.path, fault.fault);
+            }
+        }
+        match self.faults.is_empty() {
+            true => command::CommandExit::Done,
+            false => command::CommandExit::Faulty,
+        }
+    }
+
+    fn check_settings(&mut self, paths: &[String], without_secrets: bool) -> Vec<ReadSettings> {
+        let mut read = Vec::new();
+        for path in paths {
+            for file in self.list_files(path::Path::new(path)) {
+                read.extend(self.check_file(file, without_secrets));
+            }
+        }
+        read
+    }
+
+    fn list_files(&mut self, path: &path::Path) -> Vec<path::PathBuf> {
+        if !path.is_dir() {
+            return vec![path.to_owned()];
+        }
+        let entries = match fs::read_dir(path) {
+            Ok(entries) => entries,
+            Err(error) => {
+                self.add(path, "directory", format!("cannot be read ({error}); check the path"));
+                return Vec::new();
+            }
+        };
+        let files = entries.filter_map(|entry| Some(entry.ok()?.path()));
+        let is_settings = |file: &path::PathBuf| file.extension().is_some_and(|end| end == "toml");
+        let mut files: Vec<_> = files.filter(is_settings).collect();
+        files.sort();
+        if files.is_empty() {
+            let fault = "has no settings file; name one that ends with .toml";
+            self.add(path, "directory", fault.to_owned());
+        }
+        files
+    }
+
+    fn check_file(&mut self, file: path::PathBuf, without_secrets: bool) -> Option<ReadSettings> {
+        if let Err(faults) = settings::InstanceSettings::load(&file) {
             for fault in &faults.faults {
-                eprintln!("{}: {fault}", file.display());
+                if !(without_secrets && is_absent_secret(fault)) {
+                    self.add(&file, &fault.path, fault.kind.to_string());
+                }
             }
-            command::CommandExit::Faulty
         }
+        let text = fs::read_to_string(&file).ok()?;
+        let document = toml::from_str(&text).ok()?;
+        Some(ReadSettings { file, document })
     }
-}
 
-/// Checks a directory of table documents against each other.
-#[must_use]
-pub fn check_tables(directory: &path::Path) -> command::CommandExit {
-    match load_tables(directory) {
-        Ok(documents) => match snapshot::TableSnapshot::try_from(&documents) {
-            Ok(_) => command::CommandExit::Done,
-            Err(faults) => {
-                for fault in &faults.faults {
-                    eprintln!("{}: {fault}", directory.display());
+    fn compare_settings(&mut self, read: &[ReadSettings]) {
+        let mut names = collections::HashMap::new();
+        let mut addresses = collections::HashMap::new();
+        for settings in read {
+            let instance = &settings.document.instance;
+            if let Some(other) = names.insert(&instance.name, &settings.file) {
+                let fault = format!("is also the name in {}; rename one", other.display());
+                self.add(&settings.file, "instance.name", fault);
+            }
+            let listen = &settings.document.listen;
+            let members = [
+                ("listen.callers", &listen.callers),
+                ("listen.peers", &listen.peers),
+                ("listen.admin", &listen.admin),
+            ];
+            for (member, address) in members {
+                let other = addresses.insert(address, &settings.file);
+                if let Some(other) = other.filter(|other| **other != settings.file) {
+                    let fault = format!("is also an address in {}; change one", other.display());
+                    self.add(&settings.file, member, fault);
                 }
-                command::CommandExit::Faulty
             }
-        },
-        Err(message) => {
-            eprintln!("{message}");
-            command::CommandExit::Faulty
+        }
+    }
+
+    fn check_tables(&mut self, directory: &path::Path) -> snapshot::TableDocuments {
+        let mut unread = Vec::new();
+        let documents = snapshot::TableDocuments {
+            routes: self.read_document(directory, "routes", &mut unread),
+            pools: self.read_document(directory, "pools", &mut unread),
+            teams: self.read_document(directory, "teams", &mut unread),
+            keys: self.read_document(directory, "keys", &mut unread),
+            steering: self.read_document(directory, "steering", &mut unread),
+        };
+        if let Err(faults) = snapshot::TableSnapshot::try_from(&documents) {
+            for fault in faults.faults.iter().filter(|fault| !is_follow_up(fault, &unread)) {
+                let file = directory.join(format!("{}.json", object_of(&fault.path)));
+                self.add(&file, &fault.path, fault.kind.to_string());
+            }
+        }
+        documents
+    }
+
+    fn read_document<T: serde::de::DeserializeOwned + Default>(
+        &mut self,
+        directory: &path::Path,
+        object: &'static str,
+        unread: &mut Vec<&'static str>,
+    ) -> T {
+        let file = directory.join(format!("{object}.json"));
+        let parsed = match fs::read(&file) {
+            Ok(text) => serde_json::from_slice(&text)
+                .map_err(|error| format!("{error}; correct the syntax or the member's name")),
+            Err(error) => Err(format!("cannot be read ({error}); check the path")),
+        };
+        parsed.unwrap_or_else(|fault| {
+            self.add(&file, object, fault);
+            unread.push(object);
+            T::default()
+        })
+    }
+
+    fn compare_sites(&mut self, read: &[ReadSettings], documents: &snapshot::TableDocuments) {
+        let sites = &documents.steering.sites;
+        if sites.is_empty() {
+            return;
+        }
+        for settings in read {
+            let instance = &settings.document.instance;
+            let Some(site) = sites.iter().find(|site| site.name == instance.site) else {
+                let fault = format!("`{}` is not in steering.json; add the site", instance.site);
+                self.add(&settings.file, "instance.site", fault);
+                continue;
+            };
+            let members = [
+                ("instance.region", &instance.region, &site.region),
+                ("instance.failure_domain", &instance.failure_domain, &site.failure_domain),
+            ];
+            for (member, given, expected) in members.into_iter().filter(|row| row.1 != row.2) {
+                let fault = format!(
+                    "is `{given}`, but steering.json says `{expected}` for the site; correct one"
+                );
+                self.add(&settings.file, member, fault);
+            }
         }
     }
 }
 
-fn load_tables(directory: &path::Path) -> Result<snapshot::TableDocuments, String> {
-    Ok(snapshot::TableDocuments {
-        routes: load_document(directory, "routes.json")?,
-        pools: load_document(directory, "pools.json")?,
-        teams: load_document(directory, "teams.json")?,
-        keys: load_document(directory, "keys.json")?,
-        steering: load_document(directory, "steering.json")?,
-    })
+fn is_absent_secret(fault: &settings_fault::SettingsFault) -> bool {
+    matches!(
+        fault.kind,
+        settings_fault::FaultKind::Environment(_) | settings_fault::FaultKind::SecretFile(_)
+    )
 }
 
-fn load_document<T: serde::de::DeserializeOwned>(
-    directory: &path::Path,
-    file: &str,
-) -> Result<T, String> {
-    let file = directory.join(file);
-    let text =
-        fs::read(&file).map_err(|error| format!("{}: {error}; check the path", file.display()))?;
-    serde_json::from_slice(&text)
-        .map_err(|error| format!("{}: {error}; correct the document", file.display()))
+/// Tells whether a name is unknown only since its document could not be read.
+fn is_follow_up(fault: &tables_fault::TableFault, unread: &[&str]) -> bool {
+    match &fault.kind {
+        tables_fault::FaultKind::Unknown { object, .. } => unread.contains(object),
+        _ => unread.contains(&object_of(&fault.path)),
+    }
+}
+
+fn object_of(path: &Arc<str>) -> &'static str {
+    let member = path.split(['[', '.']).next().unwrap_or_default();
+    match member {
+        "routes" => "routes",
+        "pools" => "pools",
+        "teams" => "teams",
+        "keys" => "keys",
+        _ => "steering",
+    }
 }
--- /dev/null
+++ b/crates/transport/operator/tests/editor.rs
@@ -0,0 +1,164 @@
+//! Edits under lost answers, races and faulty candidates.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use axum::response::IntoResponse;
+use marjoramwing_objects::object;
+use marjoramwing_operator::command;
+use marjoramwing_operator::editor;
+use marjoramwing_operator::row;
+use marjoramwing_standins::platform;
+use marjoramwing_store_client::client;
+use marjoramwing_tables::document;
+
+/// What goes wrong with the first write that arrives.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum WriteFault {
+    None,
+    LostAfterEffect,
+    LostBeforeEffect,
+    LostToRace,
+    LostAndOvertaken,
+    OutageFromThenOn,
+}
+
+#[derive(Clone)]
+struct FaultyPlatform {
+    server: platform::PlatformServer,
+    fault: sync::Arc<sync::Mutex<WriteFault>>,
+}
+
+const TABLES: object::ObjectKind = object::ObjectKind::Tables;
+
+impl FaultyPlatform {
+    async fn start(fault: WriteFault) -> (Self, net::SocketAddr) {
+        let server = platform::PlatformServer::default();
+        server.put(TABLES, "teams", team_text(5.0));
+        server.put(TABLES, "steering", r#"{"sites": []}"#.into());
+        let fault = sync::Arc::new(sync::Mutex::new(fault));
+        let faulty = Self { server, fault };
+        let layer = axum::middleware::from_fn_with_state(faulty.clone(), cause_fault);
+        let router = faulty.server.router().layer(layer);
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        (faulty, address)
+    }
+
+    fn put_team(&self, rate: f64) {
+        self.server.put(TABLES, "teams", team_text(rate));
+    }
+}
+
+async fn cause_fault(
+    axum::extract::State(faulty): axum::extract::State<FaultyPlatform>,
+    request: axum::extract::Request,
+    next: axum::middleware::Next,
+) -> axum::response::Response {
+    if request.method() != http::Method::PUT {
+        return next.run(request).await;
+    }
+    let fault = std::mem::replace(&mut *faulty.fault.lock().unwrap(), WriteFault::None);
+    match fault {
+        WriteFault::None => return next.run(request).await,
+        WriteFault::LostBeforeEffect => {}
+        WriteFault::LostToRace => faulty.put_team(7.0),
+        WriteFault::LostAfterEffect => drop(next.run(request).await),
+        WriteFault::LostAndOvertaken => {
+            drop(next.run(request).await);
+            faulty.put_team(7.0);
+        }
+        WriteFault::OutageFromThenOn => {
+            let faults = platform::PlatformFaults { outage: true, ..Default::default() };
+            faulty.server.set_faults(faults);
+        }
+    }
+    http::StatusCode::GATEWAY_TIMEOUT.into_response()
+}
+
+fn team(rate: f64) -> document::TeamDocument {
+    document::TeamDocument { name: "etna".into(), rate, burst: 4 }
+}
+
+fn team_text(rate: f64) -> bytes::Bytes {
+    let document = document::TeamsDocument { teams: vec![team(rate)], edit_id: None };
+    serde_json::to_vec(&document).unwrap().into()
+}
+
+fn make_editor(address: net::SocketAddr, policy: editor::LostAnswerPolicy) -> editor::TableEditor {
+    let client = client::StoreClient::new(address, time::Duration::from_secs(30));
+    editor::TableEditor::new(client, policy)
+}
+
+fn change(rate: f64) -> row::RowChange {
+    row::RowChange::Set(row::TableRow::Team(team(rate)))
+}
+
+/// Version that an edit made, or the exit of its command.
+type EditResult = Result<u64, command::CommandExit>;
+
+#[tokio::main(flavor = "current_thread")]
+async fn check_edit(fault: WriteFault, policy: editor::LostAnswerPolicy, expected: EditResult) {
+    let (_platform, address) = FaultyPlatform::start(fault).await;
+    let written = make_editor(address, policy).apply(&change(6.0), None).await;
+    let result = written.map(|written| written.version).map_err(|error| error.exit());
+    assert_eq!(result, expected);
+}
+
+marjoramwing_testing::cases! { check_edit:
+    answer_arrives =>
+        (WriteFault::None, editor::LostAnswerPolicy::ReadBack, Ok(2));
+    answer_lost_after_effect =>
+        (WriteFault::LostAfterEffect, editor::LostAnswerPolicy::ReadBack, Ok(2));
+    answer_lost_before_effect =>
+        (WriteFault::LostBeforeEffect, editor::LostAnswerPolicy::ReadBack, Ok(2));
+    answer_lost_and_race_lost =>
+        (WriteFault::LostToRace, editor::LostAnswerPolicy::ReadBack,
+            Err(command::CommandExit::Conflict));
+    answer_lost_and_overtaken =>
+        (WriteFault::LostAndOvertaken, editor::LostAnswerPolicy::ReadBack,
+            Err(command::CommandExit::Unknown));
+    outage_hides_the_effect =>
+        (WriteFault::OutageFromThenOn, editor::LostAnswerPolicy::ReadBack,
+            Err(command::CommandExit::Unknown));
+    without_read_back_an_edit_that_took_effect_is_called_lost =>
+        (WriteFault::LostAfterEffect, editor::LostAnswerPolicy::Repeat,
+            Err(command::CommandExit::Conflict));
+}
+
+#[tokio::test]
+async fn lost_answer_leads_to_one_write() {
+    let (platform, address) = FaultyPlatform::start(WriteFault::LostAfterEffect).await;
+    let editor = make_editor(address, editor::LostAnswerPolicy::ReadBack);
+    editor.apply(&change(6.0), None).await.unwrap();
+    assert_eq!(platform.server.counts().writes, 1);
+}
+
+#[tokio::test]
+async fn older_version_is_a_conflict_with_the_current_one() {
+    let (platform, address) = FaultyPlatform::start(WriteFault::None).await;
+    platform.put_team(7.0);
+    let editor = make_editor(address, editor::LostAnswerPolicy::ReadBack);
+    let error = editor.apply(&change(6.0), Some(1)).await.unwrap_err();
+    assert_eq!(error.current_version(), Some(2));
+    assert_eq!(platform.server.counts().writes, 0);
+}
+
+#[tokio::test]
+async fn candidate_faulty_with_other_tables_is_not_written() {
+    let (platform, address) = FaultyPlatform::start(WriteFault::None).await;
+    let editor = make_editor(address, editor::LostAnswerPolicy::ReadBack);
+    let route = br#"{"name": "b", "path": "b", "pools": ["none", "nor-this"], "rate": 1}"#;
+    let route = row::RowTable::Routes.parse_row(route).unwrap();
+    let error = editor.apply(&row::RowChange::Set(route), None).await.unwrap_err();
+    assert_eq!(error.exit(), command::CommandExit::Faulty);
+    insta::assert_snapshot!(error, @r"
+    routes[0].path: `b` is not a path prefix that starts with `/` and has no query
+    routes[0].pools[0]: `none` is not in the `pools` object; add it there or correct the name
+    routes[0].pools[1]: `nor-this` is not in the `pools` object; add it there or correct the name
+    routes[0].rate: `rate` needs `burst`; set both or neither
+    ");
+    assert_eq!(platform.server.counts().writes, 0);
+}
