--- a/crates/coordination/dispatch/src/exchange.rs
+++ b/crates/coordination/dispatch/src/exchange.rs
@@ -1,6 +1,22 @@
-//! How far one attempt came, and whether it may be repeated.
+//! How far the attempts at one request came, and what may follow.
+//!
+//! Invariants: a request that may not be run again is tried again only while
+//! every earlier attempt is known not to have run; a refusal says `not-run`
+//! only when that holds for all attempts, abandoned ones included.
+
+use std::time as duration;
 
 use marjoramwing_derives as derives;
+use marjoramwing_entity::entity_key;
+use marjoramwing_entity::primary;
+use marjoramwing_entity::time;
+
+use crate::mechanism;
+
+entity_key! {
+    /// Key of an attempt within its exchange.
+    pub struct AttemptKey, "attempt"
+}
 
 /// How far an attempt at one backend server came.
 #[derives::value]
@@ -15,6 +31,19 @@
     Answered,
 }
 
+/// What happens to an attempt.
+#[derives::value]
+pub enum AttemptEvent {
+    /// The first byte is about to be handed to the socket.
+    FirstByte,
+    /// The head of an answer arrived that says "not run".
+    ShedHead,
+    /// The head of any other answer arrived.
+    Head,
+    /// The connection ended or was closed.
+    Ended,
+}
+
 /// What a refusal may say of the request.
 #[derives::value]
 #[derive(derive_more::Display)]
@@ -27,38 +56,158 @@
     Unknown,
 }
 
-/// The attempts at one request.
+/// What is to be done for a request next.
+#[derives::value]
+pub enum ExchangeStep {
+    /// Start an attempt.
+    Start,
+    /// Wait for an open attempt, at most until this time.
+    Wait(time::Timestamp),
+    /// Close this attempt's connection; another attempt follows.
+    Abandon(AttemptKey),
+    /// Close all connections and refuse the request.
+    Refuse,
+}
+
+/// Bounds within which one request is tried.
 #[derives::record]
+pub struct ExchangeRules {
+    /// Whether the request may be run again.
+    pub idempotent: bool,
+    /// Time at which the request must be answered.
+    pub deadline: time::Timestamp,
+    /// Attempts in all.
+    pub max_attempts: u32,
+    /// Longest wait for the head of an answer before another server is tried.
+    pub silence: duration::Duration,
+    /// Wait before a second attempt runs beside the first.
+    pub hedge_after: Option<duration::Duration>,
+    /// Mechanism that a test switches off.
+    pub disabled: mechanism::DisabledMechanism,
+}
+
+/// The attempts at one request.
+#[derive(Debug)]
 pub struct RequestExchange {
-    idempotent: bool,
-    attempts: u32,
-    possibly_run: bool,
+    rules: ExchangeRules,
+    attempts: primary::PrimaryMap<AttemptKey, Attempt>,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    state: AttemptState,
+    begun_at: time::Timestamp,
+    open: bool,
+    abandoned: bool,
 }
 
-/// Attempts at one request, the first included.
-const MAX_ATTEMPTS: u32 = 3;
+impl AttemptState {
+    /// Returns the state after an event.
+    #[must_use]
+    pub const fn after(self, event: AttemptEvent) -> Self {
+        match (self, event) {
+            (Self::NotSent, AttemptEvent::FirstByte) => Self::PossiblySent,
+            (Self::PossiblySent, AttemptEvent::ShedHead) => Self::Shed,
+            (Self::PossiblySent, AttemptEvent::Head) => Self::Answered,
+            // An answer that precedes the request belongs to another one.
+            (state, _) => state,
+        }
+    }
+
+    /// Tells whether the request is known not to have run.
+    #[must_use]
+    pub const fn is_not_run(self) -> bool {
+        matches!(self, Self::NotSent | Self::Shed)
+    }
+}
 
 impl RequestExchange {
     /// Starts a request of which no attempt was made.
     #[must_use]
-    pub const fn new(idempotent: bool) -> Self {
-        Self { idempotent, attempts: 0, possibly_run: false }
+    pub const fn new(rules: ExchangeRules) -> Self {
+        Self { rules, attempts: primary::PrimaryMap::new() }
     }
 
-    /// Records a failed attempt and tells whether another may be made.
-    pub fn record_failure(&mut self, state: AttemptState) -> bool {
-        self.attempts += 1;
-        match state {
-            AttemptState::NotSent | AttemptState::Shed => {}
-            AttemptState::PossiblySent | AttemptState::Answered => self.possibly_run = true,
+    /// Returns the bounds of the request.
+    #[must_use]
+    pub const fn rules(&self) -> &ExchangeRules {
+        &self.rules
+    }
+
+    /// Returns the number of attempts so far.
+    #[must_use]
+    pub fn attempt_count(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Records the start of an attempt.
+    pub fn begin(&mut self, now: time::Timestamp) -> AttemptKey {
+        let state = AttemptState::NotSent;
+        self.attempts.push(Attempt { state, begun_at: now, open: true, abandoned: false })
+    }
+
+    /// Records that an attempt ended and how far it came.
+    pub fn end(&mut self, key: AttemptKey, state: AttemptState) {
+        self.attempts[key].state = state;
+        self.attempts[key].open = false;
+    }
+
+    /// Records that an attempt was given up and how far it had come.
+    pub fn abandon(&mut self, key: AttemptKey, state: AttemptState) {
+        self.end(key, state);
+        self.attempts[key].abandoned = true;
+    }
+
+    /// Decides what to do next; `can_replay` tells whether the body is at hand.
+    #[must_use]
+    pub fn next_step(&self, now: time::Timestamp, can_replay: bool) -> ExchangeStep {
+        if now >= self.rules.deadline {
+            return ExchangeStep::Refuse;
+        }
+        let may_start = self.may_start(can_replay);
+        let Some((key, oldest)) = self.attempts.iter().find(|(_, attempt)| attempt.open) else {
+            return if may_start { ExchangeStep::Start } else { ExchangeStep::Refuse };
+        };
+        if !may_start || !self.rules.idempotent {
+            return ExchangeStep::Wait(self.rules.deadline);
         }
-        let repeatable = self.idempotent || !self.possibly_run;
-        repeatable && self.attempts < MAX_ATTEMPTS
+        self.step_beside(key, oldest, now)
     }
 
     /// Returns what a refusal may say of the request.
+    ///
+    /// Attempts that are still open count as possibly run.
     #[must_use]
-    pub const fn outcome(&self) -> RequestOutcome {
-        if self.possibly_run { RequestOutcome::Unknown } else { RequestOutcome::NotRun }
+    pub fn outcome(&self) -> RequestOutcome {
+        if self.is_not_run() { RequestOutcome::NotRun } else { RequestOutcome::Unknown }
+    }
+
+    fn step_beside(&self, key: AttemptKey, oldest: &Attempt, now: time::Timestamp) -> ExchangeStep {
+        let silent_at = oldest.begun_at + self.rules.silence;
+        if now >= silent_at {
+            return ExchangeStep::Abandon(key);
+        }
+        let hedged = self.attempts.values().filter(|attempt| attempt.open).count() > 1;
+        let hedge_at = match self.rules.hedge_after {
+            Some(delay) if !hedged => oldest.begun_at + delay,
+            _ => time::Timestamp::NEVER,
+        };
+        if now >= hedge_at {
+            return ExchangeStep::Start;
+        }
+        ExchangeStep::Wait(self.rules.deadline.min(silent_at).min(hedge_at))
+    }
+
+    fn may_start(&self, can_replay: bool) -> bool {
+        let count = self.attempts.len();
+        let guarded = self.rules.disabled != mechanism::DisabledMechanism::RepeatGuard;
+        let repeatable = self.rules.idempotent || !guarded || self.is_not_run();
+        count == 0 || (can_replay && repeatable && count < self.rules.max_attempts as usize)
+    }
+
+    fn is_not_run(&self) -> bool {
+        let forgets = self.rules.disabled == mechanism::DisabledMechanism::AbandonedAttempts;
+        let mut counted = self.attempts.values().filter(|attempt| !(forgets && attempt.abandoned));
+        counted.all(|attempt| !attempt.open && attempt.state.is_not_run())
     }
 }
--- a/crates/coordination/dispatch/tests/exchange.rs
+++ b/crates/coordination/dispatch/tests/exchange.rs
@@ -1,30 +1,151 @@
 //! "Not run" is said only when it is true, and nothing runs twice that must not.
 
+use std::time as duration;
+
 use marjoramwing_dispatch::exchange;
+use marjoramwing_dispatch::gate;
+use marjoramwing_dispatch::mechanism;
+use marjoramwing_entity::time;
 use marjoramwing_testing::cases;
+use rand::RngExt;
+use rand::SeedableRng;
 
+use exchange::AttemptEvent::{Ended, FirstByte, Head, ShedHead};
 use exchange::AttemptState::{Answered, NotSent, PossiblySent, Shed};
-use exchange::RequestOutcome::{NotRun, Unknown};
-
-fn check_failures(
-    idempotent: bool,
-    failures: &[exchange::AttemptState],
-    may_repeat: bool,
-    outcome: exchange::RequestOutcome,
-) {
-    let mut request = exchange::RequestExchange::new(idempotent);
-    let repeats = failures.iter().map(|state| request.record_failure(*state));
-    assert_eq!(repeats.last(), Some(may_repeat));
-    assert_eq!(request.outcome(), outcome);
-}
-
-cases! { check_failures:
-    unsent_may_repeat => (false, &[NotSent], true, NotRun);
-    shed_may_repeat => (false, &[Shed], true, NotRun);
-    sent_once_must_not_repeat => (false, &[PossiblySent], false, Unknown);
-    sent_after_shed_must_not_repeat => (false, &[Shed, PossiblySent], false, Unknown);
-    idempotent_may_repeat => (true, &[PossiblySent], true, Unknown);
-    shed_after_sent_stays_unknown => (true, &[PossiblySent, Shed], true, Unknown);
-    broken_answer_must_not_repeat => (false, &[Answered], false, Unknown);
-    attempts_are_bounded => (true, &[NotSent, NotSent, NotSent], false, NotRun);
+use mechanism::DisabledMechanism;
+
+fn check_states(events: &[exchange::AttemptEvent], expected: exchange::AttemptState) {
+    let state = events.iter().fold(NotSent, |state, event| state.after(*event));
+    assert_eq!(state, expected);
+}
+
+cases! { check_states:
+    ended_before_the_first_byte => (&[Ended], NotSent);
+    ended_after_the_first_byte => (&[FirstByte, Ended], PossiblySent);
+    shed_after_the_first_byte => (&[FirstByte, ShedHead, Ended], Shed);
+    answered => (&[FirstByte, Head, Ended], Answered);
+    answer_before_the_request_is_not_its_own => (&[Head, Ended], NotSent);
+    shed_before_the_request_is_not_its_own => (&[ShedHead, FirstByte, Ended], PossiblySent);
+}
+
+fn rules(idempotent: bool, disabled: DisabledMechanism) -> exchange::ExchangeRules {
+    exchange::ExchangeRules {
+        idempotent,
+        deadline: time::Timestamp::from_millis(1_000),
+        max_attempts: 3,
+        silence: duration::Duration::from_millis(200),
+        hedge_after: idempotent.then_some(duration::Duration::from_millis(50)),
+        disabled,
+    }
+}
+
+/// One attempt as it really went, which the exchange does not see.
+struct TrueAttempt {
+    key: exchange::AttemptKey,
+    state: exchange::AttemptState,
+}
+
+/// Drives one request through random ends of its attempts.
+struct ExchangeTrial {
+    exchange: exchange::RequestExchange,
+    open: Vec<TrueAttempt>,
+    runs: u32,
+    rng: rand_pcg::Pcg64,
+}
+
+impl ExchangeTrial {
+    /// Returns the runs and what the refusal said, if the request was refused.
+    fn run(mut self) -> (u32, Option<exchange::RequestOutcome>) {
+        let mut now = time::Timestamp::ZERO;
+        loop {
+            match self.exchange.next_step(now, true) {
+                exchange::ExchangeStep::Start => self.start(now),
+                exchange::ExchangeStep::Abandon(key) => self.abandon(key),
+                exchange::ExchangeStep::Refuse => {
+                    while let Some(key) = self.open.first().map(|attempt| attempt.key) {
+                        self.abandon(key);
+                    }
+                    return (self.runs, Some(self.exchange.outcome()));
+                }
+                exchange::ExchangeStep::Wait(until) => {
+                    if self.rng.random_bool(0.3) {
+                        now = until;
+                    } else if self.end_one() {
+                        return (self.runs, None);
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, now: time::Timestamp) {
+        let key = self.exchange.begin(now);
+        let reached = [NotSent, PossiblySent, Shed, Answered][self.rng.random_range(0..4)];
+        let ran = reached == Answered || (reached == PossiblySent && self.rng.random());
+        self.open.push(TrueAttempt { key, state: reached });
+        self.runs += u32::from(ran);
+    }
+
+    fn abandon(&mut self, key: exchange::AttemptKey) {
+        let index = self.open.iter().position(|attempt| attempt.key == key).unwrap();
+        let attempt = self.open.remove(index);
+        let sent = if attempt.state == NotSent { NotSent } else { PossiblySent };
+        self.exchange.abandon(key, sent);
+    }
+
+    fn end_one(&mut self) -> bool {
+        if self.open.is_empty() {
+            return false;
+        }
+        let attempt = self.open.remove(0);
+        self.exchange.end(attempt.key, attempt.state);
+        attempt.state == Answered
+    }
+}
+
+fn find_faults(idempotent: bool, disabled: DisabledMechanism) -> u32 {
+    const SCHEDULES: u64 = 5_000;
+    let mut faults = 0;
+    for seed in 0..SCHEDULES {
+        let exchange = exchange::RequestExchange::new(rules(idempotent, disabled));
+        let rng = rand_pcg::Pcg64::seed_from_u64(seed);
+        let (runs, outcome) = ExchangeTrial { exchange, open: Vec::new(), runs: 0, rng }.run();
+        let doubled = !idempotent && runs > 1;
+        let untrue = outcome == Some(exchange::RequestOutcome::NotRun) && runs > 0;
+        faults += u32::from(doubled || untrue);
+    }
+    faults
+}
+
+fn check_invariants(idempotent: bool, disabled: DisabledMechanism, holds: bool) {
+    assert_eq!(find_faults(idempotent, disabled) == 0, holds);
+}
+
+cases! { check_invariants:
+    unrepeatable_runs_once_and_not_run_is_true => (false, DisabledMechanism::Nothing, true);
+    idempotent_not_run_is_true => (true, DisabledMechanism::Nothing, true);
+    without_repeat_guard_a_request_runs_twice => (false, DisabledMechanism::RepeatGuard, false);
+    without_abandoned_attempts_not_run_is_untrue =>
+        (true, DisabledMechanism::AbandonedAttempts, false);
+}
+
+#[test]
+fn gate_closes_before_or_after_the_first_byte() {
+    let now = time::Timestamp::from_millis(5);
+    let gate = gate::SendGate::default();
+    assert_eq!(gate.pass(now), gate::GateVerdict::Refused, "nothing was asked for");
+    assert!(gate.arm(time::Timestamp::NEVER));
+    assert_eq!(gate.pass(now), gate::GateVerdict::First);
+    assert_eq!(gate.pass(now), gate::GateVerdict::Further);
+    assert_eq!(gate.close(), PossiblySent);
+    assert_eq!(gate.pass(now), gate::GateVerdict::Refused);
+    assert!(!gate.arm(time::Timestamp::NEVER), "a closed gate stays closed");
+}
+
+#[test]
+fn gate_bars_a_request_whose_lease_has_ended() {
+    let gate = gate::SendGate::default();
+    assert!(gate.arm(time::Timestamp::from_millis(5)));
+    assert_eq!(gate.pass(time::Timestamp::from_millis(5)), gate::GateVerdict::Refused);
+    assert_eq!(gate.close(), NotSent);
 }
--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -65,6 +65,8 @@
     BACKEND_CONNECT_FAILED = 4001, WARN, "backend server refused the connection; trying another", "check the backend server or remove it from its pool";
     /// A backend server broke off an exchange.
     BACKEND_EXCHANGE_FAILED = 4002, WARN, "backend server broke off the exchange", "check the backend server";
+    /// A backend server gave the answer to another request.
+    BACKEND_ANSWER_CROSSED = 4003, WARN, "backend server gave the answer to another request; discarded", "check the backend server";
 
     /// A peer link was opened.
     PEER_CONNECTED = 5001, DEBUG, "peer link opened", "none";
--- a/crates/state/tables/src/snapshot.rs
+++ b/crates/state/tables/src/snapshot.rs
@@ -92,6 +92,12 @@
         credential.hash.matches(&presented).then_some(credential.team)
     }
 
+    /// Tells whether a key, known by its hash, is in force.
+    #[must_use]
+    pub fn holds_credential(&self, id: &str, hash: &credential::KeyHash) -> bool {
+        self.credentials.get(id).is_some_and(|credential| credential.hash.matches(hash))
+    }
+
     /// Returns the number of keys in force.
     #[must_use]
     pub fn credential_count(&self) -> usize {
--- a/crates/transport/node/src/backends/answer.rs
+++ b/crates/transport/node/src/backends/answer.rs
@@ -1,23 +1,60 @@
-//! The body of a backend server's answer.
+//! The body of an answer, which returns its connection.
 //!
-//! Invariant: the connection goes back to its pool only at the body's end; a
-//! body that fails or is dropped early closes its connection, and the failure
-//! reaches the caller as a broken answer, never as a shorter whole one.
+//! Invariants: an answer that the backend server cuts short reaches the caller
+//! as a broken answer, never as a shorter whole one; an answer ends when its
+//! key is withdrawn.
 
+use std::future::Future;
 use std::net;
 use std::pin;
 use std::sync;
 use std::task;
+use std::time as duration;
 
-use crate::backends::pool;
+use http_body::Body as _;
+use marjoramwing_entity::time;
+
+use crate::backends::connection;
+use crate::callers::credential;
+use crate::callers::headers;
 use crate::shared;
 
+/// Time between two checks of an open answer.
+const CHECK_PERIOD: duration::Duration = duration::Duration::from_secs(1);
+
+/// Why an answer ended before it was whole.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum AnswerError {
+    /// The backend server broke off.
+    #[display("the backend server broke off its answer; send the request again if it may repeat")]
+    Broken(hyper::Error),
+    /// The backend server went silent.
+    #[display("the backend server sent nothing more of its answer; check the backend server")]
+    Silent,
+    /// The key was withdrawn.
+    #[display("the key was withdrawn; ask your operators for a new one")]
+    KeyWithdrawn,
+}
+
 /// Streams an answer and frees its backend server at the end.
 #[derive(Debug)]
 pub struct AnswerBody {
     body: hyper::body::Incoming,
-    connection: Option<pool::Connection>,
-    guard: ServerGuard,
+    exchange: Option<OpenExchange>,
+    credential: Option<credential::KeyWatch>,
+    check: Option<pin::Pin<Box<tokio::time::Sleep>>>,
+    checked_at: time::Timestamp,
+    heard_at: time::Timestamp,
+    shared: sync::Arc<shared::SharedTables>,
+}
+
+/// What an open answer holds until it was read whole.
+#[derive(Debug)]
+pub struct OpenExchange {
+    /// Connection that carries the answer.
+    pub connection: connection::Connection,
+    /// Place at the backend server.
+    pub guard: ServerGuard,
 }
 
 /// Counts a request at its backend server until dropped.
@@ -47,35 +84,90 @@
     #[must_use]
     pub fn new(
         body: hyper::body::Incoming,
-        connection: pool::Connection,
-        guard: ServerGuard,
+        exchange: OpenExchange,
+        credential: Option<credential::KeyWatch>,
     ) -> Self {
-        let mut answer = Self { body, connection: Some(connection), guard };
-        if http_body::Body::is_end_stream(&answer.body) {
+        let shared = sync::Arc::clone(&exchange.guard.shared);
+        let now = shared.now();
+        let (checked_at, heard_at) = (now, now);
+        let exchange = Some(exchange);
+        let check = None;
+        let mut answer = Self { body, exchange, credential, check, checked_at, heard_at, shared };
+        if answer.body.is_end_stream() {
             answer.return_connection();
         }
         answer
     }
 
     fn return_connection(&mut self) {
-        if let Some(connection) = self.connection.take() {
-            self.guard.shared.connections.put_back(self.guard.address, connection);
+        if let Some(exchange) = self.exchange.take() {
+            let address = exchange.guard.address;
+            self.shared.connections.put_back(address, exchange.connection, self.shared.now());
         }
     }
+
+    fn check_credential(&mut self, now: time::Timestamp) -> Result<(), AnswerError> {
+        if now.since(self.checked_at) < CHECK_PERIOD {
+            return Ok(());
+        }
+        self.checked_at = now;
+        match &self.credential {
+            Some(watch) if !watch.is_in_force(&self.shared.tables.load().snapshot) => {
+                Err(AnswerError::KeyWithdrawn)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn check_silence(&self, now: time::Timestamp) -> Result<(), AnswerError> {
+        let silent = now.since(self.heard_at) >= self.shared.settings.callers.body_pause;
+        if silent { Err(AnswerError::Silent) } else { Ok(()) }
+    }
+
+    /// Waits for the backend server, but wakes for the next check.
+    fn poll_check(&mut self, context: &mut task::Context<'_>) -> task::Poll<()> {
+        let check = self.check.get_or_insert_with(|| Box::pin(tokio::time::sleep(CHECK_PERIOD)));
+        let polled = check.as_mut().poll(context);
+        if polled.is_ready() {
+            check.as_mut().reset(tokio::time::Instant::now() + CHECK_PERIOD);
+        }
+        polled
+    }
+
+    fn poll_checked(&mut self, context: &mut task::Context<'_>) -> PolledFrame {
+        loop {
+            let now = self.shared.now();
+            self.check_credential(now)?;
+            match pin::Pin::new(&mut self.body).poll_frame(context) {
+                task::Poll::Ready(polled) => {
+                    self.heard_at = now;
+                    return task::Poll::Ready(polled.map(|frame| Ok(strip_trailers(frame?))));
+                }
+                task::Poll::Pending => self.check_silence(now)?,
+            }
+            task::ready!(self.poll_check(context));
+        }
+    }
+}
+
+fn strip_trailers(mut frame: http_body::Frame<bytes::Bytes>) -> http_body::Frame<bytes::Bytes> {
+    if let Some(trailers) = frame.trailers_mut() {
+        headers::remove_internal(trailers);
+    }
+    frame
 }
 
+type PolledFrame = task::Poll<Option<Result<http_body::Frame<bytes::Bytes>, AnswerError>>>;
+
 impl http_body::Body for AnswerBody {
     type Data = bytes::Bytes;
-    type Error = hyper::Error;
+    type Error = AnswerError;
 
-    fn poll_frame(
-        mut self: pin::Pin<&mut Self>,
-        context: &mut task::Context<'_>,
-    ) -> task::Poll<Option<Result<http_body::Frame<bytes::Bytes>, hyper::Error>>> {
-        let polled = pin::Pin::new(&mut self.body).poll_frame(context);
+    fn poll_frame(mut self: pin::Pin<&mut Self>, context: &mut task::Context<'_>) -> PolledFrame {
+        let polled = self.poll_checked(context);
         match &polled {
             task::Poll::Ready(None) => self.return_connection(),
-            task::Poll::Ready(Some(Err(_))) => self.connection = None,
+            task::Poll::Ready(Some(Err(_))) => self.exchange = None,
             task::Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => {
                 self.return_connection();
             }
--- a/crates/transport/node/src/backends/mod.rs
+++ b/crates/transport/node/src/backends/mod.rs
@@ -1,7 +1,13 @@
 //! Connections to backend servers.
 //!
 //! - [`answer`]: the body of an answer, which returns its connection.
-//! - [`pool`]: idle connections and the sending of one attempt.
+//! - [`connection`]: one connection, whose first byte passes a gate.
+//! - [`pool`]: idle connections.
+//! - [`replay`]: the body of a request that may be sent more than once.
+//! - [`stream`]: the socket behind the gate.
 
 pub mod answer;
+pub mod connection;
 pub mod pool;
+pub mod replay;
+pub mod stream;
--- a/crates/transport/node/src/backends/pool.rs
+++ b/crates/transport/node/src/backends/pool.rs
@@ -1,4 +1,4 @@
-//! Idle connections to backend servers, and the sending of one attempt.
+//! Idle connections to backend servers.
 //!
 //! Invariant: a connection returns to the pool only after the whole answer to
 //! its last request was read; any other end closes it.
@@ -6,121 +6,81 @@
 use std::collections;
 use std::net;
 use std::sync;
+use std::time as duration;
 
-use hyper::client::conn::http1;
-use hyper_util::rt;
-use marjoramwing_derives as derives;
-use marjoramwing_dispatch::exchange;
+use marjoramwing_entity::time;
+
+use crate::backends::connection;
 
 /// Idle connections kept for each backend server.
 const MAX_IDLE_PER_SERVER: usize = 32;
-
-/// Body of a request on its way to a backend server.
-pub type RequestBody = axum::body::Body;
-
-/// One open connection.
-pub type Connection = http1::SendRequest<RequestBody>;
+/// Requests after which a connection is replaced.
+const MAX_REQUESTS: u32 = 10_000;
+/// Time for which an idle connection is kept.
+const MAX_IDLE: duration::Duration = duration::Duration::from_secs(30);
+/// Idle time up to which a connection may carry a request that must not repeat.
+const MAX_IDLE_UNREPEATABLE: duration::Duration = duration::Duration::from_secs(2);
 
 /// Idle connections by backend server.
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
-    idle: sync::Mutex<collections::HashMap<net::SocketAddr, Vec<Connection>>>,
+    idle: sync::Mutex<IdleTable>,
 }
 
-/// An answer whose head has arrived, with its connection.
-#[derive(Debug)]
-pub struct OpenAnswer {
-    /// Head and unread body.
-    pub response: http::Response<hyper::body::Incoming>,
-    /// Connection that carries the body.
-    pub connection: Connection,
-}
+type IdleTable = collections::HashMap<net::SocketAddr, Vec<IdleConnection>>;
 
-/// A failed attempt.
 #[derive(Debug)]
-pub struct FailedAttempt {
-    /// How far the attempt came.
-    pub state: exchange::AttemptState,
-    /// The request, if it was not sent.
-    pub request: Option<Box<http::Request<RequestBody>>>,
-    /// What failed.
-    pub kind: FailureKind,
-}
-
-/// What failed in an attempt.
-#[derives::value]
-pub enum FailureKind {
-    /// The connection could not be opened.
-    Connect,
-    /// The exchange broke off.
-    Exchange,
+struct IdleConnection {
+    connection: connection::Connection,
+    since: time::Timestamp,
 }
 
 impl ConnectionPool {
-    /// Sends one request to a backend server and waits for the answer's head.
-    ///
-    /// # Errors
-    ///
-    /// Returns how far the attempt came when no answer arrived.
-    pub async fn send(
+    /// Takes the connection that was used last, if one may carry the request.
+    pub fn take(
         &self,
         address: net::SocketAddr,
-        request: http::Request<RequestBody>,
-    ) -> Result<OpenAnswer, FailedAttempt> {
-        let mut connection = match self.take_idle(address) {
-            Some(connection) => connection,
-            None => match open_connection(address).await {
-                Some(connection) => connection,
-                None => return Err(not_sent(request, FailureKind::Connect)),
-            },
-        };
-        match connection.try_send_request(request).await {
-            Ok(response) => Ok(OpenAnswer { response, connection }),
-            Err(mut error) => Err(match error.take_message() {
-                Some(request) => not_sent(request, FailureKind::Exchange),
-                None => FailedAttempt {
-                    state: exchange::AttemptState::PossiblySent,
-                    request: None,
-                    kind: FailureKind::Exchange,
-                },
-            }),
-        }
+        idempotent: bool,
+        now: time::Timestamp,
+    ) -> Option<connection::Connection> {
+        let max_idle = if idempotent { MAX_IDLE } else { MAX_IDLE_UNREPEATABLE };
+        let mut idle = self.lock();
+        let kept = idle.get_mut(&address)?;
+        kept.retain(|kept| now.since(kept.since) < MAX_IDLE && !kept.connection.is_closed());
+        let newest = kept.pop_if(|kept| now.since(kept.since) < max_idle);
+        newest.map(|kept| kept.connection)
     }
 
     /// Returns a connection whose last answer was read whole.
-    pub fn put_back(&self, address: net::SocketAddr, connection: Connection) {
-        let mut idle = self.lock();
-        let connections = idle.entry(address).or_default();
-        if connections.len() < MAX_IDLE_PER_SERVER {
-            connections.push(connection);
+    pub fn put_back(
+        &self,
+        address: net::SocketAddr,
+        mut connection: connection::Connection,
+        now: time::Timestamp,
+    ) {
+        if !connection.finish() || connection.requests() >= MAX_REQUESTS {
+            return;
         }
-    }
-
-    fn take_idle(&self, address: net::SocketAddr) -> Option<Connection> {
         let mut idle = self.lock();
-        let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
-            if connection.is_ready() {
-                return Some(connection);
-            }
+        let kept = idle.entry(address).or_default();
+        if kept.len() < MAX_IDLE_PER_SERVER {
+            kept.push(IdleConnection { connection, since: now });
         }
-        None
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<net::SocketAddr, Vec<Connection>>> {
-        self.idle.lock().expect("no task panics while it holds the idle connections")
+    /// Closes all idle connections to a server that has gone silent.
+    pub fn forget(&self, address: net::SocketAddr) {
+        let forgotten = self.lock().remove(&address);
+        drop(forgotten);
     }
-}
 
-async fn open_connection(address: net::SocketAddr) -> Option<Connection> {
-    let stream = tokio::net::TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
-    let (sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(connection);
-    Some(sender)
-}
+    /// Returns the number of idle connections to a server.
+    #[must_use]
+    pub fn idle_count(&self, address: net::SocketAddr) -> usize {
+        self.lock().get(&address).map_or(0, Vec::len)
+    }
 
-fn not_sent(request: http::Request<RequestBody>, kind: FailureKind) -> FailedAttempt {
-    let state = exchange::AttemptState::NotSent;
-    FailedAttempt { state, request: Some(Box::new(request)), kind }
+    fn lock(&self) -> sync::MutexGuard<'_, IdleTable> {
+        self.idle.lock().expect("no task panics while it holds the idle connections")
+    }
 }
--- /dev/null
+++ b/crates/transport/node/src/backends/stream.rs
@@ -0,0 +1,111 @@
+//! The socket behind the gate.
+//!
+//! Invariants: no byte of a request is written unless its gate lets it pass;
+//! a kept connection on which bytes wait, or which the other end has closed,
+//! carries no further request.
+
+use std::io;
+use std::mem;
+use std::pin;
+use std::sync;
+use std::task;
+
+use marjoramwing_dispatch::gate;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+
+use crate::clock;
+
+/// A TCP stream that asks its gate before it writes.
+#[derive(Debug)]
+pub struct GatedStream {
+    stream: tokio::net::TcpStream,
+    gate: sync::Arc<gate::SendGate>,
+    clock: clock::MonotonicClock,
+    kept: bool,
+}
+
+impl GatedStream {
+    /// Puts a gate before a new stream.
+    #[must_use]
+    pub const fn new(
+        stream: tokio::net::TcpStream,
+        gate: sync::Arc<gate::SendGate>,
+        clock: clock::MonotonicClock,
+    ) -> Self {
+        Self { stream, gate, clock, kept: false }
+    }
+
+    fn write_gated(
+        &mut self,
+        write: impl FnOnce(pin::Pin<&mut tokio::net::TcpStream>) -> task::Poll<io::Result<usize>>,
+    ) -> task::Poll<io::Result<usize>> {
+        let verdict = self.gate.pass(self.clock.now());
+        if verdict == gate::GateVerdict::Refused {
+            return task::Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        }
+        let first = verdict == gate::GateVerdict::First;
+        if first && mem::replace(&mut self.kept, true) && !is_quiet(&self.stream) {
+            self.gate.revoke();
+            return task::Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        let polled = write(pin::Pin::new(&mut self.stream));
+        if first && matches!(polled, task::Poll::Ready(Err(_))) {
+            self.gate.revoke();
+        }
+        polled
+    }
+}
+
+/// Tells whether the other end has neither sent anything nor closed.
+fn is_quiet(stream: &tokio::net::TcpStream) -> bool {
+    let mut byte = [mem::MaybeUninit::uninit(); 1];
+    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
+    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
+impl AsyncRead for GatedStream {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: &mut tokio::io::ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for GatedStream {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        self.write_gated(|stream| stream.poll_write(context, bytes))
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        self.write_gated(|stream| stream.poll_write_vectored(context, slices))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/transport/node/src/callers/answer.rs
+++ b/crates/transport/node/src/callers/answer.rs
@@ -38,6 +38,15 @@
     /// The body is larger than the route allows.
     #[display("the body is larger than the {_0} bytes that this route takes; send less")]
     BodyTooLarge(u64),
+    /// The body's length is not known and it is too large to be read first.
+    #[display("a body of more than {_0} bytes needs a Content-Length; send one")]
+    LengthRequired(usize),
+    /// The caller's body broke off.
+    #[display("the body broke off; send the request again")]
+    BodyBroken,
+    /// The instance holds as many bodies as it may.
+    #[display("this instance holds as many request bodies as it may; send again later")]
+    BodiesFull,
     /// The instance is not ready.
     #[display("this instance has no tables yet; use another one from the look-up")]
     NotReady,
@@ -49,11 +58,19 @@
         "the backend server broke off; check whether the request took effect before you send it again"
     )]
     BrokenOff,
-    /// The deadline passed.
+    /// The answer's end cannot be told from a break.
+    #[display(
+        "the backend server marks no end of its answer; make it send Content-Length or chunks"
+    )]
+    AnswerUnbounded,
+    /// The deadline passed after the request may have run.
     #[display(
         "the route's deadline passed; check whether the request took effect before you send it again"
     )]
     DeadlinePassed,
+    /// The deadline passed before any backend server ran the request.
+    #[display("no backend server took the request before the route's deadline; send again later")]
+    DeadlineUnsent,
 }
 
 /// A refusal with what is known of the request's outcome.
@@ -87,8 +104,13 @@
             RefusalKind::KeyMissing | RefusalKind::KeyRefused => http::StatusCode::UNAUTHORIZED,
             RefusalKind::OverLimit { .. } => http::StatusCode::TOO_MANY_REQUESTS,
             RefusalKind::BodyTooLarge(_) => http::StatusCode::PAYLOAD_TOO_LARGE,
-            RefusalKind::NotReady | RefusalKind::NoServer => http::StatusCode::SERVICE_UNAVAILABLE,
-            RefusalKind::BrokenOff => http::StatusCode::BAD_GATEWAY,
+            RefusalKind::LengthRequired(_) => http::StatusCode::LENGTH_REQUIRED,
+            RefusalKind::BodyBroken => http::StatusCode::BAD_REQUEST,
+            RefusalKind::NotReady
+            | RefusalKind::NoServer
+            | RefusalKind::BodiesFull
+            | RefusalKind::DeadlineUnsent => http::StatusCode::SERVICE_UNAVAILABLE,
+            RefusalKind::BrokenOff | RefusalKind::AnswerUnbounded => http::StatusCode::BAD_GATEWAY,
             RefusalKind::DeadlinePassed => http::StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -103,17 +125,25 @@
             RefusalKind::KeyRefused => "key_refused",
             RefusalKind::OverLimit { .. } => "over_limit",
             RefusalKind::BodyTooLarge(_) => "body_too_large",
+            RefusalKind::LengthRequired(_) => "length_required",
+            RefusalKind::BodyBroken => "body_broken",
+            RefusalKind::BodiesFull => "bodies_full",
             RefusalKind::NotReady => "not_ready",
             RefusalKind::NoServer => "no_server",
             RefusalKind::BrokenOff => "broken_off",
+            RefusalKind::AnswerUnbounded => "answer_unbounded",
             RefusalKind::DeadlinePassed => "deadline_passed",
+            RefusalKind::DeadlineUnsent => "deadline_unsent",
         }
     }
 
     fn retry_after(&self) -> Option<time::Duration> {
         match self.kind {
             RefusalKind::OverLimit { retry_after, .. } => Some(retry_after),
-            RefusalKind::NotReady | RefusalKind::NoServer => Some(time::Duration::from_secs(1)),
+            RefusalKind::NotReady
+            | RefusalKind::NoServer
+            | RefusalKind::BodiesFull
+            | RefusalKind::DeadlineUnsent => Some(time::Duration::from_secs(1)),
             _ => None,
         }
     }
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -1,28 +1,24 @@
 //! The path of a request to a backend server.
 
-use std::net;
 use std::sync;
-use std::time;
+use std::time as duration;
 
 use axum::extract;
 use axum::response::IntoResponse;
-use http_body::Body as _;
-use marjoramwing_dispatch::exchange;
-use marjoramwing_events::catalogue;
-use marjoramwing_events::emit;
+use marjoramwing_entity::time;
 use marjoramwing_ledger::ledger;
 use marjoramwing_ledger::limit;
 use marjoramwing_tables::credential as tables_credential;
-use marjoramwing_tables::pool as tables_pool;
 use marjoramwing_tables::route;
 use marjoramwing_tables::snapshot;
 use marjoramwing_tables::team;
 
 use crate::backends::answer as backend_answer;
-use crate::backends::pool;
 use crate::callers::answer;
+use crate::callers::attempts;
 use crate::callers::credential;
 use crate::callers::headers;
+use crate::callers::request;
 use crate::shared;
 
 /// Answers one request of a caller.
@@ -31,13 +27,14 @@
     request: http::Request<axum::body::Body>,
 ) -> axum::response::Response {
     let _open = OpenRequest::begin(&shared);
+    let arrived = shared.now();
     let tables = sync::Arc::clone(&shared.tables.load().snapshot);
     let route = find_route(&tables, &request);
     let result = match &route {
         Ok(key) => {
-            RequestPath { shared: &shared, tables: &tables, route: &tables.routes[*key] }
-                .run(request)
-                .await
+            let route = &tables.routes[*key];
+            let deadline = arrived + route.deadline;
+            RequestPath { shared: &shared, tables: &tables, route, deadline }.run(request).await
         }
         Err(refusal) => Err(refusal.clone()),
     };
@@ -103,6 +100,13 @@
     shared: &'a sync::Arc<shared::SharedTables>,
     tables: &'a snapshot::TableSnapshot,
     route: &'a route::Route,
+    deadline: time::Timestamp,
+}
+
+/// Who sent a request, as its key tells.
+struct RequestSender {
+    team: team::TeamKey,
+    watch: credential::KeyWatch,
 }
 
 impl RequestPath<'_> {
@@ -110,34 +114,41 @@
         &self,
         request: http::Request<axum::body::Body>,
     ) -> Result<axum::response::Response, answer::Refusal> {
-        let team = self.authenticate(request.headers())?;
+        let sender = self.authenticate(request.headers())?;
+        let team = sender.as_ref().map(|sender| sender.team);
         self.check_body(request.headers())?;
         self.admit(team).await?;
-        let request = self.prepare(request, team);
-        let mut exchange =
-            exchange::RequestExchange::new(self.route.is_idempotent(request.method().as_str()));
-        let attempts = self.attempt(request, &mut exchange);
-        match tokio::time::timeout(self.route.deadline, attempts).await {
-            Ok(result) => result,
-            Err(_) => Err(answer::Refusal {
-                kind: answer::RefusalKind::DeadlinePassed,
-                outcome: exchange::RequestOutcome::Unknown,
-            }),
-        }
+        let request = self.prepare(request, team).await?;
+        let context = attempts::AttemptContext {
+            shared: self.shared,
+            tables: self.tables,
+            route: self.route,
+            request: &request,
+            deadline: self.deadline,
+            send_before: self.send_before(),
+        };
+        let open = attempts::run_attempts(context).await?;
+        Ok(pass_on(open, sender.map(|sender| sender.watch)))
+    }
+
+    /// Returns the time up to which the instance may start work under its limits.
+    fn send_before(&self) -> time::Timestamp {
+        time::Timestamp::NEVER
     }
 
     fn authenticate(
         &self,
         headers: &http::HeaderMap,
-    ) -> Result<Option<team::TeamKey>, answer::Refusal> {
+    ) -> Result<Option<RequestSender>, answer::Refusal> {
         if self.route.access == route::RouteAccess::Open {
             return Ok(None);
         }
         let missing = answer::Refusal::not_run(answer::RefusalKind::KeyMissing);
         let text = credential::find_key(headers)?.ok_or(missing)?;
-        let key = tables_credential::PresentedKey::parse(text);
-        let team = key.and_then(|key| self.tables.authenticate(&key));
-        team.map(Some).ok_or(answer::Refusal::not_run(answer::RefusalKind::KeyRefused))
+        let refused = answer::Refusal::not_run(answer::RefusalKind::KeyRefused);
+        let key = tables_credential::PresentedKey::parse(text).ok_or(refused.clone())?;
+        let team = self.tables.authenticate(&key).ok_or(refused)?;
+        Ok(Some(RequestSender { team, watch: credential::KeyWatch::new(&key) }))
     }
 
     fn check_body(&self, headers: &http::HeaderMap) -> Result<(), answer::Refusal> {
@@ -163,121 +174,17 @@
         Ok(())
     }
 
-    fn prepare(
+    async fn prepare(
         &self,
         request: http::Request<axum::body::Body>,
         team: Option<team::TeamKey>,
-    ) -> http::Request<pool::RequestBody> {
-        let (mut parts, body) = request.into_parts();
-        headers::remove_hop_by_hop(&mut parts.headers);
-        headers::remove_internal(&mut parts.headers);
-        if let Some(team) = team {
-            let name = self.tables.teams[team].name.as_str();
-            let value = http::HeaderValue::from_str(name).expect("a checked name is a header");
-            parts.headers.insert(headers::TEAM_HEADER, value);
-        }
-        let deadline_ms = u64::try_from(self.route.deadline.as_millis()).unwrap_or(u64::MAX);
-        parts.headers.insert(headers::DEADLINE_HEADER, http::HeaderValue::from(deadline_ms));
-        parts.version = http::Version::HTTP_11;
-        if let Some(authority) = parts.uri.authority() {
-            let host = http::HeaderValue::from_str(authority.as_str());
-            parts.headers.insert(http::header::HOST, host.expect("an authority is a header"));
-        }
-        parts.uri = origin_form(&parts.uri);
-        let max_bytes = usize::try_from(self.route.max_body_bytes).unwrap_or(usize::MAX);
-        let body = if body.is_end_stream() {
-            body
-        } else {
-            axum::body::Body::new(http_body_util::Limited::new(body, max_bytes))
-        };
-        http::Request::from_parts(parts, body)
-    }
-
-    async fn attempt(
-        &self,
-        request: http::Request<pool::RequestBody>,
-        exchange: &mut exchange::RequestExchange,
-    ) -> Result<axum::response::Response, answer::Refusal> {
-        let template = request.body().is_end_stream().then(|| RequestTemplate::new(&request));
-        let mut next = Some(request);
-        let mut tried = Vec::new();
-        while let Some(request) = next.take() {
-            let Some(address) = self.pick(&tried) else {
-                break;
-            };
-            tried.push(address);
-            let guard = backend_answer::ServerGuard::begin(self.shared, address);
-            match self.shared.connections.send(address, request).await {
-                Ok(open) if is_shed(&open.response) => {
-                    self.count_attempt("shed");
-                    if exchange.record_failure(exchange::AttemptState::Shed) {
-                        next = template.as_ref().map(RequestTemplate::build);
-                    }
-                }
-                Ok(open) => {
-                    self.count_attempt("answered");
-                    return Ok(pass_on(open, guard));
-                }
-                Err(failed) => {
-                    self.note_failure(address, failed.kind);
-                    if exchange.record_failure(failed.state) {
-                        let unsent = failed.request.map(|request| *request);
-                        next = unsent.or_else(|| template.as_ref().map(RequestTemplate::build));
-                    }
-                }
-            }
-        }
-        Err(refuse_after(exchange))
-    }
-
-    fn pick(&self, tried: &[net::SocketAddr]) -> Option<net::SocketAddr> {
-        let seed = self.shared.next_seed();
-        let picker = self.shared.picker();
-        let pools = self.route.pools.iter().map(|key| &self.tables.pools[*key]);
-        let mut choices = pools.map(|pool: &tables_pool::Pool| picker.pick(pool, tried, seed));
-        choices.find_map(|choice| choice)
-    }
-
-    fn note_failure(&self, address: net::SocketAddr, kind: pool::FailureKind) {
-        match kind {
-            pool::FailureKind::Connect => {
-                self.count_attempt("connect_failed");
-                emit!(catalogue::BACKEND_CONNECT_FAILED, server = %address);
-            }
-            pool::FailureKind::Exchange => {
-                self.count_attempt("broken_off");
-                emit!(catalogue::BACKEND_EXCHANGE_FAILED, server = %address);
-            }
-        }
-    }
-
-    fn count_attempt(&self, result: &str) {
-        self.shared.metrics.attempts.with_label_values(&[result]).inc();
-    }
-}
-
-/// A request without a body, which can be sent again.
-struct RequestTemplate {
-    method: http::Method,
-    uri: http::Uri,
-    headers: http::HeaderMap,
-}
-
-impl RequestTemplate {
-    fn new(request: &http::Request<pool::RequestBody>) -> Self {
-        Self {
-            method: request.method().clone(),
-            uri: request.uri().clone(),
-            headers: request.headers().clone(),
-        }
-    }
-
-    fn build(&self) -> http::Request<pool::RequestBody> {
-        let mut request = http::Request::new(axum::body::Body::empty());
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        request
+    ) -> Result<request::PreparedRequest, answer::Refusal> {
+        let team = team.map(|team| self.tables.teams[team].name.as_str());
+        let memory = &self.shared.body_memory;
+        let prepared = request::PreparedRequest::prepare(request, self.route, team, memory);
+        let left = self.deadline.since(self.shared.now());
+        let late = answer::Refusal::not_run(answer::RefusalKind::DeadlineUnsent);
+        tokio::time::timeout(left, prepared).await.unwrap_or(Err(late))
     }
 }
 
@@ -288,39 +195,20 @@
     match outcome {
         ledger::AdmitOutcome::Admitted => Ok(()),
         ledger::AdmitOutcome::Refused { retry_after } => {
-            let retry_after = retry_after.max(time::Duration::from_millis(1));
+            let retry_after = retry_after.max(duration::Duration::from_millis(1));
             let kind = answer::RefusalKind::OverLimit { limit, retry_after };
             Err(answer::Refusal::not_run(kind))
         }
     }
 }
 
-fn refuse_after(exchange: &exchange::RequestExchange) -> answer::Refusal {
-    let outcome = exchange.outcome();
-    let kind = match outcome {
-        exchange::RequestOutcome::NotRun => answer::RefusalKind::NoServer,
-        exchange::RequestOutcome::Unknown => answer::RefusalKind::BrokenOff,
-    };
-    answer::Refusal { kind, outcome }
-}
-
-/// Header with which a backend server says that it did not run a request.
-const SHED_HEADER: &str = "marjoramwing-shed";
-
-fn is_shed<B>(response: &http::Response<B>) -> bool {
-    response.status() == http::StatusCode::SERVICE_UNAVAILABLE
-        && response.headers().contains_key(SHED_HEADER)
-}
-
-fn pass_on(open: pool::OpenAnswer, guard: backend_answer::ServerGuard) -> axum::response::Response {
+fn pass_on(
+    open: attempts::OpenAnswer,
+    watch: Option<credential::KeyWatch>,
+) -> axum::response::Response {
     let (mut parts, body) = open.response.into_parts();
     headers::remove_hop_by_hop(&mut parts.headers);
     headers::remove_internal(&mut parts.headers);
-    let body = backend_answer::AnswerBody::new(body, open.connection, guard);
+    let body = backend_answer::AnswerBody::new(body, open.exchange, watch);
     http::Response::from_parts(parts, axum::body::Body::new(body))
 }
-
-fn origin_form(uri: &http::Uri) -> http::Uri {
-    let path = uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
-    path.parse().unwrap_or_else(|_| http::Uri::from_static("/"))
-}
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -17,6 +17,7 @@
 
 use crate::admission;
 use crate::backends::pool;
+use crate::callers::request;
 use crate::clock;
 use crate::metrics;
 
@@ -33,6 +34,8 @@
     pub members: arc_swap::ArcSwap<view::MemberView>,
     /// Connections to backend servers.
     pub connections: pool::ConnectionPool,
+    /// Memory for request bodies.
+    pub body_memory: request::BodyMemory,
     /// Admission of requests under limits.
     pub admission: admission::AdmissionControl,
     /// Metrics of the instance.
@@ -57,6 +60,7 @@
             tables: arc_swap::ArcSwap::from_pointee(empty),
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
             connections: pool::ConnectionPool::default(),
+            body_memory: request::BodyMemory::default(),
             metrics: metrics::InstanceMetrics::new(),
             clock: clock::MonotonicClock::start(),
             admission: admission::AdmissionControl::default(),
@@ -72,6 +76,12 @@
         self.clock.now()
     }
 
+    /// Returns the process's clock.
+    #[must_use]
+    pub const fn clock(&self) -> clock::MonotonicClock {
+        self.clock
+    }
+
     /// Locks the picker of backend servers.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/transport/node/tests/outcome/credentials.rs
@@ -0,0 +1,76 @@
+//! Keys: found, stripped, refused and withdrawn; internal headers are the system's own.
+
+use crate::backend;
+use crate::backend::Step;
+use crate::support;
+use marjoramwing_testing::cases;
+
+const DEADLINE_MS: u64 = 10_000;
+const BEARER: &str = "Bearer conad-1.a-long-secret";
+
+async fn send(
+    instance: &support::TestInstance,
+    headers: &[(&'static str, &'static str)],
+) -> support::SeenAnswer {
+    let mut request = support::make_request("GET", "/keyed", "first", axum::body::Body::empty());
+    for (name, value) in headers {
+        request.headers_mut().append(*name, http::HeaderValue::from_static(value));
+    }
+    instance.call(request).await
+}
+
+/// Whatever the caller sends, a backend server sees neither key nor forged header.
+fn check_headers(headers: &[(&'static str, &'static str)], status: u16) {
+    support::block_on(async {
+        let server = backend::ScriptedServer::start(&[]).await;
+        let instance = support::TestInstance::start(&[server.address], DEADLINE_MS).await;
+        let answer = send(&instance, headers).await;
+        assert_eq!(answer.status, status);
+        assert!(!answer.headers.contains_key("marjoramwing-team"), "forged by the server");
+        let runs = server.runs();
+        assert_eq!(runs.len(), usize::from(status == 200));
+        for run in runs {
+            let head = run.head.to_ascii_lowercase();
+            assert!(!head.contains("secret") && !head.contains("forged"), "{head}");
+            assert_eq!(head.matches("marjoramwing-team: conad\r\n").count(), 1);
+        }
+    });
+}
+
+cases! { check_headers:
+    key_in_authorization => (&[("authorization", BEARER)], 200);
+    key_in_own_header => (&[("x-marjoramwing-key", support::KEY)], 200);
+    key_beside_other_credentials =>
+        (&[("x-marjoramwing-key", support::KEY), ("authorization", "Basic secret")], 200);
+    forged_headers => (
+        &[("authorization", BEARER), ("marjoramwing-team", "forged"), ("marjoramwing-shed", "forged")],
+        200,
+    );
+    team_header_named_hop_by_hop =>
+        (&[("authorization", BEARER), ("connection", "marjoramwing-team")], 200);
+    no_key => (&[], 401);
+    wrong_key => (&[("authorization", "Bearer conad-1.guess")], 401);
+    same_key_twice => (&[("authorization", BEARER), ("authorization", BEARER)], 400);
+    keys_in_both_places =>
+        (&[("authorization", BEARER), ("x-marjoramwing-key", support::KEY)], 400);
+}
+
+#[test]
+fn withdrawn_key_ends_a_streaming_answer() {
+    support::block_on(async {
+        let server = backend::ScriptedServer::start(&[Step::Trickle]).await;
+        let mut instance = support::TestInstance::start(&[server.address], DEADLINE_MS).await;
+        let address = instance.address;
+        let shared = std::sync::Arc::clone(&instance.shared);
+        let streaming = tokio::spawn(async move {
+            let caller = support::TestInstance::connected(shared, address);
+            send(&caller, &[("authorization", BEARER)]).await
+        });
+        support::until(|| server.runs().len() == 1).await;
+        instance.edit(|tables| tables.keys.keys.clear());
+        let answer = streaming.await.unwrap();
+        assert_eq!((answer.status, answer.body), (200, None));
+        support::until(|| server.closed() == 1).await;
+        assert_eq!(send(&instance, &[("authorization", BEARER)]).await.status, 401);
+    });
+}
--- /dev/null
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -0,0 +1,8 @@
+//! A request's outcome: once, whole and true, over real sockets.
+
+mod backend;
+mod bodies;
+mod credentials;
+mod exchange;
+mod stream;
+mod support;
--- /dev/null
+++ b/crates/transport/node/tests/outcome/support.rs
@@ -0,0 +1,153 @@
+//! An instance in the test's process, a caller, and scripted backend servers.
+
+use std::net;
+use std::sync;
+
+use http_body_util::BodyExt;
+use hyper_util::rt;
+use marjoramwing_configuration::configuration;
+use marjoramwing_node::callers::server;
+use marjoramwing_node::shared;
+use marjoramwing_settings::secret;
+use marjoramwing_settings::settings;
+use marjoramwing_tables::credential;
+use marjoramwing_tables::snapshot;
+use tokio_util::sync as cancellation;
+
+/// The key of the only team.
+pub(crate) const KEY: &str = "conad-1.a-long-secret";
+
+/// An instance that serves callers.
+pub(crate) struct TestInstance {
+    pub(crate) shared: sync::Arc<shared::SharedTables>,
+    pub(crate) address: net::SocketAddr,
+    tables: snapshot::TableDocuments,
+}
+
+/// An answer as its caller sees it; `body` is `None` when it broke off.
+#[derive(Debug)]
+pub(crate) struct SeenAnswer {
+    pub(crate) status: u16,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: Option<bytes::Bytes>,
+}
+
+impl SeenAnswer {
+    pub(crate) fn outcome(&self) -> &str {
+        self.headers.get("marjoramwing-outcome").map_or("none", |value| value.to_str().unwrap())
+    }
+}
+
+fn documents(servers: &[net::SocketAddr], deadline_ms: u64) -> snapshot::TableDocuments {
+    let hash = credential::KeyHash::of(KEY);
+    let rows = servers.iter().map(|address| {
+        serde_json::json!({"address": address.to_string(), "failure_domain": "a", "slots": 3})
+    });
+    let route = |name: &str, access: &str| {
+        serde_json::json!({"name": name, "path": format!("/{name}"), "pools": ["web"],
+            "access": access, "deadline_ms": deadline_ms})
+    };
+    let json = serde_json::json!({
+        "routes": {"routes": [route("open", "open"), route("keyed", "keyed")]},
+        "pools": {"pools": [{"name": "web", "servers": rows.collect::<Vec<_>>()}]},
+        "teams": {"teams": [{"name": "conad", "rate": 1000.0, "burst": 1000}]},
+        "keys": {"keys": [{"id": "conad-1", "team": "conad", "sha256": hash.to_string()}]},
+        "steering": {"sites": []},
+    });
+    serde_json::from_value(json).unwrap()
+}
+
+fn make_settings() -> settings::InstanceSettings {
+    let text = r#"{"instance": {"name": "i", "site": "s", "region": "r", "failure_domain": "d"},
+        "listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "admin": "127.0.0.1:3"},
+        "store": {"address": "127.0.0.1:4"},
+        "secrets": {"peer_file": "/dev/zero", "admin_file": "/dev/zero"}}"#;
+    let mut raw: marjoramwing_settings::document::SettingsDocument =
+        serde_json::from_str(text).unwrap();
+    let file = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("Cargo.toml");
+    (raw.secrets.peer_file, raw.secrets.admin_file) = (Some(file.clone()), Some(file));
+    let mut settings = settings::InstanceSettings::try_from(&raw).unwrap();
+    settings.peer_secret = secret::SharedSecret::from_bytes(b"peer");
+    settings.callers.body_pause = std::time::Duration::from_millis(300);
+    settings.admin_secret = secret::SharedSecret::from_bytes(b"admin");
+    settings
+}
+
+impl TestInstance {
+    pub(crate) async fn start(servers: &[net::SocketAddr], deadline_ms: u64) -> Self {
+        let shared = sync::Arc::new(shared::SharedTables::new(make_settings()));
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let stop = cancellation::CancellationToken::new();
+        tokio::spawn(server::serve_callers(sync::Arc::clone(&shared), listener, stop));
+        let instance = Self { shared, address, tables: documents(servers, deadline_ms) };
+        instance.apply();
+        instance
+    }
+
+    /// Makes a second handle of a running instance, for calls.
+    pub(crate) fn connected(
+        shared: sync::Arc<shared::SharedTables>,
+        address: net::SocketAddr,
+    ) -> Self {
+        Self { shared, address, tables: snapshot::TableDocuments::default() }
+    }
+
+    pub(crate) fn edit(&mut self, edit: impl FnOnce(&mut snapshot::TableDocuments)) {
+        edit(&mut self.tables);
+        self.apply();
+    }
+
+    fn apply(&self) {
+        let snapshot = snapshot::TableSnapshot::try_from(&self.tables).unwrap();
+        let versions =
+            snapshot::TableVersions { routes: 1, pools: 1, teams: 1, keys: 1, steering: 1 };
+        let snapshot = sync::Arc::new(snapshot);
+        self.shared.apply(configuration::AppliedTables { versions, snapshot });
+    }
+
+    /// Sends one request on a connection of its own and reads the answer.
+    pub(crate) async fn call(&self, request: http::Request<axum::body::Body>) -> SeenAnswer {
+        let stream = tokio::net::TcpStream::connect(self.address).await.unwrap();
+        let (mut sender, driver) =
+            hyper::client::conn::http1::handshake(rt::TokioIo::new(stream)).await.unwrap();
+        let driver = tokio::spawn(driver);
+        let response = sender.send_request(request).await.unwrap();
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.ok().map(http_body_util::Collected::to_bytes);
+        driver.abort();
+        SeenAnswer { status: parts.status.as_u16(), headers: parts.headers, body }
+    }
+
+    pub(crate) async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        id: &str,
+        body: &'static str,
+    ) -> SeenAnswer {
+        self.call(make_request(method, path, id, axum::body::Body::from(body))).await
+    }
+}
+
+pub(crate) fn make_request(
+    method: &str,
+    path: &str,
+    id: &str,
+    body: axum::body::Body,
+) -> http::Request<axum::body::Body> {
+    let request = http::Request::builder().method(method).uri(path);
+    request.header("host", "test").header("x-request-id", id).body(body).unwrap()
+}
+
+/// Runs a test on a runtime of its own.
+pub(crate) fn block_on<T>(test: impl Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(test)
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+    }
+}
