--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -18,6 +18,7 @@
 
 use crate::admission;
 use crate::backends::pool;
+use crate::callers::request;
 use crate::clock;
 use crate::metrics;
 use crate::steering;
@@ -36,6 +37,8 @@
     member_changes: watch::Sender<sync::Arc<view::MemberView>>,
     /// Connections to backend servers.
     pub connections: pool::ConnectionPool,
+    /// Memory for request bodies.
+    pub body_memory: request::BodyMemory,
     /// Admission of requests under limits.
     pub admission: admission::AdmissionControl,
     /// Steering of callers.
@@ -64,6 +67,7 @@
             member_changes: watch::Sender::default(),
             connections: pool::ConnectionPool::default(),
             steering: steering::SteeringControl::default(),
+            body_memory: request::BodyMemory::default(),
             metrics: metrics::InstanceMetrics::new(),
             clock: clock::MonotonicClock::start(),
             admission: admission::AdmissionControl::default(),
@@ -79,6 +83,12 @@
         self.clock.now()
     }
 
+    /// Returns the process's clock.
+    #[must_use]
+    pub const fn clock(&self) -> clock::MonotonicClock {
+        self.clock
+    }
+
     /// Locks the picker of backend servers.
     ///
     /// # Panics
