Stand-ins whole: deletions, stale reads, faulty answers, leaks, phases

Cause: the thin stand-ins could not show a deletion to a watch, a stale read, a late, short or crossed answer, a key in a cookie, query or body, or how many refusals one global bucket would have made; the load tool had one phase, kept to one instance of a look-up and counted from the time of sending. Change: crates/standins in small modules, each switch by HTTP with only the given members changed; getopts and a remedy in every error; load phases, repeats only where they are safe, a reference bucket per team over the arrivals; scripts/quickstart stops by id, tells a taken port and a process that died; scripts/measure DEPLOYMENT SCENARIO.

--- /dev/null
+++ b/crates/standins/src/attempt.rs
@@ -0,0 +1,145 @@
+//! One attempt of a caller to send a request, and what became of it.
+
+use std::net;
+use std::time;
+
+use http_body_util::BodyExt;
+use marjoramwing_derives as derives;
+
+use crate::backend;
+use crate::control;
+use crate::profile;
+
+/// Longest wait for one whole answer.
+const ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// Bytes of a request's body.
+const REQUEST_BYTES: usize = 256;
+/// Header that lets a caller repeat a request that must run once.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Header that says whether a refused request ran.
+const OUTCOME_HEADER: &str = "marjoramwing-outcome";
+
+/// How an attempt or a whole request ended, as its caller saw it.
+#[derives::value]
+#[derive(derive_more::Display, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallResult {
+    /// The whole answer arrived.
+    #[display("served")]
+    Served,
+    /// A refusal over a limit; the request did not run.
+    #[display("limited")]
+    Limited,
+    /// Another refusal that said that the request did not run.
+    #[display("not-run")]
+    NotRun,
+    /// A refusal that said that the outcome is unknown.
+    #[display("unknown")]
+    Unknown,
+    /// The answer broke off or was another request's.
+    #[display("cut")]
+    Cut,
+    /// The connection failed, or nothing came, after the request may have been sent.
+    #[display("broken")]
+    Broken,
+    /// No instance took the connection.
+    #[display("unreached")]
+    Unreached,
+}
+
+impl CallResult {
+    /// Tells whether the request is known not to have run.
+    #[must_use]
+    pub const fn is_not_run(self) -> bool {
+        matches!(self, Self::Limited | Self::NotRun | Self::Unreached)
+    }
+}
+
+/// A request that may be attempted more than once.
+#[derive(Debug)]
+pub(crate) struct CallRequest<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) key: Option<&'a str>,
+    pub(crate) shape: &'a profile::RequestShape,
+}
+
+impl CallRequest<'_> {
+    /// Sends the request once and judges the answer.
+    pub(crate) async fn attempt(
+        &self,
+        http: &control::HttpClient,
+        address: net::SocketAddr,
+    ) -> CallResult {
+        let exchange = async {
+            match http.request(self.build(address)).await {
+                Ok(response) => self.judge(response).await,
+                Err(error) if is_unsent(&error) => CallResult::Unreached,
+                Err(_) => CallResult::Broken,
+            }
+        };
+        tokio::time::timeout(ATTEMPT_TIMEOUT, exchange).await.unwrap_or(CallResult::Broken)
+    }
+
+    /// Tells whether a caller may send the request again after a result.
+    pub(crate) const fn may_repeat(&self, result: CallResult) -> bool {
+        match result {
+            CallResult::Served | CallResult::Limited => false,
+            CallResult::NotRun | CallResult::Unreached => true,
+            CallResult::Unknown | CallResult::Cut | CallResult::Broken => {
+                !self.shape.once || self.shape.idempotency_key
+            }
+        }
+    }
+
+    fn build(&self, address: net::SocketAddr) -> http::Request<axum::body::Body> {
+        let body = if self.shape.method == "GET" {
+            axum::body::Body::empty()
+        } else {
+            axum::body::Body::from(vec![b'x'; REQUEST_BYTES])
+        };
+        let mut request = http::Request::builder()
+            .method(self.shape.method.as_str())
+            .uri(format!("http://{address}{}", self.shape.path))
+            .header(backend::REQUEST_ID, self.id);
+        if let Some(key) = self.key {
+            request = request.header(http::header::AUTHORIZATION, format!("Bearer {key}"));
+        }
+        if self.shape.idempotency_key {
+            request = request.header(IDEMPOTENCY_KEY, self.id);
+        }
+        request.body(body).expect("the profile makes valid requests")
+    }
+
+    async fn judge(&self, response: http::Response<hyper::body::Incoming>) -> CallResult {
+        let (head, body) = response.into_parts();
+        let Ok(body) = body.collect().await else {
+            return CallResult::Cut;
+        };
+        let outcome = head.headers.get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
+        match outcome {
+            Some("not-run") if head.status == http::StatusCode::TOO_MANY_REQUESTS => {
+                CallResult::Limited
+            }
+            Some("not-run") => CallResult::NotRun,
+            Some(_) => CallResult::Unknown,
+            None if head.headers.contains_key(backend::SHED_HEADER) => CallResult::NotRun,
+            None => self.judge_body(head.status, &body.to_bytes()),
+        }
+    }
+
+    fn judge_body(&self, status: http::StatusCode, body: &[u8]) -> CallResult {
+        let whole = backend::expected_body(self.id, self.shape.answer_bytes);
+        if status == http::StatusCode::OK && body == whole {
+            CallResult::Served
+        } else {
+            CallResult::Cut
+        }
+    }
+}
+
+/// Tells whether no byte of the request was sent.
+fn is_unsent(error: &hyper_util::client::legacy::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let cause = source.and_then(|source| source.downcast_ref::<hyper::Error>());
+    error.is_connect() || cause.is_some_and(hyper::Error::is_canceled)
+}
--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -1,8 +1,7 @@
 //! A backend server with slots, shedding and faulty answers.
 //!
-//! It counts every run by request id, so that lost and doubled requests show.
+//! It honours cancellation (a closed connection ends the run) and deadlines.
 
-use std::collections;
 use std::sync;
 use std::time;
 
@@ -10,179 +9,249 @@
 use axum::response::IntoResponse;
 use marjoramwing_derives as derives;
 
+use crate::behaviour;
+use crate::record;
+use crate::switch;
+
 /// Header with which callers number their requests.
 pub const REQUEST_ID: &str = "x-request-id";
 /// Header with which a server says that it did not run a request.
 pub const SHED_HEADER: &str = "marjoramwing-shed";
+/// Header with the milliseconds left for a request.
+pub const DEADLINE_HEADER: &str = "marjoramwing-deadline-ms";
+/// Header with the team that a request is for.
+pub const TEAM_HEADER: &str = "marjoramwing-team";
+/// Header with the fraction of a server's slots in use.
+pub const LOAD_HEADER: &str = "marjoramwing-load";
+/// Path of the health endpoint.
+pub const HEALTH_PATH: &str = "/health";
 
-/// How a backend server behaves.
-#[derives::document]
-#[derive(Copy)]
-#[serde(default, deny_unknown_fields)]
-pub struct BackendBehaviour {
-    /// Requests run at once; more are shed.
-    pub slots: u32,
-    /// Time that one request takes, in milliseconds.
-    pub service_ms: u64,
-    /// Bytes of an answer's body.
-    pub answer_bytes: usize,
-    /// What goes wrong with answers.
-    pub fault: AnswerFault,
-}
-
-/// What goes wrong with a backend server's answers.
-#[derives::document]
-#[derive(Copy, Default, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum AnswerFault {
-    /// Nothing.
-    #[default]
-    None,
-    /// The request runs, but no answer is sent.
-    Silent,
-    /// The request runs, but the answer breaks off half-way.
-    Cut,
-    /// Every request is shed.
-    Shed,
-}
-
-impl Default for BackendBehaviour {
-    fn default() -> Self {
-        Self { slots: 3, service_ms: 5, answer_bytes: 1_024, fault: AnswerFault::None }
-    }
+/// One backend server.
+#[derive(Debug, Clone)]
+pub struct BackendServer {
+    record: record::RunRecord,
+    gauge: sync::Arc<record::SlotGauge>,
+    state: sync::Arc<sync::Mutex<ServerState>>,
 }
 
-/// What a group of backend servers ran.
-#[derive(Debug, Clone, Default)]
-pub struct RunRecord {
-    runs: sync::Arc<sync::Mutex<collections::HashMap<String, u32>>>,
-    leaked_keys: sync::Arc<sync::atomic::AtomicU64>,
+#[derive(Debug)]
+struct ServerState {
+    behaviour: behaviour::BackendBehaviour,
+    runs: u32,
+    last_id: String,
+    last_load: f64,
+    last_active: time::Instant,
 }
 
-/// The runs of a group, as its control port tells them.
+/// What one server did, as its control path tells it.
 #[derives::document]
-#[derive(Default)]
-pub struct RunCounts {
-    /// Runs by request id.
-    pub runs: collections::HashMap<String, u32>,
-    /// Requests that showed a key to a backend server.
-    pub leaked_keys: u64,
+#[derive(Copy, Default)]
+pub struct ServerActivity {
+    /// Runs begun.
+    pub runs: u32,
+    /// Slots in use.
+    pub in_use: u32,
+    /// Time since a run last began or ended, in milliseconds.
+    pub idle_ms: u64,
 }
 
-impl RunRecord {
-    /// Returns the runs so far.
-    #[must_use]
-    pub fn counts(&self) -> RunCounts {
-        RunCounts {
-            runs: self.lock().clone(),
-            leaked_keys: self.leaked_keys.load(sync::atomic::Ordering::Relaxed),
-        }
-    }
-
-    fn record(&self, id: &str) {
-        *self.lock().entry(id.to_owned()).or_default() += 1;
-    }
-
-    fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<String, u32>> {
-        self.runs.lock().expect("no task panics while it holds the runs")
-    }
+/// Notes how a run ended when its task is dropped.
+struct RunGuard {
+    server: BackendServer,
+    _slot: record::SlotGuard,
+    finished: bool,
 }
 
-/// One backend server.
-#[derive(Debug, Clone)]
-pub struct BackendServer {
-    record: RunRecord,
-    behaviour: sync::Arc<sync::Mutex<BackendBehaviour>>,
-    in_flight: sync::Arc<sync::atomic::AtomicU32>,
-}
-
-struct SlotGuard(sync::Arc<sync::atomic::AtomicU32>);
-
-impl Drop for SlotGuard {
+impl Drop for RunGuard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, sync::atomic::Ordering::AcqRel);
+        self.server.lock().last_active = time::Instant::now();
+        if !self.finished {
+            self.server.record.lock().cancelled += 1;
+        }
     }
 }
 
 impl BackendServer {
     /// Makes a server that adds its runs to a record.
     #[must_use]
-    pub fn new(record: RunRecord, behaviour: BackendBehaviour) -> Self {
-        let behaviour = sync::Arc::new(sync::Mutex::new(behaviour));
-        Self { record, behaviour, in_flight: sync::Arc::default() }
+    pub fn new(record: record::RunRecord, behaviour: behaviour::BackendBehaviour) -> Self {
+        let gauge = record.add_gauge(behaviour.slots);
+        let state = ServerState {
+            behaviour,
+            runs: 0,
+            last_id: "none".to_owned(),
+            last_load: 0.0,
+            last_active: time::Instant::now(),
+        };
+        Self { record, gauge, state: sync::Arc::new(sync::Mutex::new(state)) }
     }
 
     /// Changes the server's behaviour.
     ///
     /// # Panics
     ///
-    /// Panics if a task panicked while it held the behaviour.
-    pub fn set_behaviour(&self, behaviour: BackendBehaviour) {
-        *self.behaviour.lock().expect("no task panics while it holds the behaviour") = behaviour;
+    /// Panics if a task panicked while it held the server.
+    pub fn set_behaviour(&self, behaviour: behaviour::BackendBehaviour) {
+        self.gauge.set_slots(behaviour.slots);
+        self.lock().behaviour = behaviour;
+    }
+
+    /// Returns the server's behaviour.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a task panicked while it held the server.
+    #[must_use]
+    pub fn behaviour(&self) -> behaviour::BackendBehaviour {
+        self.lock().behaviour
+    }
+
+    /// Returns what the server did.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a task panicked while it held the server.
+    #[must_use]
+    pub fn activity(&self) -> ServerActivity {
+        let state = self.lock();
+        let idle_ms = u64::try_from(state.last_active.elapsed().as_millis()).unwrap_or(u64::MAX);
+        ServerActivity { runs: state.runs, in_use: self.gauge.in_use(), idle_ms }
     }
 
     /// Makes the HTTP service of the server.
     pub fn router(&self) -> axum::Router {
         axum::Router::new()
-            .route("/control/behaviour", axum::routing::put(replace_behaviour))
+            .route("/control/behaviour", axum::routing::put(change_behaviour))
             .route("/control/runs", axum::routing::get(tell_runs))
+            .route("/control/slots", axum::routing::get(tell_slots))
+            .route("/control/activity", axum::routing::get(tell_activity))
+            .route(HEALTH_PATH, axum::routing::get(tell_health))
             .fallback(answer_request)
             .with_state(self.clone())
     }
 
-    fn behaviour(&self) -> BackendBehaviour {
-        *self.behaviour.lock().expect("no task panics while it holds the behaviour")
+    fn lock(&self) -> sync::MutexGuard<'_, ServerState> {
+        self.state.lock().expect("no task panics while it holds the server")
     }
 
-    fn take_slot(&self, slots: u32) -> Option<SlotGuard> {
-        let guard = SlotGuard(sync::Arc::clone(&self.in_flight));
-        let before = self.in_flight.fetch_add(1, sync::atomic::Ordering::AcqRel);
-        (before < slots).then_some(guard)
+    fn begin_run(&self, id: &str, head: &http::request::Parts) -> Option<(RunGuard, u32)> {
+        let slot = self.gauge.take()?;
+        let run = {
+            let mut state = self.lock();
+            state.runs += 1;
+            state.last_active = time::Instant::now();
+            state.runs
+        };
+        let mut counts = self.record.lock();
+        *counts.runs.entry(id.to_owned()).or_default() += 1;
+        if let Some(team) = header_text(head, TEAM_HEADER) {
+            *counts.teams.entry(team.to_owned()).or_default() += 1;
+        }
+        Some((RunGuard { server: self.clone(), _slot: slot, finished: false }, run))
+    }
+
+    fn load_report(&self) -> Option<f64> {
+        let slots = f64::from(self.gauge.slots().max(1));
+        let load = f64::from(self.gauge.in_use()) / slots;
+        let mut state = self.lock();
+        let previous = std::mem::replace(&mut state.last_load, load);
+        match state.behaviour.load {
+            behaviour::LoadReporting::None => None,
+            behaviour::LoadReporting::True => Some(load),
+            behaviour::LoadReporting::Empty => Some(0.0),
+            behaviour::LoadReporting::Full => Some(1.0),
+            behaviour::LoadReporting::Lagging => Some(previous),
+        }
     }
 }
 
-async fn replace_behaviour(
-    extract::State(server): extract::State<BackendServer>,
-    axum::Json(behaviour): axum::Json<BackendBehaviour>,
-) -> http::StatusCode {
-    server.set_behaviour(behaviour);
-    http::StatusCode::NO_CONTENT
+type Server = extract::State<BackendServer>;
+
+async fn change_behaviour(
+    extract::State(server): Server,
+    axum::Json(change): axum::Json<serde_json::Map<String, serde_json::Value>>,
+) -> axum::response::Response {
+    match switch::merge_members(&server.behaviour(), change) {
+        Ok(behaviour) => {
+            server.set_behaviour(behaviour);
+            http::StatusCode::NO_CONTENT.into_response()
+        }
+        Err(error) => (http::StatusCode::BAD_REQUEST, error.to_string()).into_response(),
+    }
 }
 
-async fn tell_runs(extract::State(server): extract::State<BackendServer>) -> axum::Json<RunCounts> {
+async fn tell_runs(extract::State(server): Server) -> axum::Json<record::RunCounts> {
     axum::Json(server.record.counts())
 }
 
+async fn tell_slots(extract::State(server): Server) -> axum::Json<record::SlotUse> {
+    axum::Json(server.record.slot_use())
+}
+
+async fn tell_activity(extract::State(server): Server) -> axum::Json<ServerActivity> {
+    axum::Json(server.activity())
+}
+
+async fn tell_health(extract::State(server): Server) -> http::StatusCode {
+    let behaviour = server.behaviour();
+    if behaviour.healthy && !behaviour.draining {
+        http::StatusCode::OK
+    } else {
+        http::StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
 async fn answer_request(
-    extract::State(server): extract::State<BackendServer>,
+    extract::State(server): Server,
     request: extract::Request,
 ) -> axum::response::Response {
-    let behaviour = server.behaviour();
-    let slot = server.take_slot(behaviour.slots);
-    if slot.is_none() || behaviour.fault == AnswerFault::Shed {
-        return (http::StatusCode::SERVICE_UNAVAILABLE, [(SHED_HEADER, "1")]).into_response();
-    }
-    let (parts, body) = request.into_parts();
-    if axum::body::to_bytes(body, usize::MAX).await.is_err() {
+    let (head, body) = request.into_parts();
+    let Ok(body) = axum::body::to_bytes(body, usize::MAX).await else {
         return http::StatusCode::BAD_REQUEST.into_response();
+    };
+    server.record.lock().leaked_keys.note(&head, &body);
+    let behaviour = server.behaviour();
+    let id = header_text(&head, REQUEST_ID).unwrap_or("none");
+    let refuses = behaviour.draining || behaviour.fault == behaviour::AnswerFault::Shed;
+    let deadline_ms = header_text(&head, DEADLINE_HEADER).and_then(|text| text.parse().ok());
+    let begun = if refuses || deadline_ms == Some(0) { None } else { server.begin_run(id, &head) };
+    let Some((mut guard, run)) = begun else {
+        server.record.lock().shed += 1;
+        let shed = (http::StatusCode::SERVICE_UNAVAILABLE, [(SHED_HEADER, "1")]);
+        return with_load(shed.into_response(), server.load_report());
+    };
+    let run_ms = behaviour.run_ms(run);
+    let allowed_ms = run_ms.min(deadline_ms.unwrap_or(u64::MAX));
+    tokio::time::sleep(time::Duration::from_millis(allowed_ms)).await;
+    if allowed_ms < run_ms {
+        guard.finished = true;
+        server.record.lock().expired += 1;
+        return http::StatusCode::GATEWAY_TIMEOUT.into_response();
     }
-    note_leaked_key(&server.record, &parts.headers);
-    let id = parts.headers.get(REQUEST_ID).and_then(|value| value.to_str().ok()).unwrap_or("none");
-    server.record.record(id);
-    tokio::time::sleep(time::Duration::from_millis(behaviour.service_ms)).await;
-    match behaviour.fault {
-        AnswerFault::Silent => std::future::pending().await,
-        AnswerFault::Cut => cut_answer(id, behaviour.answer_bytes),
-        AnswerFault::None | AnswerFault::Shed => whole_answer(id, behaviour.answer_bytes),
+    let fault = behaviour.fault_of(run);
+    if fault == behaviour::AnswerFault::Silent {
+        std::future::pending::<()>().await;
     }
+    guard.finished = true;
+    let earlier_id = std::mem::replace(&mut server.lock().last_id, id.to_owned());
+    let response = make_answer(fault, id, &earlier_id, behaviour.answer_bytes);
+    with_load(response, server.load_report())
 }
 
-fn note_leaked_key(record: &RunRecord, headers: &http::HeaderMap) {
-    let shows_key = headers.contains_key(http::header::AUTHORIZATION)
-        || headers.contains_key("x-marjoramwing-key");
-    if shows_key {
-        record.leaked_keys.fetch_add(1, sync::atomic::Ordering::Relaxed);
+fn header_text<'a>(head: &'a http::request::Parts, name: &str) -> Option<&'a str> {
+    head.headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn with_load(
+    mut response: axum::response::Response,
+    load: Option<f64>,
+) -> axum::response::Response {
+    if let Some(load) = load {
+        let text = format!("{load:.2}");
+        let value = http::HeaderValue::from_str(&text).expect("a number is a valid header");
+        response.headers_mut().insert(LOAD_HEADER, value);
     }
+    response
 }
 
 /// Returns the body that a whole answer to a request must have.
@@ -192,13 +261,35 @@
     pattern.cycle().take(length).collect()
 }
 
+fn make_answer(
+    fault: behaviour::AnswerFault,
+    id: &str,
+    earlier_id: &str,
+    length: usize,
+) -> axum::response::Response {
+    match fault {
+        behaviour::AnswerFault::Cut => broken_answer(id, length, None),
+        behaviour::AnswerFault::Short => broken_answer(id, length, Some(length)),
+        behaviour::AnswerFault::Crossed => whole_answer(earlier_id, length),
+        behaviour::AnswerFault::None
+        | behaviour::AnswerFault::Silent
+        | behaviour::AnswerFault::Delayed
+        | behaviour::AnswerFault::Shed => whole_answer(id, length),
+    }
+}
+
 fn whole_answer(id: &str, length: usize) -> axum::response::Response {
     ([(REQUEST_ID, id)], expected_body(id, length)).into_response()
 }
 
-fn cut_answer(id: &str, length: usize) -> axum::response::Response {
+fn broken_answer(id: &str, length: usize, stated: Option<usize>) -> axum::response::Response {
     let half = bytes::Bytes::from(expected_body(id, length / 2));
-    let frames = [Ok(half), Err(std::io::Error::other("cut"))];
+    let frames = [Ok(half), Err(std::io::Error::other("the answer breaks off on purpose"))];
     let body = axum::body::Body::from_stream(futures_util::stream::iter(frames));
-    ([(REQUEST_ID, id)], body).into_response()
+    let mut response = ([(REQUEST_ID, id)], body).into_response();
+    if let Some(stated) = stated {
+        let value = http::HeaderValue::from(stated);
+        response.headers_mut().insert(http::header::CONTENT_LENGTH, value);
+    }
+    response
 }
--- /dev/null
+++ b/crates/standins/src/observer.rs
@@ -0,0 +1,87 @@
+//! Samples the free slots of all backend servers during a run.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use marjoramwing_derives as derives;
+
+use crate::control;
+use crate::profile;
+use crate::record;
+
+const SAMPLE_PERIOD: time::Duration = time::Duration::from_millis(50);
+
+/// Slots of all pools at one moment of a phase.
+#[derives::value]
+pub struct SlotSample {
+    /// Index of the phase.
+    pub phase: usize,
+    /// Slots of all servers.
+    pub slots: u32,
+    /// Slots in use.
+    pub in_use: u32,
+}
+
+/// Free slots over time, as a fraction of all.
+#[derives::document]
+#[derive(Copy, Default)]
+pub struct HeadroomReport {
+    /// Mean over the samples.
+    pub mean: f64,
+    /// Smallest sample.
+    pub least: f64,
+    /// Samples taken.
+    pub samples: u64,
+}
+
+impl HeadroomReport {
+    /// Sums samples up.
+    pub fn of<'a>(samples: impl Iterator<Item = &'a SlotSample>) -> Self {
+        let free = samples.map(|sample| {
+            f64::from(sample.slots.saturating_sub(sample.in_use)) / f64::from(sample.slots.max(1))
+        });
+        let free: Vec<f64> = free.collect();
+        if free.is_empty() {
+            return Self::default();
+        }
+        Self {
+            mean: free.iter().sum::<f64>() / free.len() as f64,
+            least: free.iter().copied().fold(f64::INFINITY, f64::min),
+            samples: free.len() as u64,
+        }
+    }
+}
+
+/// Samples until the phases have ended.
+pub(crate) async fn observe_slots(
+    http: control::HttpClient,
+    profile: sync::Arc<profile::LoadProfile>,
+    started: tokio::time::Instant,
+) -> Vec<SlotSample> {
+    let mut samples = Vec::new();
+    let mut ends = started;
+    for (phase, load) in profile.phases.iter().enumerate() {
+        ends += time::Duration::from_secs(load.seconds);
+        while tokio::time::Instant::now() < ends {
+            if let Some(sum) = sum_slots(&http, &profile.backends).await {
+                samples.push(SlotSample { phase, slots: sum.slots, in_use: sum.in_use });
+            }
+            tokio::time::sleep(SAMPLE_PERIOD).await;
+        }
+    }
+    samples
+}
+
+async fn sum_slots(
+    http: &control::HttpClient,
+    backends: &[net::SocketAddr],
+) -> Option<record::SlotUse> {
+    let mut sum = record::SlotUse::default();
+    for address in backends {
+        let slots: record::SlotUse = control::fetch(http, *address, "/control/slots").await.ok()?;
+        sum.slots += slots.slots;
+        sum.in_use += slots.in_use;
+    }
+    Some(sum)
+}
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,9 +1,8 @@
 //! The object API and the lagging list of instances.
 //!
-//! Switches under `/control` cause outages, slow answers, lost answers and a
-//! lagging list. Every call is counted.
+//! Switches under `/control` cause outages, slow answers, lost answers, stale
+//! reads and a lagging list. Every call is counted by its kind.
 
-use std::collections;
 use std::sync;
 use std::time;
 
@@ -13,13 +12,18 @@
 use marjoramwing_object_api::listing;
 use marjoramwing_object_api::path;
 use marjoramwing_object_api::version;
-use marjoramwing_object_api::watch;
 use marjoramwing_objects::object;
 
+use crate::calls;
+use crate::storage;
+use crate::switch;
+
 /// Largest value of an object, in bytes.
 const MAX_VALUE_BYTES: usize = 1024 * 1024;
 /// Longest wait of a watch, in milliseconds.
 const MAX_WATCH_MS: u64 = 60_000;
+/// Kind under which calls for the list of instances are counted.
+const LISTING_KIND: &str = "instances";
 
 /// A platform whose state all its connections share.
 #[derive(Debug, Clone, Default)]
@@ -39,45 +43,21 @@
     pub delay_ms: u64,
     /// Writes take effect but are answered with 504.
     pub lose_answers: bool,
+    /// Reads answer with the version before the current one.
+    pub stale_reads: bool,
     /// Time by which the list of instances lags, in milliseconds.
     pub listing_lag_ms: u64,
 }
 
-/// Calls that the platform has answered.
-#[derives::document]
-#[derive(Default, Copy)]
-pub struct PlatformCounts {
-    /// Reads of objects and of the list.
-    pub reads: u64,
-    /// Writes of objects.
-    pub writes: u64,
-    /// Watches.
-    pub watches: u64,
-}
-
 #[derive(Debug, Default)]
 struct PlatformState {
-    objects: collections::HashMap<ObjectPath, StoredValue>,
-    revision: u64,
+    storage: storage::ObjectStorage,
     faults: PlatformFaults,
-    counts: PlatformCounts,
+    counts: calls::PlatformCounts,
     listing: listing::InstanceListing,
     shown_listing: listing::InstanceListing,
 }
 
-#[derives::name]
-struct ObjectPath {
-    kind: String,
-    name: String,
-}
-
-#[derive(Debug, Clone)]
-struct StoredValue {
-    version: u64,
-    revision: u64,
-    value: bytes::Bytes,
-}
-
 #[derive(Debug, serde::Deserialize)]
 struct WatchParameters {
     after: u64,
@@ -89,11 +69,18 @@
 impl PlatformServer {
     /// Puts an object in place, as an operator who writes directly would.
     pub fn put(&self, kind: object::ObjectKind, name: &str, value: bytes::Bytes) {
-        let path = ObjectPath { kind: kind.to_string(), name: name.to_owned() };
-        self.lock().store(path, value);
+        let path = storage::ObjectPath { kind: kind.to_string(), name: name.to_owned() };
+        self.lock().storage.change(path, Some(value));
         self.changed.notify_waiters();
     }
 
+    /// Returns the current value of an object.
+    #[must_use]
+    pub fn get(&self, kind: object::ObjectKind, name: &str) -> Option<bytes::Bytes> {
+        let path = storage::ObjectPath { kind: kind.to_string(), name: name.to_owned() };
+        self.lock().storage.read(&path, false).and_then(|stored| stored.value.clone())
+    }
+
     /// Sets the list of instances at once.
     pub fn set_listing(&self, listing: listing::InstanceListing) {
         let mut state = self.lock();
@@ -101,16 +88,36 @@
         state.listing = listing;
     }
 
+    /// Sets the list of instances, which shows only after its lag.
+    pub fn change_listing(&self, listing: listing::InstanceListing) {
+        let mut state = self.lock();
+        state.listing = listing;
+        let lag = time::Duration::from_millis(state.faults.listing_lag_ms);
+        drop(state);
+        let server = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(lag).await;
+            let mut state = server.lock();
+            state.shown_listing = state.listing.clone();
+        });
+    }
+
     /// Sets the faults to cause.
     pub fn set_faults(&self, faults: PlatformFaults) {
         self.lock().faults = faults;
         self.changed.notify_waiters();
     }
 
-    /// Returns the calls answered so far.
+    /// Returns the faults being caused.
     #[must_use]
-    pub fn counts(&self) -> PlatformCounts {
-        self.lock().counts
+    pub fn faults(&self) -> PlatformFaults {
+        self.lock().faults
+    }
+
+    /// Returns the calls so far.
+    #[must_use]
+    pub fn counts(&self) -> calls::PlatformCounts {
+        self.lock().counts.clone()
     }
 
     /// Makes the HTTP service of the platform.
@@ -124,7 +131,7 @@
             .route("/v1/watch/{kind}", axum::routing::get(watch_kind))
             .route(path::INSTANCES, axum::routing::get(list_instances))
             .layer(axum::middleware::from_fn_with_state(self.clone(), cause_faults))
-            .route("/control/faults", axum::routing::put(replace_faults))
+            .route("/control/faults", axum::routing::put(change_faults))
             .route("/control/counts", axum::routing::get(tell_counts))
             .route("/control/listing", axum::routing::put(replace_listing))
             .layer(extract::DefaultBodyLimit::max(MAX_VALUE_BYTES))
@@ -136,36 +143,18 @@
     }
 }
 
-impl PlatformState {
-    fn store(&mut self, path: ObjectPath, value: bytes::Bytes) -> u64 {
-        self.revision += 1;
-        let version = self.objects.get(&path).map_or(1, |stored| stored.version + 1);
-        let stored = StoredValue { version, revision: self.revision, value };
-        self.objects.insert(path, stored);
-        version
-    }
-
-    fn changes(&self, kind: &str, after: u64) -> watch::WatchDocument {
-        let of_kind = self.objects.iter().filter(|(path, _)| path.kind == kind);
-        let newer = of_kind.filter(|(_, stored)| stored.revision > after);
-        let changes = newer.map(|(path, stored)| watch::ChangeDocument {
-            name: path.name.as_str().into(),
-            version: object::ObjectVersion(stored.version),
-        });
-        watch::WatchDocument { revision: self.revision, changes: changes.collect() }
-    }
-}
-
 async fn cause_faults(
     extract::State(server): Platform,
     request: extract::Request,
     next: axum::middleware::Next,
 ) -> axum::response::Response {
-    let faults = server.lock().faults;
+    let faults = server.faults();
     if faults.delay_ms > 0 {
         tokio::time::sleep(time::Duration::from_millis(faults.delay_ms)).await;
     }
-    if faults.outage {
+    if server.faults().outage {
+        let kind = request.uri().path().split('/').nth(3).unwrap_or(LISTING_KIND);
+        server.lock().counts.of_kind(kind).refused += 1;
         return http::StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
     let is_write = request.method() != http::Method::GET;
@@ -181,8 +170,8 @@
     extract::Path(kind): extract::Path<String>,
 ) -> axum::response::Response {
     let mut state = server.lock();
-    state.counts.reads += 1;
-    axum::Json(state.changes(&kind, 0)).into_response()
+    state.counts.of_kind(&kind).reads += 1;
+    axum::Json(state.storage.list(&kind)).into_response()
 }
 
 async fn read_object(
@@ -190,11 +179,12 @@
     extract::Path((kind, name)): extract::Path<(String, String)>,
 ) -> axum::response::Response {
     let mut state = server.lock();
-    state.counts.reads += 1;
-    match state.objects.get(&ObjectPath { kind, name }) {
-        Some(stored) => {
-            let tag = version::to_entity_tag(object::ObjectVersion(stored.version));
-            ([(http::header::ETAG, tag)], stored.value.clone()).into_response()
+    state.counts.of_kind(&kind).reads += 1;
+    let stale = state.faults.stale_reads;
+    let read = state.storage.read(&storage::ObjectPath { kind, name }, stale);
+    match read.and_then(|stored| Some((stored.version, stored.value.clone()?))) {
+        Some((version, value)) => {
+            ([(http::header::ETAG, version::to_entity_tag(version))], value).into_response()
         }
         None => http::StatusCode::NOT_FOUND.into_response(),
     }
@@ -209,16 +199,7 @@
     if serde_json::from_slice::<serde::de::IgnoredAny>(&value).is_err() {
         return (http::StatusCode::BAD_REQUEST, "the value is not JSON").into_response();
     }
-    let path = ObjectPath { kind, name };
-    let mut state = server.lock();
-    state.counts.writes += 1;
-    if let Err(conflict) = check_version(&state, &path, &headers) {
-        return conflict.into_response();
-    }
-    let version = state.store(path, value);
-    server.changed.notify_waiters();
-    let tag = version::to_entity_tag(object::ObjectVersion(version));
-    ([(http::header::ETAG, tag)], http::StatusCode::OK).into_response()
+    change_object(&server, storage::ObjectPath { kind, name }, &headers, Some(value))
 }
 
 async fn delete_object(
@@ -226,61 +207,52 @@
     extract::Path((kind, name)): extract::Path<(String, String)>,
     headers: http::HeaderMap,
 ) -> axum::response::Response {
-    let path = ObjectPath { kind, name };
-    let mut state = server.lock();
-    state.counts.writes += 1;
-    if let Err(conflict) = check_version(&state, &path, &headers) {
-        return conflict.into_response();
-    }
-    state.objects.remove(&path);
-    state.revision += 1;
-    server.changed.notify_waiters();
-    http::StatusCode::NO_CONTENT.into_response()
+    change_object(&server, storage::ObjectPath { kind, name }, &headers, None)
 }
 
-fn check_version(
-    state: &PlatformState,
-    path: &ObjectPath,
+fn change_object(
+    server: &PlatformServer,
+    path: storage::ObjectPath,
     headers: &http::HeaderMap,
-) -> Result<(), VersionConflict> {
-    let current = state.objects.get(path).map(|stored| object::ObjectVersion(stored.version));
-    let current_tag = current.map(version::to_entity_tag);
-    let wanted = headers.get(http::header::IF_MATCH).and_then(|tag| tag.to_str().ok());
-    let must_be_new = headers.contains_key(http::header::IF_NONE_MATCH);
-    let matches = match (wanted, must_be_new) {
-        (Some(wanted), false) => current_tag.as_deref() == Some(wanted),
-        (None, true) => current_tag.is_none(),
-        (None, false) => {
-            return Err(VersionConflict::NoCondition);
-        }
-        (Some(_), true) => false,
+    value: Option<bytes::Bytes>,
+) -> axum::response::Response {
+    let Some(expected) = read_condition(headers) else {
+        let remedy = "send either If-Match with a version or If-None-Match: *";
+        return (http::StatusCode::PRECONDITION_REQUIRED, remedy).into_response();
     };
-    if matches {
-        return Ok(());
+    let kind = path.kind.clone();
+    let mut state = server.lock();
+    let changed = state.storage.change_if(path, expected, value);
+    let counts = state.counts.of_kind(&kind);
+    match changed {
+        Ok(version) => {
+            counts.writes += 1;
+            server.changed.notify_waiters();
+            let tag = version::to_entity_tag(version);
+            ([(http::header::ETAG, tag)], http::StatusCode::OK).into_response()
+        }
+        Err(current) => {
+            counts.conflicts += 1;
+            let mut response = http::StatusCode::PRECONDITION_FAILED.into_response();
+            if let Some(current) = current {
+                let tag = http::HeaderValue::from_str(&version::to_entity_tag(current));
+                let tag = tag.expect("a version is a valid header");
+                response.headers_mut().insert(http::header::ETAG, tag);
+            }
+            response
+        }
     }
-    Err(VersionConflict::Differs(current))
-}
-
-/// Why a conditional write had no effect.
-#[derives::value]
-enum VersionConflict {
-    NoCondition,
-    Differs(Option<object::ObjectVersion>),
 }
 
-impl IntoResponse for VersionConflict {
-    fn into_response(self) -> axum::response::Response {
-        match self {
-            Self::NoCondition => {
-                let remedy = "send If-Match or If-None-Match";
-                (http::StatusCode::PRECONDITION_REQUIRED, remedy).into_response()
-            }
-            Self::Differs(None) => http::StatusCode::PRECONDITION_FAILED.into_response(),
-            Self::Differs(Some(current)) => {
-                let tag = version::to_entity_tag(current);
-                (http::StatusCode::PRECONDITION_FAILED, [(http::header::ETAG, tag)]).into_response()
-            }
+fn read_condition(headers: &http::HeaderMap) -> Option<storage::ExpectedVersion> {
+    let matched = headers.get(http::header::IF_MATCH);
+    match (matched, headers.contains_key(http::header::IF_NONE_MATCH)) {
+        (Some(tag), false) => {
+            let version = version::from_entity_tag(tag.to_str().ok()?)?;
+            Some(storage::ExpectedVersion::At(version))
         }
+        (None, true) => Some(storage::ExpectedVersion::Missing),
+        (None, false) | (Some(_), true) => None,
     }
 }
 
@@ -289,7 +261,7 @@
     extract::Path(kind): extract::Path<String>,
     extract::Query(parameters): extract::Query<WatchParameters>,
 ) -> axum::response::Response {
-    server.lock().counts.watches += 1;
+    server.lock().counts.of_kind(&kind).watches += 1;
     let wait = time::Duration::from_millis(parameters.wait_ms.min(MAX_WATCH_MS));
     let deadline = tokio::time::Instant::now() + wait;
     loop {
@@ -301,7 +273,7 @@
             if state.faults.outage {
                 return http::StatusCode::SERVICE_UNAVAILABLE.into_response();
             }
-            let answer = state.changes(&kind, parameters.after);
+            let answer = state.storage.changes(&kind, parameters.after);
             if !answer.changes.is_empty() || tokio::time::Instant::now() >= deadline {
                 return axum::Json(answer).into_response();
             }
@@ -312,19 +284,24 @@
 
 async fn list_instances(extract::State(server): Platform) -> axum::response::Response {
     let mut state = server.lock();
-    state.counts.reads += 1;
+    state.counts.of_kind(LISTING_KIND).reads += 1;
     axum::Json(state.shown_listing.clone()).into_response()
 }
 
-async fn replace_faults(
+async fn change_faults(
     extract::State(server): Platform,
-    axum::Json(faults): axum::Json<PlatformFaults>,
-) -> http::StatusCode {
-    server.set_faults(faults);
-    http::StatusCode::NO_CONTENT
+    axum::Json(change): axum::Json<serde_json::Map<String, serde_json::Value>>,
+) -> axum::response::Response {
+    match switch::merge_members(&server.faults(), change) {
+        Ok(faults) => {
+            server.set_faults(faults);
+            http::StatusCode::NO_CONTENT.into_response()
+        }
+        Err(error) => (http::StatusCode::BAD_REQUEST, error.to_string()).into_response(),
+    }
 }
 
-async fn tell_counts(extract::State(server): Platform) -> axum::Json<PlatformCounts> {
+async fn tell_counts(extract::State(server): Platform) -> axum::Json<calls::PlatformCounts> {
     axum::Json(server.counts())
 }
 
@@ -332,15 +309,6 @@
     extract::State(server): Platform,
     axum::Json(listing): axum::Json<listing::InstanceListing>,
 ) -> http::StatusCode {
-    let lag = {
-        let mut state = server.lock();
-        state.listing = listing;
-        time::Duration::from_millis(state.faults.listing_lag_ms)
-    };
-    tokio::spawn(async move {
-        tokio::time::sleep(lag).await;
-        let mut state = server.lock();
-        state.shown_listing = state.listing.clone();
-    });
+    server.change_listing(listing);
     http::StatusCode::NO_CONTENT
 }
--- /dev/null
+++ b/crates/standins/src/port.rs
@@ -0,0 +1,60 @@
+//! A listening port whose connections all end when it is closed.
+
+use std::io;
+use std::net;
+
+use hyper_util::rt;
+use hyper_util::server::conn::auto;
+use hyper_util::service;
+
+/// A stand-in that is being served; dropping it cuts all its connections.
+#[derive(Debug)]
+pub struct ServedPort {
+    /// Address that callers use.
+    pub address: net::SocketAddr,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl ServedPort {
+    /// Listens on an address and serves each connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the address when it cannot be listened on.
+    pub async fn open(address: net::SocketAddr, router: axum::Router) -> io::Result<Self> {
+        let bound = tokio::net::TcpListener::bind(address).await;
+        let listener = bound.map_err(|error| {
+            let text = format!("cannot listen on {address} ({error}); free the port");
+            io::Error::new(error.kind(), text)
+        })?;
+        let address = listener.local_addr()?;
+        Ok(Self { address, task: tokio::spawn(accept_all(listener, router)) })
+    }
+
+    /// Waits until serving ends, which it does only when the task is cancelled.
+    pub async fn wait(mut self) {
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for ServedPort {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept_all(listener: tokio::net::TcpListener, router: axum::Router) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        while connections.try_join_next().is_some() {}
+        let _ = stream.set_nodelay(true);
+        let service = service::TowerToHyperService::new(router.clone());
+        connections.spawn(async move {
+            let builder = auto::Builder::new(rt::TokioExecutor::new());
+            let _ = builder.serve_connection(rt::TokioIo::new(stream), service).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/measures.rs
@@ -0,0 +1,39 @@
+//! The load tool's references: one global bucket, and ports of a deployment.
+
+use std::time;
+
+use marjoramwing_standins::deployment;
+use marjoramwing_standins::limiter;
+
+fn check_admitted(rate: f64, burst: f64, times_ms: &[u64], admitted: &[bool]) {
+    let mut bucket = limiter::ReferenceBucket::new(rate, burst);
+    let times = times_ms.iter().map(|at| time::Duration::from_millis(*at));
+    let taken: Vec<_> = times.map(|at| bucket.take(at)).collect();
+    assert_eq!(taken, admitted);
+}
+
+fn check_owed(rate: f64, burst: f64, times_ms: &[u64], owed: f64) {
+    let mut bucket = limiter::ReferenceBucket::new(rate, burst);
+    let times = times_ms.iter().map(|at| time::Duration::from_millis(*at));
+    let most = times.map(|at| bucket.take_on_credit(at)).fold(0.0, f64::max);
+    assert!((most - owed).abs() < 1e-9, "owed {most}");
+}
+
+marjoramwing_testing::cases! { check_admitted:
+    burst_is_usable_at_once => (1.0, 2.0, &[0, 0, 0], &[true, true, false]);
+    tokens_return_at_the_rate => (10.0, 1.0, &[0, 50, 100], &[true, false, true]);
+    tokens_never_exceed_the_burst => (10.0, 1.0, &[0, 9_000, 9_000], &[true, true, false]);
+}
+
+marjoramwing_testing::cases! { check_owed:
+    nothing_is_owed_within_the_limit => (10.0, 1.0, &[0, 100, 200], 0.0);
+    each_token_beyond_is_owed => (10.0, 1.0, &[0, 0, 0, 1_000], 2.0);
+}
+
+#[test]
+fn equal_ports_stay_equal() {
+    let mut plan = deployment::PortPlan::new(500);
+    let text = plan.replace("a 127.0.0.1:17000 b 127.0.0.1:17001");
+    assert_eq!(text, "a 127.0.0.1:500 b 127.0.0.1:501");
+    assert_eq!(plan.replace("127.0.0.1:17001\"}"), "127.0.0.1:501\"}");
+}
