Caller port: one form of paths, paced bodies, bounded connections

Cause: a path with an escaped letter reached a backend server by another route than its own (/%73hop is /shop to the server); a caller that sent nothing, or paused its body, held a connection for good; a connection over the bound was closed without a word.

Connection cannot name Host or Content-Length; Proxy-Connection is hop-by-hop.

Conclusion: bad input is refused before anything runs and says so, except where the HTTP library answers itself with an empty 400, 414 or 431.

--- a/crates/transport/node/src/callers/answer.rs
+++ b/crates/transport/node/src/callers/answer.rs
@@ -8,6 +8,8 @@
 use marjoramwing_derives as derives;
 use marjoramwing_dispatch::exchange;
 
+use crate::callers::target;
+
 /// Header that says whether a refused request ran.
 pub const OUTCOME_HEADER: http::HeaderName = http::HeaderName::from_static("marjoramwing-outcome");
 
@@ -18,6 +20,18 @@
     /// The request is not one that can be passed on safely.
     #[display("{_0}")]
     BadRequest(&'static str),
+    /// The target is one that servers read in different ways.
+    #[display("{_0}")]
+    BadTarget(target::TargetFault),
+    /// The request asks for what is not served.
+    #[display("{_0}")]
+    Unsupported(&'static str),
+    /// The caller paused its body for too long.
+    #[display("the body paused for too long; send its parts without long pauses")]
+    BodyPaused,
+    /// The caller's body broke off.
+    #[display("the body broke off or is not well-formed; send the request again")]
+    BodyBroken,
     /// No route serves the request.
     #[display("no route serves this host, path and method; check the URL")]
     NoRoute,
@@ -65,6 +79,20 @@
     pub outcome: exchange::RequestOutcome,
 }
 
+/// Tells whether an answer is a refusal of this instance.
+#[must_use]
+pub fn is_refusal<B>(response: &http::Response<B>) -> bool {
+    response.headers().contains_key(OUTCOME_HEADER)
+}
+
+/// Tells whether an answer says that the request did not run.
+#[must_use]
+pub fn tells_not_run<B>(response: &http::Response<B>) -> bool {
+    let not_run = exchange::RequestOutcome::NotRun.to_string();
+    let outcome = response.headers().get(OUTCOME_HEADER);
+    outcome.is_some_and(|outcome| outcome.as_bytes() == not_run.as_bytes())
+}
+
 #[derive(serde::Serialize)]
 struct RefusalBody {
     error: String,
@@ -82,7 +110,11 @@
     #[must_use]
     pub const fn status(&self) -> http::StatusCode {
         match self.kind {
-            RefusalKind::BadRequest(_) => http::StatusCode::BAD_REQUEST,
+            RefusalKind::BadRequest(_) | RefusalKind::BadTarget(_) | RefusalKind::BodyBroken => {
+                http::StatusCode::BAD_REQUEST
+            }
+            RefusalKind::Unsupported(_) => http::StatusCode::NOT_IMPLEMENTED,
+            RefusalKind::BodyPaused => http::StatusCode::REQUEST_TIMEOUT,
             RefusalKind::NoRoute => http::StatusCode::NOT_FOUND,
             RefusalKind::KeyMissing | RefusalKind::KeyRefused => http::StatusCode::UNAUTHORIZED,
             RefusalKind::OverLimit { .. } => http::StatusCode::TOO_MANY_REQUESTS,
@@ -98,6 +130,10 @@
     pub const fn label(&self) -> &'static str {
         match self.kind {
             RefusalKind::BadRequest(_) => "bad_request",
+            RefusalKind::BadTarget(_) => "bad_target",
+            RefusalKind::Unsupported(_) => "unsupported",
+            RefusalKind::BodyPaused => "body_paused",
+            RefusalKind::BodyBroken => "body_broken",
             RefusalKind::NoRoute => "no_route",
             RefusalKind::KeyMissing => "key_missing",
             RefusalKind::KeyRefused => "key_refused",
--- a/crates/transport/node/src/callers/headers.rs
+++ b/crates/transport/node/src/callers/headers.rs
@@ -23,16 +23,23 @@
 ];
 
 const KEEP_ALIVE: http::HeaderName = http::HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: http::HeaderName = http::HeaderName::from_static("proxy-connection");
+
+/// Headers that `Connection` must not name, since the next hop needs them.
+const END_TO_END: [http::HeaderName; 2] = [http::header::HOST, http::header::CONTENT_LENGTH];
 
 /// Removes hop-by-hop headers, those that `Connection` names included.
 pub fn remove_hop_by_hop(headers: &mut http::HeaderMap) {
     for name in connection_options(headers) {
-        headers.remove(name);
+        if !END_TO_END.contains(&name) {
+            headers.remove(name);
+        }
     }
     for name in &HOP_BY_HOP {
         headers.remove(name);
     }
     headers.remove(KEEP_ALIVE);
+    headers.remove(PROXY_CONNECTION);
 }
 
 /// Removes keys and every header that only the system itself may set.
--- a/crates/transport/node/src/callers/mod.rs
+++ b/crates/transport/node/src/callers/mod.rs
@@ -1,15 +1,25 @@
 //! The caller port: look-up and the path of a request.
 //!
 //! - [`answer`]: answers that the instance gives itself.
+//! - [`body`]: the body of a request, with a bound on its pauses.
 //! - [`credential`]: the key that comes with a request.
+//! - [`guard`]: checks of a request before it is routed.
 //! - [`headers`]: headers that must not pass through.
 //! - [`lookup`]: which instance a caller is to use.
+//! - [`overflow`]: connections over the bound.
+//! - [`preface`]: the first bytes of a connection.
 //! - [`proxy`]: the path of a request to a backend server.
 //! - [`server`]: connections of callers.
+//! - [`target`]: the one form of a request's path and host.
 
 pub mod answer;
+pub mod body;
 pub mod credential;
+pub mod guard;
 pub mod headers;
 pub mod lookup;
+pub mod overflow;
+pub mod preface;
 pub mod proxy;
 pub mod server;
+pub mod target;
--- a/crates/transport/node/src/metrics.rs
+++ b/crates/transport/node/src/metrics.rs
@@ -16,6 +16,8 @@
     pub open_requests: prometheus::IntGauge,
     /// Callers' connections open now.
     pub caller_connections: prometheus::IntGauge,
+    /// Callers' connections refused since too many were open.
+    pub refused_connections: prometheus::IntCounter,
     /// Version in force of each table object.
     pub table_versions: prometheus::IntGaugeVec,
     /// Sets of table objects refused.
@@ -48,6 +50,10 @@
                 &registry,
                 gauge("caller_connections", "Connections of callers open now."),
             ),
+            refused_connections: register(
+                &registry,
+                counter("caller_connections_refused_total", "Connections over the bound."),
+            ),
             table_versions: register(
                 &registry,
                 gauges("table_version", "Version in force of a table object.", &["object"]),
--- /dev/null
+++ b/crates/transport/node/tests/caller_port/limits.rs
@@ -0,0 +1,136 @@
+//! Bounds on heads, bodies, pauses and connections.
+
+use std::time;
+
+use crate::harness;
+
+#[tokio::test]
+async fn large_head_is_refused() {
+    let port = harness::CallerPort::start("max_header_bytes = 8192").await;
+    let filler = "a".repeat(16 * 1024);
+    let answer = port.send(&format!("GET / HTTP/1.1\r\nHost: a\r\nX: {filler}\r\n\r\n")).await;
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    assert_eq!(port.record.whole().len(), 0);
+}
+
+#[tokio::test]
+async fn many_headers_are_refused() {
+    let port = harness::CallerPort::start("").await;
+    let filler = "X: a\r\n".repeat(200);
+    let answer = port.send(&format!("GET / HTTP/1.1\r\nHost: a\r\n{filler}\r\n")).await;
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    assert_eq!(port.record.whole().len(), 0);
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn check_closes(start: &str) {
+    let port = harness::CallerPort::start("header_timeout_ms = 100").await;
+    let answer = port.send(start).await;
+    assert!(!answer.contains(" 200 "), "{answer}");
+    assert_eq!(port.shared.metrics.open_requests.get(), 0);
+    assert_eq!(port.record.whole().len(), 0);
+}
+
+marjoramwing_testing::cases! { check_closes:
+    silent_connection => ("");
+    part_of_an_http2_preface => ("PRI * HTTP/2.0\r\n");
+    part_of_a_request_line => ("GET / HT");
+    part_of_a_head => ("GET / HTTP/1.1\r\nHost: a\r\n");
+}
+
+const SLOW_HEAD: &str =
+    "POST /slow HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nab";
+
+#[tokio::test]
+async fn body_that_pauses_is_given_up() {
+    let port = harness::CallerPort::start("body_pause_ms = 100").await;
+    let answer = port.send(SLOW_HEAD).await;
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("marjoramwing-outcome: "), "{answer}");
+    assert_eq!(port.record.whole().len(), 0);
+    port.check_serves().await;
+}
+
+#[tokio::test]
+async fn without_the_bound_a_body_may_pause() {
+    let port = harness::CallerPort::start("body_pause_ms = 600000").await;
+    let mut stream = port.connect().await;
+    stream.write(SLOW_HEAD).await;
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    stream.write("cd").await;
+    let answer = stream.read_to_end().await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(port.record.only().body, "abcd");
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn check_large_body(framing: &str, body: &str) {
+    let port = harness::CallerPort::start("").await;
+    let answer = port
+        .send(&format!(
+            "POST /shop HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\
+             Authorization: Bearer {}\r\n{framing}\r\n\r\n{body}",
+            harness::KEY
+        ))
+        .await;
+    let status: u16 = answer[9..12].parse().unwrap();
+    assert!(status >= 400, "{answer}");
+    assert!(answer.contains("marjoramwing-outcome: "), "{answer}");
+    assert_eq!(port.record.whole().len(), 0);
+    port.check_serves().await;
+}
+
+marjoramwing_testing::cases! { check_large_body:
+    large_body_by_length => ("Content-Length: 101", &"a".repeat(101));
+    large_body_by_chunks =>
+        ("Transfer-Encoding: chunked", &format!("65\r\n{}\r\n0\r\n\r\n", "a".repeat(101)));
+}
+
+const KEPT: &str = "GET /kept HTTP/1.1\r\nHost: a\r\n\r\n";
+
+#[tokio::test]
+async fn connection_over_the_bound_is_told_that_nothing_ran() {
+    let port = harness::CallerPort::start("max_connections = 1").await;
+    let mut first = port.connect().await;
+    first.write(KEPT).await;
+    first.read_until("whole").await;
+    let answer = port.send("GET /over HTTP/1.1\r\nHost: a\r\n\r\n").await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("marjoramwing-outcome: not-run"), "{answer}");
+    assert!(answer.ends_with(r#""outcome":"not-run"}"#), "{answer}");
+    assert_eq!(port.shared.metrics.refused_connections.get(), 1);
+    assert_eq!(port.record.only().target, "/kept");
+    drop(first);
+    while port.shared.metrics.caller_connections.get() > 0 {
+        tokio::task::yield_now().await;
+    }
+    port.check_serves().await;
+}
+
+#[tokio::test]
+async fn with_a_higher_bound_a_second_connection_is_served() {
+    let port = harness::CallerPort::start("max_connections = 2").await;
+    let mut first = port.connect().await;
+    first.write(KEPT).await;
+    first.read_until("whole").await;
+    port.check_serves().await;
+}
+
+#[tokio::test]
+async fn http2_is_served_by_prior_knowledge_with_the_same_checks() {
+    let port = harness::CallerPort::start("").await;
+    let stream = tokio::net::TcpStream::connect(port.address).await.unwrap();
+    let executor = hyper_util::rt::TokioExecutor::new();
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let handshake = hyper::client::conn::http2::handshake(executor, io);
+    let (mut sender, connection) = handshake.await.unwrap();
+    tokio::spawn(connection);
+    let mut statuses = Vec::new();
+    for path in ["/", "/a/../b", "/shop"] {
+        let request = http::Request::get(format!("http://a{path}"));
+        let request = request.body(axum::body::Body::empty()).unwrap();
+        statuses.push(sender.send_request(request).await.unwrap().status().as_u16());
+    }
+    assert_eq!(statuses, [200, 400, 401]);
+    assert_eq!(port.record.only().headers["host"], "a");
+}
