--- a/crates/transport/operator/tests/editor.rs
+++ b/crates/transport/operator/tests/editor.rs
@@ -133,7 +133,7 @@
     let (platform, address) = FaultyPlatform::start(WriteFault::LostAfterEffect).await;
     let editor = make_editor(address, editor::LostAnswerPolicy::ReadBack);
     editor.apply(&change(6.0), None).await.unwrap();
-    assert_eq!(platform.server.counts().writes, 1);
+    assert_eq!(platform.server.counts().total().write_calls(), 1);
 }
 
 #[tokio::test]
@@ -143,7 +143,7 @@
     let editor = make_editor(address, editor::LostAnswerPolicy::ReadBack);
     let error = editor.apply(&change(6.0), Some(1)).await.unwrap_err();
     assert_eq!(error.current_version(), Some(2));
-    assert_eq!(platform.server.counts().writes, 0);
+    assert_eq!(platform.server.counts().total().write_calls(), 0);
 }
 
 #[tokio::test]
@@ -160,5 +160,5 @@
     routes[0].pools[1]: `nor-this` is not in the `pools` object; add it there or correct the name
     routes[0].rate: `rate` needs `burst`; set both or neither
     ");
-    assert_eq!(platform.server.counts().writes, 0);
+    assert_eq!(platform.server.counts().total().write_calls(), 0);
 }
