--- a/crates/transport/node/src/callers/answer.rs
+++ b/crates/transport/node/src/callers/answer.rs
@@ -8,6 +8,8 @@
 use marjoramwing_derives as derives;
 use marjoramwing_dispatch::exchange;
 
+use crate::callers::target;
+
 /// Header that says whether a refused request ran.
 pub const OUTCOME_HEADER: http::HeaderName = http::HeaderName::from_static("marjoramwing-outcome");
 
@@ -18,6 +20,18 @@
     /// The request is not one that can be passed on safely.
     #[display("{_0}")]
     BadRequest(&'static str),
+    /// The target is one that servers read in different ways.
+    #[display("{_0}")]
+    BadTarget(target::TargetFault),
+    /// The request asks for what is not served.
+    #[display("{_0}")]
+    Unsupported(&'static str),
+    /// The caller paused its body for too long.
+    #[display("the body paused for too long; send its parts without long pauses")]
+    BodyPaused,
+    /// The caller's body broke off.
+    #[display("the body broke off or is not well-formed; send the request again")]
+    BodyBroken,
     /// No route serves the request.
     #[display("no route serves this host, path and method; check the URL")]
     NoRoute,
@@ -38,9 +52,20 @@
     /// The body is larger than the route allows.
     #[display("the body is larger than the {_0} bytes that this route takes; send less")]
     BodyTooLarge(u64),
+    /// The body's length is not known and it is too large to be read first.
+    #[display("a body of more than {_0} bytes needs a Content-Length; send one")]
+    LengthRequired(usize),
+    /// The instance holds as many bodies as it may.
+    #[display("this instance holds as many request bodies as it may; send again later")]
+    BodiesFull,
     /// The instance is not ready.
     #[display("this instance has no tables yet; use another one from the look-up")]
     NotReady,
+    /// Every region that could serve the caller has reached its cap.
+    #[display(
+        "your region is out of service and the others have reached their caps; ask again later"
+    )]
+    ShiftCapped,
     /// No backend server took the request.
     #[display("no backend server of this route takes requests now; send again later")]
     NoServer,
@@ -49,11 +74,19 @@
         "the backend server broke off; check whether the request took effect before you send it again"
     )]
     BrokenOff,
-    /// The deadline passed.
+    /// The answer's end cannot be told from a break.
+    #[display(
+        "the backend server marks no end of its answer; make it send Content-Length or chunks"
+    )]
+    AnswerUnbounded,
+    /// The deadline passed after the request may have run.
     #[display(
         "the route's deadline passed; check whether the request took effect before you send it again"
     )]
     DeadlinePassed,
+    /// The deadline passed before any backend server ran the request.
+    #[display("no backend server took the request before the route's deadline; send again later")]
+    DeadlineUnsent,
 }
 
 /// A refusal with what is known of the request's outcome.
@@ -65,6 +98,20 @@
     pub outcome: exchange::RequestOutcome,
 }
 
+/// Tells whether an answer is a refusal of this instance.
+#[must_use]
+pub fn is_refusal<B>(response: &http::Response<B>) -> bool {
+    response.headers().contains_key(OUTCOME_HEADER)
+}
+
+/// Tells whether an answer says that the request did not run.
+#[must_use]
+pub fn tells_not_run<B>(response: &http::Response<B>) -> bool {
+    let not_run = exchange::RequestOutcome::NotRun.to_string();
+    let outcome = response.headers().get(OUTCOME_HEADER);
+    outcome.is_some_and(|outcome| outcome.as_bytes() == not_run.as_bytes())
+}
+
 #[derive(serde::Serialize)]
 struct RefusalBody {
     error: String,
@@ -82,13 +129,22 @@
     #[must_use]
     pub const fn status(&self) -> http::StatusCode {
         match self.kind {
-            RefusalKind::BadRequest(_) => http::StatusCode::BAD_REQUEST,
+            RefusalKind::BadRequest(_) | RefusalKind::BadTarget(_) | RefusalKind::BodyBroken => {
+                http::StatusCode::BAD_REQUEST
+            }
+            RefusalKind::Unsupported(_) => http::StatusCode::NOT_IMPLEMENTED,
+            RefusalKind::BodyPaused => http::StatusCode::REQUEST_TIMEOUT,
             RefusalKind::NoRoute => http::StatusCode::NOT_FOUND,
             RefusalKind::KeyMissing | RefusalKind::KeyRefused => http::StatusCode::UNAUTHORIZED,
             RefusalKind::OverLimit { .. } => http::StatusCode::TOO_MANY_REQUESTS,
             RefusalKind::BodyTooLarge(_) => http::StatusCode::PAYLOAD_TOO_LARGE,
-            RefusalKind::NotReady | RefusalKind::NoServer => http::StatusCode::SERVICE_UNAVAILABLE,
-            RefusalKind::BrokenOff => http::StatusCode::BAD_GATEWAY,
+            RefusalKind::LengthRequired(_) => http::StatusCode::LENGTH_REQUIRED,
+            RefusalKind::NotReady
+            | RefusalKind::ShiftCapped
+            | RefusalKind::NoServer
+            | RefusalKind::BodiesFull
+            | RefusalKind::DeadlineUnsent => http::StatusCode::SERVICE_UNAVAILABLE,
+            RefusalKind::BrokenOff | RefusalKind::AnswerUnbounded => http::StatusCode::BAD_GATEWAY,
             RefusalKind::DeadlinePassed => http::StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -98,22 +154,35 @@
     pub const fn label(&self) -> &'static str {
         match self.kind {
             RefusalKind::BadRequest(_) => "bad_request",
+            RefusalKind::BadTarget(_) => "bad_target",
+            RefusalKind::Unsupported(_) => "unsupported",
+            RefusalKind::BodyPaused => "body_paused",
+            RefusalKind::BodyBroken => "body_broken",
             RefusalKind::NoRoute => "no_route",
             RefusalKind::KeyMissing => "key_missing",
             RefusalKind::KeyRefused => "key_refused",
             RefusalKind::OverLimit { .. } => "over_limit",
             RefusalKind::BodyTooLarge(_) => "body_too_large",
+            RefusalKind::LengthRequired(_) => "length_required",
+            RefusalKind::BodiesFull => "bodies_full",
             RefusalKind::NotReady => "not_ready",
+            RefusalKind::ShiftCapped => "shift_capped",
             RefusalKind::NoServer => "no_server",
             RefusalKind::BrokenOff => "broken_off",
+            RefusalKind::AnswerUnbounded => "answer_unbounded",
             RefusalKind::DeadlinePassed => "deadline_passed",
+            RefusalKind::DeadlineUnsent => "deadline_unsent",
         }
     }
 
     fn retry_after(&self) -> Option<time::Duration> {
         match self.kind {
             RefusalKind::OverLimit { retry_after, .. } => Some(retry_after),
-            RefusalKind::NotReady | RefusalKind::NoServer => Some(time::Duration::from_secs(1)),
+            RefusalKind::NotReady
+            | RefusalKind::ShiftCapped
+            | RefusalKind::NoServer
+            | RefusalKind::BodiesFull
+            | RefusalKind::DeadlineUnsent => Some(time::Duration::from_secs(1)),
             _ => None,
         }
     }
--- a/crates/transport/node/src/control/configuration.rs
+++ b/crates/transport/node/src/control/configuration.rs
@@ -56,6 +56,7 @@
             shared.now(),
             &mut rng,
         );
+        shared.set_key_trust(keeper.trust());
         Self { shared, mesh, client, events, answers, keeper, rng, reachable: true }
     }
 
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -20,9 +20,11 @@
 
 use crate::admission;
 use crate::backends::pool;
+use crate::callers::request;
 use crate::clock;
 use crate::control::dump;
 use crate::metrics;
+use crate::steering;
 
 /// The shared tables of one instance.
 #[derive(Debug)]
@@ -38,10 +40,14 @@
     member_changes: watch::Sender<sync::Arc<view::MemberView>>,
     /// Connections to backend servers.
     pub connections: pool::ConnectionPool,
+    /// Memory for request bodies.
+    pub body_memory: request::BodyMemory,
     /// Admission of requests under limits.
     pub admission: admission::AdmissionControl,
     /// State of the control tasks for the dump.
     pub control: dump::ControlBoard,
+    /// Steering of callers.
+    pub steering: steering::SteeringControl,
     /// Metrics of the instance.
     pub metrics: metrics::InstanceMetrics,
     clock: clock::MonotonicClock,
@@ -67,12 +73,14 @@
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
             member_changes: watch::Sender::default(),
             connections: pool::ConnectionPool::default(),
+            steering: steering::SteeringControl::default(),
+            body_memory: request::BodyMemory::default(),
             metrics: metrics::InstanceMetrics::new(),
             clock: clock::MonotonicClock::start(),
             admission: admission::AdmissionControl::default(),
             picker: sync::Mutex::default(),
             leaving: atomic::AtomicBool::new(false),
-            keys_trusted: atomic::AtomicBool::new(false),
+            keys_trusted: atomic::AtomicBool::new(true),
             was_confirmed: atomic::AtomicBool::new(false),
             control: dump::ControlBoard::default(),
             seed: atomic::AtomicUsize::new(0),
@@ -85,6 +93,12 @@
         self.clock.now()
     }
 
+    /// Returns the process's clock.
+    #[must_use]
+    pub const fn clock(&self) -> clock::MonotonicClock {
+        self.clock
+    }
+
     /// Locks the picker of backend servers.
     ///
     /// # Panics
@@ -137,11 +151,10 @@
 
     /// Tells whether a key that was accepted before still works.
     ///
-    /// For requests and answers that are under way: `team` is the name of the
-    /// team that the key spoke for when it was accepted.
+    /// For requests and answers that are under way.
     #[must_use]
-    pub fn key_in_force(&self, id: &str, hash: &credential::KeyHash, team: &str) -> bool {
-        self.keys_trusted() && self.tables.load().snapshot.grants(id, hash, team)
+    pub fn key_in_force(&self, id: &str, hash: &credential::KeyHash) -> bool {
+        self.keys_trusted() && self.tables.load().snapshot.holds_credential(id, hash)
     }
 
     /// Marks the instance as leaving.
