Refuse keyed requests while an instance may be cut off

Cause: the decision whether keys may be believed was taken and shown, but no request asked for it, and nobody could set what happens in the undecided case.

Change: keyed requests are refused with 503, `not-run` and `keys_unconfirmed` while keys are not believed, and streams under a key end as they do when it is withdrawn; open routes go on. Settings `[keys] max_age_ms` (10,000 to 600,000, default 15,000) and `undecided` (`refuse` by default, or `serve`). The addresses that others are told may not be 0.0.0.0 or [::], since members are reached by what they tell of themselves.

--- a/crates/protocol/settings/src/document.rs
+++ b/crates/protocol/settings/src/document.rs
@@ -25,6 +25,9 @@
     /// What the deployment weighs more.
     #[serde(default)]
     pub objective: ObjectiveDocument,
+    /// How long and when keys are believed.
+    #[serde(default)]
+    pub keys: KeysDocument,
 }
 
 /// The `[instance]` table.
@@ -107,6 +110,34 @@
     }
 }
 
+/// The `[keys]` table.
+#[derives::document]
+#[serde(default, deny_unknown_fields)]
+pub struct KeysDocument {
+    /// Age of the tables above which keys are in doubt, in milliseconds.
+    pub max_age_ms: u64,
+    /// What happens when an outage of the store cannot be told from being cut off.
+    pub undecided: UndecidedDocument,
+}
+
+impl Default for KeysDocument {
+    fn default() -> Self {
+        Self { max_age_ms: 15_000, undecided: UndecidedDocument::default() }
+    }
+}
+
+/// What happens when an outage of the store cannot be told from being cut off.
+#[derives::document]
+#[derive(Default, Copy)]
+#[serde(rename_all = "lowercase")]
+pub enum UndecidedDocument {
+    /// Keyed requests are refused as not run.
+    #[default]
+    Refuse,
+    /// Keyed requests are served with the keys that are known.
+    Serve,
+}
+
 /// The `[objective]` table.
 #[derives::document]
 #[derive(Default)]
--- a/crates/protocol/settings/src/fault.rs
+++ b/crates/protocol/settings/src/fault.rs
@@ -32,6 +32,9 @@
     /// An address has a wrong form.
     #[display("`{_0}` is not an address; write an IP address and port such as 10.0.0.1:7100")]
     Address(Arc<str>),
+    /// An address names no interface, so that others cannot use it.
+    #[display("`{_0}` is no address that others can reach; write the instance's own IP address")]
+    Unspecified(Arc<str>),
     /// Two listeners have one address.
     #[display("is the same address as `{_0}`; give each listener its own")]
     SameAddress(&'static str),
--- a/crates/protocol/settings/src/settings.rs
+++ b/crates/protocol/settings/src/settings.rs
@@ -16,6 +16,8 @@
 const STORE_TIMEOUT_RANGE_MS: (u64, u64) = (50, 60_000);
 const HEADER_BYTES_RANGE: (u64, u64) = (8 * 1024, 1024 * 1024);
 const TIMEOUT_RANGE_MS: (u64, u64) = (100, 600_000);
+/// Below it, the ages of ordinary times would put keys in doubt.
+const KEY_AGE_RANGE_MS: (u64, u64) = (10_000, 600_000);
 const CONNECTIONS_RANGE: (u64, u64) = (1, 1_000_000);
 
 /// Everything an instance is told at its start.
@@ -35,6 +37,8 @@
     pub callers: CallerLimits,
     /// What the deployment weighs more.
     pub objective: DeploymentObjective,
+    /// How long and when keys are believed.
+    pub keys: KeyTrustSettings,
 }
 
 /// Who an instance is.
@@ -83,6 +87,16 @@
     pub max_connections: usize,
 }
 
+/// How long and when keys are believed.
+#[derives::value]
+pub struct KeyTrustSettings {
+    /// Age of the tables above which keys are in doubt.
+    pub max_age: time::Duration,
+    /// Whether keyed requests are served when an outage of the store cannot be
+    /// told from being cut off.
+    pub serve_undecided: bool,
+}
+
 /// What a deployment weighs more.
 #[derives::value]
 pub enum DeploymentObjective {
@@ -134,6 +148,7 @@
             document::WeighDocument::Fairness => DeploymentObjective::Fairness,
             document::WeighDocument::Latency => DeploymentObjective::Latency,
         };
+        let keys = check_keys(&mut faults, &raw.keys);
         let checked = (|| {
             Some(Self {
                 identity: identity?,
@@ -143,6 +158,7 @@
                 admin_secret: admin_secret?,
                 callers: callers?,
                 objective,
+                keys: keys?,
             })
         })();
         checked.ok_or(faults)
@@ -173,8 +189,8 @@
     faults: &mut fault::FaultList,
     raw: &document::ListenDocument,
 ) -> Option<ListenAddresses> {
-    let callers = faults.check("listen.callers", check_address(&raw.callers));
-    let peers = faults.check("listen.peers", check_address(&raw.peers));
+    let callers = faults.check("listen.callers", check_reachable(&raw.callers));
+    let peers = faults.check("listen.peers", check_reachable(&raw.peers));
     let admin = faults.check("listen.admin", check_address(&raw.admin));
     let listen = ListenAddresses { callers: callers?, peers: peers?, admin: admin? };
     let peers = check_distinct(listen.peers, &[("listen.callers", listen.callers)]);
@@ -224,6 +240,27 @@
     })
 }
 
+fn check_keys(
+    faults: &mut fault::FaultList,
+    raw: &document::KeysDocument,
+) -> Option<KeyTrustSettings> {
+    let max_age = check_range(raw.max_age_ms, KEY_AGE_RANGE_MS);
+    let max_age = faults.check("keys.max_age_ms", max_age);
+    Some(KeyTrustSettings {
+        max_age: time::Duration::from_millis(max_age?),
+        serve_undecided: raw.undecided == document::UndecidedDocument::Serve,
+    })
+}
+
+/// Checks an address that others are told.
+fn check_reachable(text: &Arc<str>) -> Result<net::SocketAddr, fault::FaultKind> {
+    let address = check_address(text)?;
+    if address.ip().is_unspecified() {
+        return Err(fault::FaultKind::Unspecified(Arc::clone(text)));
+    }
+    Ok(address)
+}
+
 fn check_address(text: &Arc<str>) -> Result<net::SocketAddr, fault::FaultKind> {
     text.parse().map_err(|_| fault::FaultKind::Address(Arc::clone(text)))
 }
--- a/crates/protocol/settings/tests/settings.rs
+++ b/crates/protocol/settings/tests/settings.rs
@@ -41,6 +41,31 @@
     ");
 }
 
+fn check_fault(line: &str, replacement: &str, fault: &str) {
+    let text = BAD.replace(line, replacement);
+    assert_ne!(text, BAD);
+    let faults = settings::InstanceSettings::try_from(text.as_str()).unwrap_err();
+    assert!(faults.to_string().contains(fault), "{faults}");
+}
+
+marjoramwing_testing::cases! { check_fault:
+    address_that_names_no_interface => (
+        "localhost:7101",
+        "0.0.0.0:7101",
+        "listen.callers: `0.0.0.0:7101` is no address that others can reach",
+    );
+    key_age_below_ordinary_ages => (
+        "[callers]",
+        "[keys]\nmax_age_ms = 500\n[callers]",
+        "keys.max_age_ms: 500 is out of range; use 10000 to 600000",
+    );
+    unknown_choice_for_undecided_keys => (
+        "[callers]",
+        "[keys]\nundecided = \"maybe\"\n[callers]",
+        "unknown variant `maybe`, expected `refuse` or `serve`",
+    );
+}
+
 #[test]
 fn misspelt_member_is_refused() {
     let text = BAD.replace("max_header_bytes", "max_headers");
--- a/crates/transport/node/src/backends/answer.rs
+++ b/crates/transport/node/src/backends/answer.rs
@@ -112,9 +112,7 @@
         }
         self.checked_at = now;
         match &self.credential {
-            Some(watch) if !watch.is_in_force(&self.shared.tables.load().snapshot) => {
-                Err(AnswerError::KeyWithdrawn)
-            }
+            Some(watch) if !watch.is_in_force(&self.shared) => Err(AnswerError::KeyWithdrawn),
             _ => Ok(()),
         }
     }
--- a/crates/transport/node/src/callers/answer.rs
+++ b/crates/transport/node/src/callers/answer.rs
@@ -41,6 +41,11 @@
     /// The key is not in force.
     #[display("this key is not in force; ask your operators for a new one")]
     KeyRefused,
+    /// The instance may be cut off and cannot tell whether the key was withdrawn.
+    #[display(
+        "this instance cannot tell which keys are in force; use another one from the look-up"
+    )]
+    KeysUnconfirmed,
     /// A limit is used up.
     #[display("the {limit} limit is used up; send again after the time in Retry-After")]
     OverLimit {
@@ -140,6 +145,7 @@
             RefusalKind::BodyTooLarge(_) => http::StatusCode::PAYLOAD_TOO_LARGE,
             RefusalKind::LengthRequired(_) => http::StatusCode::LENGTH_REQUIRED,
             RefusalKind::NotReady
+            | RefusalKind::KeysUnconfirmed
             | RefusalKind::ShiftCapped
             | RefusalKind::NoServer
             | RefusalKind::BodiesFull
@@ -161,6 +167,7 @@
             RefusalKind::NoRoute => "no_route",
             RefusalKind::KeyMissing => "key_missing",
             RefusalKind::KeyRefused => "key_refused",
+            RefusalKind::KeysUnconfirmed => "keys_unconfirmed",
             RefusalKind::OverLimit { .. } => "over_limit",
             RefusalKind::BodyTooLarge(_) => "body_too_large",
             RefusalKind::LengthRequired(_) => "length_required",
@@ -179,6 +186,7 @@
         match self.kind {
             RefusalKind::OverLimit { retry_after, .. } => Some(retry_after),
             RefusalKind::NotReady
+            | RefusalKind::KeysUnconfirmed
             | RefusalKind::ShiftCapped
             | RefusalKind::NoServer
             | RefusalKind::BodiesFull
--- a/crates/transport/node/src/callers/credential.rs
+++ b/crates/transport/node/src/callers/credential.rs
@@ -4,9 +4,9 @@
 
 use marjoramwing_derives as derives;
 use marjoramwing_tables::credential;
-use marjoramwing_tables::snapshot;
 
 use crate::callers::answer;
+use crate::shared;
 
 /// Header that may carry a key in place of `Authorization`.
 pub const KEY_HEADER: http::HeaderName = http::HeaderName::from_static("x-marjoramwing-key");
@@ -29,10 +29,10 @@
         Self { id: key.id().into(), hash: key.hash() }
     }
 
-    /// Tells whether the key is in force.
+    /// Tells whether the key is in force, as far as this instance can tell.
     #[must_use]
-    pub fn is_in_force(&self, tables: &snapshot::TableSnapshot) -> bool {
-        tables.holds_credential(&self.id, &self.hash)
+    pub fn is_in_force(&self, shared: &shared::SharedTables) -> bool {
+        shared.key_in_force(&self.id, &self.hash)
     }
 }
 
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -143,6 +143,9 @@
         if self.route.access == route::RouteAccess::Open {
             return Ok(None);
         }
+        if !self.shared.keys_trusted() {
+            return Err(answer::Refusal::not_run(answer::RefusalKind::KeysUnconfirmed));
+        }
         let missing = answer::Refusal::not_run(answer::RefusalKind::KeyMissing);
         let text = credential::find_key(headers)?.ok_or(missing)?;
         let refused = answer::Refusal::not_run(answer::RefusalKind::KeyRefused);
--- a/crates/transport/node/src/control/configuration.rs
+++ b/crates/transport/node/src/control/configuration.rs
@@ -12,6 +12,7 @@
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
 use marjoramwing_peer::message;
+use marjoramwing_settings::settings as instance;
 use marjoramwing_store_client::client;
 use rand::SeedableRng;
 use tokio::sync::mpsc;
@@ -52,7 +53,7 @@
         let keeper = keeper::ConfigurationKeeper::new(
             shared.incarnation,
             shared.settings.identity.region.text(),
-            settings::ConfigurationSettings::default(),
+            make_settings(shared.settings.keys),
             shared.now(),
             &mut rng,
         );
@@ -169,3 +170,12 @@
         self.shared.control.set_configuration(dump);
     }
 }
+
+fn make_settings(keys: instance::KeyTrustSettings) -> settings::ConfigurationSettings {
+    let undecided = if keys.serve_undecided {
+        settings::UndecidedKeys::Serve
+    } else {
+        settings::UndecidedKeys::Refuse
+    };
+    settings::ConfigurationSettings { max_age: keys.max_age, undecided, ..Default::default() }
+}
--- a/crates/transport/node/tests/outcome/credentials.rs
+++ b/crates/transport/node/tests/outcome/credentials.rs
@@ -3,6 +3,7 @@
 use crate::backend;
 use crate::backend::Step;
 use crate::support;
+use marjoramwing_configuration::trust;
 use marjoramwing_testing::cases;
 
 const DEADLINE_MS: u64 = 10_000;
@@ -55,18 +56,27 @@
         (&[("authorization", BEARER), ("x-marjoramwing-key", support::KEY)], 400);
 }
 
+/// Starts a keyed request whose answer never ends by itself.
+async fn start_stream(
+    instance: &support::TestInstance,
+    server: &backend::ScriptedServer,
+) -> tokio::task::JoinHandle<support::SeenAnswer> {
+    let address = instance.address;
+    let shared = std::sync::Arc::clone(&instance.shared);
+    let streaming = tokio::spawn(async move {
+        let caller = support::TestInstance::connected(shared, address);
+        send(&caller, &[("authorization", BEARER)]).await
+    });
+    support::until(|| server.runs().len() == 1).await;
+    streaming
+}
+
 #[test]
 fn withdrawn_key_ends_a_streaming_answer() {
     support::block_on(async {
         let server = backend::ScriptedServer::start(&[Step::Trickle]).await;
         let mut instance = support::TestInstance::start(&[server.address], DEADLINE_MS).await;
-        let address = instance.address;
-        let shared = std::sync::Arc::clone(&instance.shared);
-        let streaming = tokio::spawn(async move {
-            let caller = support::TestInstance::connected(shared, address);
-            send(&caller, &[("authorization", BEARER)]).await
-        });
-        support::until(|| server.runs().len() == 1).await;
+        let streaming = start_stream(&instance, &server).await;
         instance.edit(|tables| tables.keys.keys.clear());
         let answer = streaming.await.unwrap();
         assert_eq!((answer.status, answer.body), (200, None));
@@ -74,3 +84,29 @@
         assert_eq!(send(&instance, &[("authorization", BEARER)]).await.status, 401);
     });
 }
+
+#[test]
+fn unconfirmed_keys_refuse_keyed_requests_and_leave_open_routes() {
+    support::block_on(async {
+        let server = backend::ScriptedServer::start(&[]).await;
+        let instance = support::TestInstance::start(&[server.address], DEADLINE_MS).await;
+        instance.shared.set_key_trust(trust::KeyTrust::Refused);
+        let answer = send(&instance, &[("authorization", BEARER)]).await;
+        assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+        assert!(server.runs().is_empty());
+        assert_eq!(instance.send("GET", "/open", "second", "").await.status, 200);
+        instance.shared.set_key_trust(trust::KeyTrust::Outage);
+        assert_eq!(send(&instance, &[("authorization", BEARER)]).await.status, 200);
+    });
+}
+
+#[test]
+fn unconfirmed_keys_end_a_streaming_answer() {
+    support::block_on(async {
+        let server = backend::ScriptedServer::start(&[Step::Trickle]).await;
+        let instance = support::TestInstance::start(&[server.address], DEADLINE_MS).await;
+        let streaming = start_stream(&instance, &server).await;
+        instance.shared.set_key_trust(trust::KeyTrust::Refused);
+        assert_eq!(streaming.await.unwrap().body, None);
+    });
+}
