Report traffic by home region so that overload moves callers

Cause: the planner knew region death and drain but no load. Ruled out: all to all (449 messages a period at 450 instances); one instance for the fleet (449 in and out). Change: one reporter a region, chosen by rendezvous hash as a hint; ages add up; peer message 7; instance_rate in the steering object; plan, load and age of each region in the dump. Before: no reports. Conclusion: flat cost; a silent region freezes itself only.

--- a/crates/coordination/membership/src/view.rs
+++ b/crates/coordination/membership/src/view.rs
@@ -46,7 +46,9 @@
         self.members.iter().find(|member| member.incarnation == Some(incarnation))
     }
 
-    fn is_live(&self, member: &member::Member) -> bool {
+    /// Tells whether a member of this view takes new requests.
+    #[must_use]
+    pub fn is_live(&self, member: &member::Member) -> bool {
         match member.state {
             member::MemberState::Live => true,
             member::MemberState::Suspect => self.counts_suspects,
--- a/crates/coordination/steering/src/lib.rs
+++ b/crates/coordination/steering/src/lib.rs
@@ -4,10 +4,12 @@
 //! - [`plan`]: which share of a region's clients other regions serve.
 //! - [`planner`]: moves clients between regions under caps.
 //! - [`rendezvous`]: stable scores that spread keys over instances.
+//! - [`report`]: measurements of traffic, summed by region.
 //! - [`table`]: an immutable table for look-ups.
 
 pub mod lookup;
 pub mod plan;
 pub mod planner;
 pub mod rendezvous;
+pub mod report;
 pub mod table;
--- a/crates/coordination/steering/src/table.rs
+++ b/crates/coordination/steering/src/table.rs
@@ -60,7 +60,7 @@
             tables.regions.values().map(|_| RegionEntry::default()).collect();
         let region_of = RegionFinder::new(tables);
         for (index, member) in view.members.iter().enumerate() {
-            if let Some(region) = region_of.serving(member) {
+            if let Some(region) = region_of.serving(&view, member) {
                 let index = marjoramwing_entity::key::EntityKey::from_index(index);
                 let seed = rendezvous::seed_of(&member.name);
                 regions[region].members.push(LiveMember { index, seed });
@@ -120,8 +120,12 @@
     }
 
     /// Returns a member's region if the member takes new requests.
-    fn serving(&self, member: &member::Member) -> Option<region::RegionKey> {
-        let is_live = member.state == member::MemberState::Live;
+    fn serving(
+        &self,
+        view: &view::MemberView,
+        member: &member::Member,
+    ) -> Option<region::RegionKey> {
+        let is_live = view.is_live(member);
         let is_draining = self.draining.contains(&*member.site);
         if !is_live || is_draining {
             return None;
--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -8,8 +8,10 @@
 //! - [`handshake`]: proof of the deployment's secret.
 //! - [`membership`]: messages about the members.
 //! - [`message`]: the envelope and the handshake's messages.
+//! - [`report`]: messages about traffic between regions.
 
 pub mod frame;
 pub mod handshake;
 pub mod membership;
 pub mod message;
+pub mod report;
--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -1,6 +1,7 @@
 //! The messages between instances.
 
 use crate::membership;
+use crate::report;
 
 /// Version of the protocol that this program speaks.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -9,7 +10,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// What the frame carries.
-    #[prost(oneof = "Body", tags = "1, 2, 3")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 7")]
     pub body: Option<Body>,
 }
 
@@ -25,6 +26,9 @@
     /// About the members.
     #[prost(message, tag = "3")]
     Membership(membership::Membership),
+    /// About traffic between regions.
+    #[prost(message, tag = "7")]
+    Report(report::Report),
 }
 
 /// Introduces an end of a link.
--- a/crates/state/tables/src/document.rs
+++ b/crates/state/tables/src/document.rs
@@ -184,6 +184,9 @@
     /// Requests per second of one team for which look-ups name one more instance.
     #[serde(default = "default_spread_rate")]
     pub spread_rate: f64,
+    /// Requests per second that one instance is planned to carry.
+    #[serde(default = "default_instance_rate")]
+    pub instance_rate: f64,
     /// Time for which callers may use a look-up answer, in milliseconds.
     #[serde(default = "default_lookup_ttl_ms")]
     pub lookup_ttl_ms: u64,
@@ -246,6 +249,7 @@
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
 const DEFAULT_MAX_BODY_BYTES: u64 = 1 << 20;
 const DEFAULT_SPREAD_RATE: f64 = 200.0;
+const DEFAULT_INSTANCE_RATE: f64 = 2_000.0;
 const DEFAULT_LOOKUP_TTL_MS: u64 = 2_000;
 
 fn default_deadline_ms() -> u64 {
@@ -260,6 +264,10 @@
     DEFAULT_SPREAD_RATE
 }
 
+fn default_instance_rate() -> f64 {
+    DEFAULT_INSTANCE_RATE
+}
+
 fn default_lookup_ttl_ms() -> u64 {
     DEFAULT_LOOKUP_TTL_MS
 }
--- a/crates/state/tables/src/snapshot.rs
+++ b/crates/state/tables/src/snapshot.rs
@@ -76,6 +76,8 @@
     pub shifts: Vec<region::ShiftCap>,
     /// Requests per second of one team for which look-ups name one more instance.
     pub spread_rate: f64,
+    /// Requests per second that one instance is planned to carry.
+    pub instance_rate: f64,
     /// Time for which callers may use a look-up answer.
     pub lookup_ttl: time::Duration,
     credentials: collections::HashMap<Arc<str>, credential::Credential>,
--- a/crates/state/tables/src/steering.rs
+++ b/crates/state/tables/src/steering.rs
@@ -15,6 +15,8 @@
 const MAX_LOOKUP_TTL_MS: u64 = 300_000;
 const MIN_SPREAD_RATE: f64 = 1.0;
 const MAX_SPREAD_RATE: f64 = 1_000_000.0;
+const MIN_INSTANCE_RATE: f64 = 1.0;
+const MAX_INSTANCE_RATE: f64 = 1_000_000.0;
 
 impl snapshot::SnapshotBuilder {
     pub(crate) fn add_steering(&mut self, raw: &document::SteeringDocument) {
@@ -24,6 +26,8 @@
         }
         let spread = fault::check_range(raw.spread_rate, MIN_SPREAD_RATE, MAX_SPREAD_RATE);
         self.snapshot.spread_rate = self.faults.check("spread_rate", spread).unwrap_or_default();
+        let rate = fault::check_range(raw.instance_rate, MIN_INSTANCE_RATE, MAX_INSTANCE_RATE);
+        self.snapshot.instance_rate = self.faults.check("instance_rate", rate).unwrap_or_default();
         self.add_sites(&raw.sites);
         self.add_headrooms(&raw.headrooms);
         self.add_shifts(&raw.shifts);
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -1,5 +1,6 @@
 //! The path of a request to a backend server.
 
+use std::net;
 use std::sync;
 use std::time as duration;
 
@@ -24,9 +25,11 @@
 /// Answers one request of a caller.
 pub async fn answer_request(
     extract::State(shared): extract::State<sync::Arc<shared::SharedTables>>,
+    extract::ConnectInfo(peer): extract::ConnectInfo<net::SocketAddr>,
     request: http::Request<axum::body::Body>,
 ) -> axum::response::Response {
     let _open = OpenRequest::begin(&shared);
+    shared.steering.note_arrival(peer.ip());
     let arrived = shared.now();
     let tables = sync::Arc::clone(&shared.tables.load().snapshot);
     let route = find_route(&tables, &request);
--- a/crates/transport/node/src/inbox.rs
+++ b/crates/transport/node/src/inbox.rs
@@ -2,6 +2,7 @@
 
 use marjoramwing_membership::keeper;
 use marjoramwing_peer::message;
+use marjoramwing_steering::report;
 use tokio::sync::mpsc;
 
 use crate::peers::carrier;
@@ -13,6 +14,8 @@
 pub struct InboxRoutes {
     /// Takes what concerns the members.
     pub membership: mpsc::Sender<keeper::MembershipEvent>,
+    /// Takes what concerns traffic between regions.
+    pub reports: mpsc::Sender<report::ReportEvent>,
 }
 
 /// Routes received envelopes until the mesh ends.
@@ -31,6 +34,11 @@
                 let event = keeper::MembershipEvent::Received { from, address, message };
                 let _ = routes.membership.try_send(event);
             }
+            message::Body::Report(raw) => {
+                let Ok(message) = raw.try_into() else { continue };
+                let event = report::ReportEvent::Received { from: envelope.from, message };
+                let _ = routes.reports.try_send(event);
+            }
         }
     }
 }
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -23,7 +23,7 @@
 use crate::peers::carrier;
 use crate::peers::mesh;
 use crate::shared;
-use crate::steering;
+use crate::steering::driver as steering_driver;
 
 /// Longest wait for open requests at a planned stop.
 const MAX_STOP_WAIT: time::Duration = time::Duration::from_secs(60);
@@ -95,7 +95,6 @@
     let mesh = mesh::PeerMesh::new(sync::Arc::clone(&shared), sender);
     let membership = start_control(&shared, &mesh, received);
     tokio::spawn(mesh.accept_links(peers));
-    tokio::spawn(steering::run_steering(sync::Arc::clone(&shared)));
     tokio::spawn(admin::serve_admin(sync::Arc::clone(&shared), admin, stop.clone()));
     let serving = server::serve_callers(sync::Arc::clone(&shared), callers, stop.clone());
     let serving = tokio::spawn(serving);
@@ -130,7 +129,11 @@
     let driver = membership::MembershipDriver::new(sync::Arc::clone(shared), mesh.clone(), events);
     tokio::spawn(driver.run());
     tokio::spawn(listing::follow_listing(sync::Arc::clone(shared), client, sender.clone()));
-    let routes = inbox::InboxRoutes { membership: sender.clone() };
+    let (reports, report_events) = mpsc::channel(steering_driver::EVENT_QUEUE);
+    let steering =
+        steering_driver::SteeringDriver::new(sync::Arc::clone(shared), mesh.clone(), report_events);
+    tokio::spawn(steering.run());
+    let routes = inbox::InboxRoutes { membership: sender.clone(), reports };
     tokio::spawn(inbox::route_envelopes(received, routes));
     sender
 }
--- /dev/null
+++ b/crates/transport/node/src/steering/mod.rs
@@ -0,0 +1,105 @@
+//! Steering of callers, around the decisions of planner and reports.
+//!
+//! The table and the plan are immutable snapshots; one task replaces them.
+//!
+//! - [`driver`]: the task that carries out the decisions.
+//! - [`traffic`]: counts of requests by home region.
+
+pub mod driver;
+pub mod traffic;
+
+use std::net;
+use std::sync;
+
+use marjoramwing_steering::lookup;
+use marjoramwing_steering::plan;
+use marjoramwing_steering::planner;
+use marjoramwing_steering::rendezvous;
+use marjoramwing_steering::table;
+use marjoramwing_tables::region;
+use marjoramwing_tables::snapshot;
+use marjoramwing_tables::team;
+
+/// What look-ups and arriving requests read.
+#[derive(Debug, Default)]
+pub struct SteeringControl {
+    table: arc_swap::ArcSwapOption<table::SteeringTable>,
+    plan: arc_swap::ArcSwap<plan::ShiftPlan>,
+    dump: arc_swap::ArcSwap<Vec<RegionDump>>,
+    traffic: traffic::TrafficCounter,
+}
+
+/// The plan of one region, for the state dump.
+#[derive(Debug, Clone, serde::Serialize)]
+pub struct RegionDump {
+    /// Name of the region.
+    pub region: sync::Arc<str>,
+    /// Members that serve it.
+    pub serving_members: usize,
+    /// Requests per second of its clients, wherever served.
+    pub offered: f64,
+    /// Age of its own measurement, in milliseconds, once there is one.
+    pub report_age_ms: Option<u64>,
+    /// Share of its clients that other regions serve.
+    pub shifted: f64,
+    /// Why the plan last changed or was held.
+    pub reason: planner::PlanReason,
+}
+
+/// Who asks for a member.
+#[derive(Debug, Clone, Copy)]
+pub struct LookupCaller<'a> {
+    /// Address of the caller.
+    pub client: net::IpAddr,
+    /// Team of the caller, if it showed a key.
+    pub team: Option<&'a team::Team>,
+}
+
+impl SteeringControl {
+    /// Returns the table for look-ups, once there is one.
+    #[must_use]
+    pub fn table(&self) -> Option<sync::Arc<table::SteeringTable>> {
+        self.table.load_full()
+    }
+
+    /// Finds the members that a caller is to use.
+    pub fn find_members(
+        &self,
+        context: &mut lookup::LookupContext,
+        tables: &snapshot::TableSnapshot,
+        own_region: &str,
+        caller: &LookupCaller<'_>,
+    ) -> lookup::LookupOutcome {
+        let Some(table) = self.table() else { return lookup::LookupOutcome::NoMember };
+        let affinity = caller.team.map_or("", |team| team.name.as_str());
+        let rate = caller.team.map_or(0.0, |team| team.limit.rate);
+        let query = lookup::LookupQuery {
+            client: caller.client,
+            default_region: find_region(tables, own_region),
+            affinity: rendezvous::seed_of(affinity),
+            spread: 1 + (rate / tables.spread_rate) as usize,
+        };
+        lookup::find_members(context, &table, &self.plan.load(), &query)
+    }
+
+    /// Counts an arriving request and returns the home region of its client.
+    pub fn note_arrival(&self, client: net::IpAddr) -> Option<region::RegionKey> {
+        let table = self.table.load();
+        let home = table.as_ref()?.find_home(client)?;
+        self.traffic.add(home);
+        Some(home)
+    }
+
+    /// Returns the plan of every region, for the state dump.
+    #[must_use]
+    pub fn dump(&self) -> Vec<RegionDump> {
+        (**self.dump.load()).clone()
+    }
+}
+
+/// Finds a region by its name.
+#[must_use]
+pub fn find_region(tables: &snapshot::TableSnapshot, name: &str) -> Option<region::RegionKey> {
+    let mut regions = tables.regions.iter();
+    regions.find(|(_, region)| region.name.as_str() == name).map(|(key, _)| key)
+}
