Admin port in sections, catalogues of metrics and settings

Cause: the dump was one flat value without a bound, its errors had no remedy, and the admin port let a silent connection stay for good; no test tied the settings' pages and metrics to the code.

Ruled out: comparing the secret's bytes directly, since that comparison ends at once for a wrong length; hashes are compared instead. For metrics, reading the text output, which leaves out every metric that has no value yet; the registry remembers what was registered.

Change: the dump has sections (dump::DumpSection), each list at most 1,000 rows and its total, one section on request; every refusal of the admin port is JSON with a remedy; operators' connections have the same listener as callers' (bound, first bytes, head, planned stop); settings ranges moved to a catalogue which the checks read; port 0 may be given twice.

Conclusion: pages and code cannot part without a red test.

--- a/crates/protocol/settings/src/lib.rs
+++ b/crates/protocol/settings/src/lib.rs
@@ -1,10 +1,12 @@
 //! Settings of an instance, read from TOML and checked.
 //!
+//! - [`catalogue`]: unit, default, range and meaning of each setting.
 //! - [`document`]: the raw TOML document.
 //! - [`fault`]: what is wrong with settings, where, and the remedy.
 //! - [`secret`]: secrets from files or the environment.
 //! - [`settings`]: the checked settings.
 
+pub mod catalogue;
 pub mod document;
 pub mod fault;
 pub mod secret;
--- a/crates/protocol/settings/src/settings.rs
+++ b/crates/protocol/settings/src/settings.rs
@@ -9,15 +9,11 @@
 use marjoramwing_derives as derives;
 use marjoramwing_tables::name;
 
+use crate::catalogue;
 use crate::document;
 use crate::fault;
 use crate::secret;
 
-const STORE_TIMEOUT_RANGE_MS: (u64, u64) = (50, 60_000);
-const HEADER_BYTES_RANGE: (u64, u64) = (8 * 1024, 1024 * 1024);
-const TIMEOUT_RANGE_MS: (u64, u64) = (100, 600_000);
-const CONNECTIONS_RANGE: (u64, u64) = (1, 1_000_000);
-
 /// Everything an instance is told at its start.
 #[derive(Debug, Clone)]
 pub struct InstanceSettings {
@@ -188,7 +184,8 @@
     address: net::SocketAddr,
     others: &[(&'static str, net::SocketAddr)],
 ) -> Result<net::SocketAddr, fault::FaultKind> {
-    match others.iter().find(|(_, other)| *other == address) {
+    // Port 0 stands for any free port, so that two of it do not clash.
+    match others.iter().find(|(_, other)| *other == address && address.port() != 0) {
         Some((member, _)) => Err(fault::FaultKind::SameAddress(member)),
         None => Ok(address),
     }
@@ -199,7 +196,7 @@
     raw: &document::StoreDocument,
 ) -> Option<StoreSettings> {
     let address = faults.check("store.address", check_address(&raw.address));
-    let timeout = check_range(raw.timeout_ms, STORE_TIMEOUT_RANGE_MS);
+    let timeout = catalogue::STORE_TIMEOUT_MS.check(raw.timeout_ms);
     let timeout = faults.check("store.timeout_ms", timeout);
     Some(StoreSettings { address: address?, timeout: time::Duration::from_millis(timeout?) })
 }
@@ -208,13 +205,13 @@
     faults: &mut fault::FaultList,
     raw: &document::CallersDocument,
 ) -> Option<CallerLimits> {
-    let header_bytes = check_range(raw.max_header_bytes, HEADER_BYTES_RANGE);
+    let header_bytes = catalogue::CALLERS_MAX_HEADER_BYTES.check(raw.max_header_bytes);
     let header_bytes = faults.check("callers.max_header_bytes", header_bytes);
-    let header_timeout = check_range(raw.header_timeout_ms, TIMEOUT_RANGE_MS);
+    let header_timeout = catalogue::CALLERS_HEADER_TIMEOUT_MS.check(raw.header_timeout_ms);
     let header_timeout = faults.check("callers.header_timeout_ms", header_timeout);
-    let body_pause = check_range(raw.body_pause_ms, TIMEOUT_RANGE_MS);
+    let body_pause = catalogue::CALLERS_BODY_PAUSE_MS.check(raw.body_pause_ms);
     let body_pause = faults.check("callers.body_pause_ms", body_pause);
-    let connections = check_range(raw.max_connections, CONNECTIONS_RANGE);
+    let connections = catalogue::CALLERS_MAX_CONNECTIONS.check(raw.max_connections);
     let connections = faults.check("callers.max_connections", connections);
     Some(CallerLimits {
         max_header_bytes: usize::try_from(header_bytes?).ok()?,
@@ -228,13 +225,6 @@
     text.parse().map_err(|_| fault::FaultKind::Address(Arc::clone(text)))
 }
 
-fn check_range(value: u64, (low, high): (u64, u64)) -> Result<u64, fault::FaultKind> {
-    if (low..=high).contains(&value) {
-        return Ok(value);
-    }
-    Err(fault::FaultKind::Range { value, low, high })
-}
-
 fn check_secret(
     faults: &mut fault::FaultList,
     source: &secret::SecretSource<'_>,
--- /dev/null
+++ b/crates/protocol/settings/tests/catalogue.rs
@@ -0,0 +1,100 @@
+//! docs/SETTINGS.md, the catalogue and the settings document say the same.
+
+use std::fs;
+
+use marjoramwing_settings::catalogue;
+use marjoramwing_settings::document;
+use marjoramwing_settings::fault;
+use marjoramwing_settings::settings;
+
+const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../../docs/SETTINGS.md");
+
+/// A document with the required members only.
+const LEAST: &str = r#"
+[instance]
+name = "a"
+site = "a"
+region = "a"
+failure_domain = "a"
+[listen]
+callers = "127.0.0.1:1"
+peers = "127.0.0.1:2"
+admin = "127.0.0.1:3"
+[store]
+address = "127.0.0.1:4"
+[secrets]
+"#;
+
+fn read_least() -> document::SettingsDocument {
+    toml::from_str(LEAST).unwrap()
+}
+
+/// Returns the members of a document as `table.member` with their values.
+fn members(document: &document::SettingsDocument) -> Vec<(String, String)> {
+    let text = toml::Value::try_from(document).unwrap();
+    let mut members = Vec::new();
+    for (table, value) in text.as_table().unwrap() {
+        for (member, value) in value.as_table().unwrap() {
+            let value = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+            members.push((format!("{table}.{member}"), value));
+        }
+    }
+    members
+}
+
+#[test]
+fn page_lists_every_setting() {
+    let page = fs::read_to_string(PAGE).unwrap();
+    let rows: Vec<&str> = page.lines().filter(|line| line.starts_with("| `")).collect();
+    let expected = catalogue::ALL.iter().map(|spec| {
+        let range = spec.range.map_or(String::new(), |(low, high)| format!("{low} to {high}"));
+        format!(
+            "| `{}` | {} | {} | {range} | {} |",
+            spec.path, spec.unit, spec.default, spec.meaning
+        )
+    });
+    assert_eq!(rows, expected.collect::<Vec<_>>());
+}
+
+#[test]
+fn catalogue_has_every_member_of_the_document() {
+    let mut full = read_least();
+    full.secrets = document::SecretsDocument {
+        peer_file: Some("a".into()),
+        peer_env: Some("a".into()),
+        admin_file: Some("a".into()),
+        admin_env: Some("a".into()),
+    };
+    let mut expected: Vec<_> = members(&full).into_iter().map(|(path, _)| path).collect();
+    let mut paths: Vec<_> = catalogue::ALL.iter().map(|spec| spec.path.to_owned()).collect();
+    expected.sort();
+    paths.sort();
+    assert_eq!(paths, expected);
+}
+
+#[test]
+fn defaults_are_those_of_the_document() {
+    for (path, value) in members(&read_least()) {
+        let spec = catalogue::ALL.iter().find(|spec| spec.path == path).unwrap();
+        assert!(spec.default == value || spec.default == "required", "{path}: {value}");
+    }
+}
+
+#[test]
+fn ranges_are_those_of_the_checks() {
+    for spec in catalogue::ALL {
+        let Some((low, high)) = spec.range else { continue };
+        for (value, is_in) in [(low, true), (high, true), (low - 1, false), (high + 1, false)] {
+            let (table, member) = spec.path.split_once('.').unwrap();
+            let text = match table {
+                "store" => LEAST.replace("[store]", &format!("[store]\n{member} = {value}")),
+                _ => format!("{LEAST}\n[{table}]\n{member} = {value}"),
+            };
+            let faults = settings::InstanceSettings::try_from(text.as_str()).unwrap_err();
+            let told = faults.faults.iter().any(|fault| {
+                *fault.path == *spec.path && matches!(fault.kind, fault::FaultKind::Range { .. })
+            });
+            assert_eq!(told, !is_in, "{} = {value}", spec.path);
+        }
+    }
+}
--- a/crates/transport/node/src/admin.rs
+++ b/crates/transport/node/src/admin.rs
@@ -3,37 +3,78 @@
 //! Metrics and dump need the operators' secret; the dump holds no key.
 
 use std::sync;
+use std::time;
 
 use axum::extract;
 use axum::middleware;
 use axum::response::IntoResponse;
-use marjoramwing_membership::member;
-use marjoramwing_tables::snapshot;
-use subtle::ConstantTimeEq;
+use hyper_util::server::graceful;
+use hyper_util::service;
+use marjoramwing_tables::credential;
 use tokio_util::sync as cancellation;
 
+use crate::dump;
+use crate::listener::bounded;
+use crate::listener::http as http_listener;
 use crate::shared;
-use crate::steering;
 
 type SharedState = extract::State<sync::Arc<shared::SharedTables>>;
 
-/// Serves operators until stopped.
-pub async fn serve_admin(
-    shared: sync::Arc<shared::SharedTables>,
-    listener: tokio::net::TcpListener,
-    stop: cancellation::CancellationToken,
-) {
+/// Operators' connections at once.
+const MAX_CONNECTIONS: usize = 64;
+const LIMITS: http_listener::HttpLimits = http_listener::HttpLimits {
+    max_header_bytes: 16 * 1024,
+    header_timeout: time::Duration::from_secs(10),
+};
+
+/// An error of the admin port, with its remedy.
+#[derive(serde::Serialize)]
+struct AdminError {
+    error: String,
+}
+
+/// Makes the service of the admin port.
+pub fn make_router(shared: sync::Arc<shared::SharedTables>) -> axum::Router {
     let guarded = axum::Router::new()
         .route("/metrics", axum::routing::get(write_metrics))
         .route("/dump", axum::routing::get(dump_state))
-        .layer(middleware::from_fn_with_state(sync::Arc::clone(&shared), require_secret));
-    let router = axum::Router::new()
+        .route_layer(middleware::from_fn_with_state(sync::Arc::clone(&shared), require_secret));
+    axum::Router::new()
         .route("/healthz", axum::routing::get(async || "ok\n"))
         .route("/readyz", axum::routing::get(tell_readiness))
         .merge(guarded)
-        .with_state(shared);
-    let serve = axum::serve(listener, router);
-    let _ = serve.with_graceful_shutdown(stop.cancelled_owned()).await;
+        .fallback(refuse_path)
+        .method_not_allowed_fallback(refuse_method)
+        .with_state(shared)
+}
+
+/// Serves operators until stopped.
+pub async fn serve_admin(
+    shared: sync::Arc<shared::SharedTables>,
+    listener: tokio::net::TcpListener,
+    stop: cancellation::CancellationToken,
+) {
+    let router = make_router(shared);
+    let graceful = graceful::GracefulShutdown::new();
+    let bounded = bounded::BoundedListener::new(listener, MAX_CONNECTIONS, stop.clone());
+    while let Some(accepted) = bounded.accept().await {
+        let Some(permit) = accepted.permit else {
+            continue;
+        };
+        let connection = http_listener::HttpConnection {
+            stream: accepted.stream,
+            limits: LIMITS,
+            watcher: graceful.watcher(),
+            stop: stop.clone(),
+        };
+        let service = service::TowerToHyperService::new(router.clone());
+        tokio::spawn(async move {
+            let _ = connection.serve(service).await;
+            drop(permit);
+        });
+    }
+    drop(bounded);
+    graceful.shutdown().await;
 }
 
 async fn require_secret(
@@ -41,59 +82,77 @@
     request: extract::Request,
     next: middleware::Next,
 ) -> axum::response::Response {
-    let header = request.headers().get(http::header::AUTHORIZATION);
-    let given = header.and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
-    let given = given.unwrap_or_default().as_bytes();
-    if given.ct_eq(shared.settings.admin_secret.as_bytes()).into() {
+    if holds_secret(&shared, request.headers()) {
         return next.run(request).await;
     }
-    let remedy =
-        "this port needs the operators' secret; send it as `Authorization: Bearer SECRET`\n";
-    (http::StatusCode::UNAUTHORIZED, remedy).into_response()
+    let remedy = "this port needs the operators' secret; send it as `Authorization: Bearer SECRET`";
+    let mut response = refuse(http::StatusCode::UNAUTHORIZED, remedy);
+    let scheme = http::HeaderValue::from_static("Bearer");
+    response.headers_mut().insert(http::header::WWW_AUTHENTICATE, scheme);
+    response
+}
+
+/// Compares hashes, so that neither the secret's text nor its length shows in the time.
+fn holds_secret(shared: &shared::SharedTables, headers: &http::HeaderMap) -> bool {
+    const SCHEME: &str = "bearer ";
+    let given = headers.get(http::header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let given = given.and_then(|value| value.split_at_checked(SCHEME.len()));
+    let given = given.filter(|(scheme, _)| scheme.eq_ignore_ascii_case(SCHEME));
+    let secret = String::from_utf8_lossy(shared.settings.admin_secret.as_bytes());
+    let expected = credential::KeyHash::of(&secret);
+    given.is_some_and(|(_, given)| credential::KeyHash::of(given.trim()).matches(&expected))
 }
 
 async fn tell_readiness(extract::State(shared): SharedState) -> axum::response::Response {
     if shared.is_ready() {
         return "ready\n".into_response();
     }
-    let reason = if shared.is_leaving() { "leaving\n" } else { "no tables yet\n" };
-    (http::StatusCode::SERVICE_UNAVAILABLE, reason).into_response()
+    let reason = match shared.is_leaving() {
+        true => "leaving; use another instance",
+        false => "no tables yet; check that the object API answers and has all objects",
+    };
+    refuse(http::StatusCode::SERVICE_UNAVAILABLE, reason)
 }
 
 async fn write_metrics(extract::State(shared): SharedState) -> axum::response::Response {
     match shared.metrics.encode() {
         Ok(text) => text.into_response(),
-        Err(error) => (http::StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
+        Err(error) => refuse(http::StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
     }
 }
 
-#[derive(serde::Serialize)]
-struct StateDump {
-    instance: String,
-    incarnation: String,
-    leaving: bool,
-    versions: snapshot::TableVersions,
-    routes: usize,
-    pools: usize,
-    teams: usize,
-    keys: usize,
-    members: Vec<member::Member>,
-    regions: Vec<steering::RegionDump>,
+/// Parameters of a dump.
+#[derive(serde::Deserialize)]
+struct DumpParameters {
+    section: Option<String>,
 }
 
-async fn dump_state(extract::State(shared): SharedState) -> axum::response::Response {
-    let tables = shared.tables.load();
-    let dump = StateDump {
-        instance: shared.settings.identity.name.to_string(),
-        incarnation: shared.incarnation.to_string(),
-        leaving: shared.is_leaving(),
-        versions: tables.versions,
-        routes: tables.snapshot.routes.len(),
-        pools: tables.snapshot.pools.len(),
-        teams: tables.snapshot.teams.len(),
-        keys: tables.snapshot.credential_count(),
-        members: shared.members.load().members.clone(),
-        regions: shared.steering.dump(),
+async fn dump_state(
+    extract::State(shared): SharedState,
+    extract::Query(parameters): extract::Query<DumpParameters>,
+) -> axum::response::Response {
+    let Some(name) = parameters.section else {
+        return axum::Json(dump::write_all(&shared)).into_response();
     };
-    axum::Json(dump).into_response()
+    match dump::DumpSection::from_name(&name) {
+        Some(section) => axum::Json(section.write(&shared)).into_response(),
+        None => {
+            let names: Vec<_> = dump::DumpSection::ALL.iter().map(ToString::to_string).collect();
+            let remedy = format!("no such section; use one of {}", names.join(", "));
+            refuse(http::StatusCode::NOT_FOUND, &remedy)
+        }
+    }
+}
+
+async fn refuse_path() -> axum::response::Response {
+    let remedy = "no such path; use /dump, /metrics, /healthz or /readyz";
+    refuse(http::StatusCode::NOT_FOUND, remedy)
+}
+
+async fn refuse_method() -> axum::response::Response {
+    refuse(http::StatusCode::METHOD_NOT_ALLOWED, "this port only answers; send GET")
+}
+
+fn refuse(status: http::StatusCode, remedy: &str) -> axum::response::Response {
+    (status, axum::Json(AdminError { error: remedy.to_owned() })).into_response()
 }
--- a/crates/transport/node/src/callers/mod.rs
+++ b/crates/transport/node/src/callers/mod.rs
@@ -7,7 +7,6 @@
 //! - [`headers`]: headers that must not pass through.
 //! - [`lookup`]: which instance a caller is to use.
 //! - [`overflow`]: connections over the bound.
-//! - [`preface`]: the first bytes of a connection.
 //! - [`proxy`]: the path of a request to a backend server.
 //! - [`server`]: connections of callers.
 //! - [`target`]: the one form of a request's path and host.
@@ -19,7 +18,6 @@
 pub mod headers;
 pub mod lookup;
 pub mod overflow;
-pub mod preface;
 pub mod proxy;
 pub mod server;
 pub mod target;
--- /dev/null
+++ b/crates/transport/node/src/dump.rs
@@ -0,0 +1,146 @@
+//! The state of an instance for operators, in sections of bounded size.
+//!
+//! Invariants: no section holds a key, a key's hash or a secret; a list shows
+//! at most [`MAX_ROWS`] rows and tells how many there are.
+
+use marjoramwing_derives as derives;
+use marjoramwing_membership::member;
+use marjoramwing_tables::snapshot;
+
+use crate::shared;
+use crate::steering;
+
+/// Most rows that a list of the dump shows.
+pub const MAX_ROWS: usize = 1_000;
+
+/// A part of the dump.
+#[derives::value]
+#[derive(derive_more::Display, serde::Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum DumpSection {
+    /// Who the instance is and what it does.
+    #[display("instance")]
+    Instance,
+    /// Versions and sizes of the tables in force.
+    #[display("tables")]
+    Tables,
+    /// Members as seen here.
+    #[display("members")]
+    Members,
+    /// Regions as steering sees them.
+    #[display("regions")]
+    Regions,
+}
+
+impl DumpSection {
+    /// All sections.
+    pub const ALL: [Self; 4] = [Self::Instance, Self::Tables, Self::Members, Self::Regions];
+
+    /// Returns the section of a name.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|section| section.to_string() == name)
+    }
+
+    /// Writes the section.
+    #[must_use]
+    pub fn write(self, shared: &shared::SharedTables) -> serde_json::Value {
+        match self {
+            Self::Instance => to_json(&InstanceDump::new(shared)),
+            Self::Tables => to_json(&TablesDump::new(shared)),
+            Self::Members => {
+                to_json(&BoundedRows::<member::Member>::new(&shared.members.load().members))
+            }
+            Self::Regions => {
+                to_json(&BoundedRows::<steering::RegionDump>::new(&shared.steering.dump()))
+            }
+        }
+    }
+}
+
+/// Writes all sections.
+#[must_use]
+pub fn write_all(shared: &shared::SharedTables) -> serde_json::Value {
+    let sections = DumpSection::ALL.into_iter();
+    let sections = sections.map(|section| (section.to_string(), section.write(shared)));
+    serde_json::Value::Object(sections.collect())
+}
+
+/// The first rows of a list.
+#[derive(Debug, serde::Serialize)]
+pub struct BoundedRows<'a, T> {
+    total: usize,
+    rows: &'a [T],
+}
+
+impl<'a, T> BoundedRows<'a, T> {
+    /// Bounds a list.
+    #[must_use]
+    pub fn new(rows: &'a [T]) -> Self {
+        Self { total: rows.len(), rows: &rows[..rows.len().min(MAX_ROWS)] }
+    }
+}
+
+#[derive(serde::Serialize)]
+struct InstanceDump {
+    name: String,
+    incarnation: String,
+    site: String,
+    region: String,
+    failure_domain: String,
+    version: &'static str,
+    leaving: bool,
+    ready: bool,
+    uptime_ms: u64,
+    open_requests: i64,
+    caller_connections: i64,
+    refused_connections: u64,
+}
+
+impl InstanceDump {
+    fn new(shared: &shared::SharedTables) -> Self {
+        let identity = &shared.settings.identity;
+        Self {
+            name: identity.name.to_string(),
+            incarnation: shared.incarnation.to_string(),
+            site: identity.site.to_string(),
+            region: identity.region.to_string(),
+            failure_domain: identity.failure_domain.to_string(),
+            version: env!("CARGO_PKG_VERSION"),
+            leaving: shared.is_leaving(),
+            ready: shared.is_ready(),
+            uptime_ms: shared.uptime_ms(),
+            open_requests: shared.metrics.open_requests.get(),
+            caller_connections: shared.metrics.caller_connections.get(),
+            refused_connections: shared.metrics.refused_connections.get(),
+        }
+    }
+}
+
+#[derive(serde::Serialize)]
+struct TablesDump {
+    versions: snapshot::TableVersions,
+    routes: usize,
+    pools: usize,
+    teams: usize,
+    keys: usize,
+    refused_sets: u64,
+}
+
+impl TablesDump {
+    fn new(shared: &shared::SharedTables) -> Self {
+        let tables = shared.tables.load();
+        Self {
+            versions: tables.versions,
+            routes: tables.snapshot.routes.len(),
+            pools: tables.snapshot.pools.len(),
+            teams: tables.snapshot.teams.len(),
+            keys: tables.snapshot.credential_count(),
+            refused_sets: shared.metrics.refused_objects.get(),
+        }
+    }
+}
+
+fn to_json<T: serde::Serialize>(value: &T) -> serde_json::Value {
+    serde_json::to_value(value).expect("dump rows have text keys")
+}
--- a/crates/transport/node/src/lib.rs
+++ b/crates/transport/node/src/lib.rs
@@ -6,7 +6,9 @@
 //! - [`callers`]: the caller port, look-up and the path of a request.
 //! - [`clock`]: the monotonic clock.
 //! - [`control`]: tasks that follow the store and the list of instances.
+//! - [`dump`]: the state of an instance, in sections of bounded size.
 //! - [`inbox`]: hands received envelopes to those who wait for them.
+//! - [`listener`]: bounded listening for HTTP.
 //! - [`metrics`]: counters and gauges.
 //! - [`peers`]: links to other instances.
 //! - [`runtime`]: start and planned stop.
@@ -19,7 +21,9 @@
 pub mod callers;
 pub mod clock;
 pub mod control;
+pub mod dump;
 pub mod inbox;
+pub mod listener;
 pub mod metrics;
 pub mod peers;
 pub mod runtime;
--- a/crates/transport/node/src/metrics.rs
+++ b/crates/transport/node/src/metrics.rs
@@ -1,11 +1,14 @@
 //! Counters and gauges of an instance, in the form that Prometheus reads.
 
+use std::sync;
+
+use marjoramwing_derives as derives;
 use prometheus::core::Collector;
 
 /// All metrics of one instance.
 #[derive(Debug, Clone)]
 pub struct InstanceMetrics {
-    registry: prometheus::Registry,
+    registry: MetricRegistry,
     /// Requests by route and outcome.
     pub requests: prometheus::IntCounterVec,
     /// Attempts at backend servers by result.
@@ -34,7 +37,7 @@
     /// Panics if two metrics have one name, which is a fault of the program.
     #[must_use]
     pub fn new() -> Self {
-        let registry = prometheus::Registry::new();
+        let registry = MetricRegistry::default();
         Self {
             requests: register(
                 &registry,
@@ -70,13 +73,26 @@
         }
     }
 
+    /// Returns what each metric is, by name.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a task panicked while it held the list.
+    #[must_use]
+    pub fn catalogue(&self) -> Vec<MetricSpec> {
+        let specs = self.registry.specs.lock();
+        let mut specs = specs.expect("no task panics while it holds the list").clone();
+        specs.sort();
+        specs
+    }
+
     /// Writes all metrics in the text format of Prometheus.
     ///
     /// # Errors
     ///
     /// Returns an error when a metric cannot be encoded.
     pub fn encode(&self) -> Result<String, prometheus::Error> {
-        prometheus::TextEncoder::new().encode_to_string(&self.registry.gather())
+        prometheus::TextEncoder::new().encode_to_string(&self.registry.inner.gather())
     }
 }
 
@@ -86,6 +102,41 @@
     }
 }
 
+/// What a metric is.
+#[derives::name]
+pub struct MetricSpec {
+    /// Name in the text format.
+    pub name: String,
+    /// `counter` or `gauge`.
+    pub kind: String,
+    /// Labels, in the order of their declaration.
+    pub labels: Vec<String>,
+    /// What the metric counts.
+    pub help: String,
+}
+
+/// Registers metrics and remembers what they are, also those without a value.
+#[derive(Debug, Clone, Default)]
+struct MetricRegistry {
+    inner: prometheus::Registry,
+    specs: sync::Arc<sync::Mutex<Vec<MetricSpec>>>,
+}
+
+impl MetricRegistry {
+    fn add<C: Collector + Clone + 'static>(&self, metric: &C) {
+        self.inner.register(Box::new(metric.clone())).expect("metric names are distinct");
+        let kinds = metric.collect();
+        let specs = metric.desc().into_iter().zip(&kinds).map(|(desc, family)| MetricSpec {
+            name: desc.fq_name.clone(),
+            kind: format!("{:?}", family.get_field_type()).to_ascii_lowercase(),
+            labels: desc.variable_labels.clone(),
+            help: desc.help.clone(),
+        });
+        let mut known = self.specs.lock().expect("no task panics while it holds the list");
+        known.extend(specs);
+    }
+}
+
 fn options(name: &str, help: &str) -> prometheus::Opts {
     prometheus::Opts::new(name, help).namespace("marjoramwing")
 }
@@ -111,10 +162,10 @@
 }
 
 fn register<C: Collector + Clone + 'static>(
-    registry: &prometheus::Registry,
+    registry: &MetricRegistry,
     metric: prometheus::Result<C>,
 ) -> C {
     let metric = metric.expect("metric names are valid");
-    registry.register(Box::new(metric.clone())).expect("metric names are distinct");
+    registry.add(&metric);
     metric
 }
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -76,6 +76,12 @@
         self.clock.now()
     }
 
+    /// Returns the milliseconds since the process started.
+    #[must_use]
+    pub fn uptime_ms(&self) -> u64 {
+        u64::try_from(self.now().since(time::Timestamp::ZERO).as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Locks the picker of backend servers.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/transport/node/tests/ports/admin.rs
@@ -0,0 +1,140 @@
+//! The admin port answers operators only, in bounded size and without keys.
+
+use std::sync;
+
+use axum::body;
+use marjoramwing_membership::member;
+use marjoramwing_membership::view;
+use marjoramwing_node::admin;
+use marjoramwing_node::dump;
+use marjoramwing_node::shared;
+use marjoramwing_tables::credential;
+use tower::ServiceExt;
+
+use crate::harness;
+
+/// What the admin port answered.
+struct AdminAnswer {
+    status: u16,
+    text: String,
+}
+
+fn make_shared() -> sync::Arc<shared::SharedTables> {
+    sync::Arc::new(shared::SharedTables::new(harness::make_settings("")))
+}
+
+async fn ask(
+    shared: &sync::Arc<shared::SharedTables>,
+    method: http::Method,
+    path: &str,
+    authorization: &str,
+) -> AdminAnswer {
+    let request = http::Request::builder().method(method).uri(path);
+    let request = request.header(http::header::AUTHORIZATION, authorization);
+    let request = request.body(body::Body::empty()).unwrap();
+    let answer = admin::make_router(sync::Arc::clone(shared)).oneshot(request).await.unwrap();
+    let status = answer.status().as_u16();
+    let bytes = body::to_bytes(answer.into_body(), usize::MAX).await.unwrap();
+    AdminAnswer { status, text: String::from_utf8(bytes.to_vec()).unwrap() }
+}
+
+async fn get(shared: &sync::Arc<shared::SharedTables>, path: &str) -> AdminAnswer {
+    ask(shared, http::Method::GET, path, &format!("Bearer {}", harness::SECRET)).await
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn check_secret(authorization: &str, status: u16) {
+    for path in ["/dump", "/metrics"] {
+        let answer = ask(&make_shared(), http::Method::GET, path, authorization).await;
+        assert_eq!(answer.status, status, "{path}: {}", answer.text);
+        let is_refused = answer.text.contains("Authorization: Bearer SECRET");
+        assert_eq!(is_refused, status == 401, "{path}: {}", answer.text);
+    }
+}
+
+marjoramwing_testing::cases! { check_secret:
+    right_secret => (&format!("Bearer {}", harness::SECRET), 200);
+    scheme_in_lower_case => (&format!("bearer {}", harness::SECRET), 200);
+    no_secret => ("", 401);
+    wrong_secret => ("Bearer operators-secret-of-others", 401);
+    start_of_the_secret => (&format!("Bearer {}", &harness::SECRET[..16]), 401);
+    secret_and_more => (&format!("Bearer {}x", harness::SECRET), 401);
+    secret_without_scheme => (harness::SECRET, 401);
+    team_key => (&format!("Bearer {}", harness::KEY), 401);
+}
+
+#[tokio::test]
+async fn health_needs_no_secret() {
+    let shared = make_shared();
+    assert_eq!(ask(&shared, http::Method::GET, "/healthz", "").await.status, 200);
+    let early = ask(&shared, http::Method::GET, "/readyz", "").await;
+    assert_eq!(early.status, 503);
+    assert!(early.text.contains("no tables yet; check that the object API answers"));
+    harness::apply_tables(&shared, "127.0.0.1:1".parse().unwrap());
+    assert_eq!(ask(&shared, http::Method::GET, "/readyz", "").await.status, 200);
+    shared.leave();
+    let late = ask(&shared, http::Method::GET, "/readyz", "").await;
+    assert_eq!(late.status, 503);
+    assert!(late.text.contains("leaving; use another instance"));
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn check_refused(method: http::Method, path: &str, status: u16, remedy: &str) {
+    let secret = format!("Bearer {}", harness::SECRET);
+    let answer = ask(&make_shared(), method, path, &secret).await;
+    assert_eq!(answer.status, status, "{}", answer.text);
+    assert!(answer.text.contains(remedy), "{}", answer.text);
+}
+
+marjoramwing_testing::cases! { check_refused:
+    unknown_path => (http::Method::GET, "/state", 404, "use /dump, /metrics, /healthz or /readyz");
+    other_method => (http::Method::POST, "/dump", 405, "send GET");
+    unknown_section =>
+        (http::Method::GET, "/dump?section=keys", 404, "use one of instance, tables, members");
+}
+
+#[tokio::test]
+async fn dump_shows_neither_keys_nor_secrets() {
+    let shared = make_shared();
+    harness::apply_tables(&shared, "127.0.0.1:1".parse().unwrap());
+    let text = get(&shared, "/dump").await.text;
+    let hash = credential::KeyHash::of(harness::KEY).to_string();
+    for secret in [harness::KEY, harness::SECRET, &hash] {
+        assert!(!text.contains(secret), "{text}");
+    }
+    assert!(text.contains(r#""keys":1"#), "{text}");
+    let metrics = get(&shared, "/metrics").await.text;
+    assert!(!metrics.contains(harness::SECRET));
+}
+
+#[tokio::test]
+async fn one_section_is_the_part_of_the_whole() {
+    let shared = make_shared();
+    let whole: serde_json::Value = serde_json::from_str(&get(&shared, "/dump").await.text).unwrap();
+    for section in [dump::DumpSection::Tables, dump::DumpSection::Members] {
+        let part = get(&shared, &format!("/dump?section={section}")).await.text;
+        let part: serde_json::Value = serde_json::from_str(&part).unwrap();
+        assert_eq!(part, whole[section.to_string()]);
+    }
+    assert_eq!(whole.as_object().unwrap().len(), dump::DumpSection::ALL.len());
+}
+
+#[tokio::test]
+async fn long_lists_are_cut_and_counted() {
+    let shared = make_shared();
+    let members = (0..dump::MAX_ROWS + 500).map(|index| member::Member {
+        name: format!("member-{index}").into(),
+        callers: "127.0.0.1:1".parse().unwrap(),
+        peers: "127.0.0.1:2".parse().unwrap(),
+        site: "west".into(),
+        region: "west".into(),
+        failure_domain: "west-a".into(),
+        incarnation: None,
+        state: member::MemberState::Live,
+    });
+    shared.members.store(sync::Arc::new(view::MemberView::new(members.collect())));
+    let text = get(&shared, "/dump?section=members").await.text;
+    let dumped: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(dumped["total"], 1_500);
+    assert_eq!(dumped["rows"].as_array().unwrap().len(), dump::MAX_ROWS);
+}
--- a/crates/transport/node/tests/caller_port/harness.rs
+++ b/crates/transport/node/tests/ports/harness.rs
@@ -117,14 +117,17 @@
     }
 }
 
+/// Secret of peers and operators.
+pub(crate) const SECRET: &str = "operators-secret-of-tests";
+
 /// File of the secrets that the settings name.
 static SECRET_FILE: sync::LazyLock<path::PathBuf> = sync::LazyLock::new(|| {
     let file = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("caller-port-secret");
-    fs::write(&file, "0123456789abcdef").unwrap();
+    fs::write(&file, SECRET).unwrap();
     file
 });
 
-fn make_settings(callers: &str) -> settings::InstanceSettings {
+pub(crate) fn make_settings(callers: &str) -> settings::InstanceSettings {
     let secret = SECRET_FILE.display();
     let text = format!(
         r#"
@@ -149,7 +152,7 @@
     settings::InstanceSettings::try_from(text.as_str()).unwrap()
 }
 
-fn apply_tables(shared: &shared::SharedTables, backend: net::SocketAddr) {
+pub(crate) fn apply_tables(shared: &shared::SharedTables, backend: net::SocketAddr) {
     let hash = marjoramwing_tables::credential::KeyHash::of(KEY);
     let texts = [
         (
