--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -65,6 +65,8 @@
     BACKEND_CONNECT_FAILED = 4001, WARN, "backend server refused the connection; trying another", "check the backend server or remove it from its pool";
     /// A backend server broke off an exchange.
     BACKEND_EXCHANGE_FAILED = 4002, WARN, "backend server broke off the exchange", "check the backend server";
+    /// A backend server gave the answer to another request.
+    BACKEND_ANSWER_CROSSED = 4003, WARN, "backend server gave the answer to another request; discarded", "check the backend server";
 
     /// A peer link was opened.
     PEER_CONNECTED = 5001, DEBUG, "peer link opened", "none";
@@ -72,4 +74,6 @@
     PEER_DISCONNECTED = 5002, DEBUG, "peer link ended", "none";
     /// A peer failed to prove the deployment's secret.
     PEER_REFUSED = 5003, WARN, "peer refused; it does not hold the deployment's secret", "give all instances the same peer secret";
+    /// A peer link carried nothing for long and was closed.
+    PEER_SILENT = 5004, WARN, "peer link went silent; closed, a new one is opened on demand", "look for a device between the instances that forgets connections";
 }
--- a/crates/transport/node/src/callers/mod.rs
+++ b/crates/transport/node/src/callers/mod.rs
@@ -1,6 +1,7 @@
 //! The caller port: look-up and the path of a request.
 //!
 //! - [`answer`]: answers that the instance gives itself.
+//! - [`attempts`]: the attempts at one request.
 //! - [`body`]: the body of a request, with a bound on its pauses.
 //! - [`credential`]: the key that comes with a request.
 //! - [`guard`]: checks of a request before it is routed.
@@ -8,10 +9,12 @@
 //! - [`lookup`]: which instance a caller is to use.
 //! - [`overflow`]: connections over the bound.
 //! - [`proxy`]: the path of a request to a backend server.
+//! - [`request`]: a request made ready to be sent.
 //! - [`server`]: connections of callers.
 //! - [`target`]: the one form of a request's path and host.
 
 pub mod answer;
+pub mod attempts;
 pub mod body;
 pub mod credential;
 pub mod guard;
@@ -19,5 +22,6 @@
 pub mod lookup;
 pub mod overflow;
 pub mod proxy;
+pub mod request;
 pub mod server;
 pub mod target;
--- a/crates/transport/node/src/lib.rs
+++ b/crates/transport/node/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`backends`]: connections to backend servers.
 //! - [`callers`]: the caller port, look-up and the path of a request.
 //! - [`clock`]: the monotonic clock.
-//! - [`control`]: tasks that follow the store and the list of instances.
+//! - [`control`]: tasks around the decisions on membership and configuration.
 //! - [`dump`]: the state of an instance, in sections of bounded size.
 //! - [`inbox`]: hands received envelopes to those who wait for them.
 //! - [`listener`]: bounded listening for HTTP.
