Pass on one figure a home region instead of all regions' sums

Cause: a reporter at 450 instances sent and received 23,662 bytes/s, over the 13 KB/s of all control: it passed 7 sums of 7 loads to each of its 64 members. Ruled out: a longer period (6 s would still take 11.8 KB/s, and doubles the lag). Change: the reporter adds the sums up and tells its region 7 figures with ages. Before: 23,662 bytes/s for a reporter, 360 for others. Conclusion: within the budget.

--- a/crates/coordination/steering/src/report.rs
+++ b/crates/coordination/steering/src/report.rs
@@ -1,8 +1,8 @@
 //! Measurements of traffic, summed by region and passed on.
 //!
 //! Each instance tells its counts to one reporter of its region; the reporter
-//! tells the region's sum to the other reporters, and all sums to its own
-//! region. Which member reports is a rendezvous hash over the live members: a
+//! tells the region's sum to the other reporters, and the traffic of each home
+//! region, added up over all sums, to its own region. Which member reports is a rendezvous hash over the live members: a
 //! hint only, since every receiver takes whatever sum is the newest. Ages add
 //! up along the way, so that no clocks are compared.
 
@@ -45,13 +45,26 @@
     pub age: time::Duration,
 }
 
+/// Traffic of one region's clients, wherever served.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HomeTraffic {
+    /// Home region of the clients.
+    pub home: Arc<str>,
+    /// Requests per second.
+    pub offered: f64,
+    /// Age of what the home region itself measured.
+    pub age: time::Duration,
+}
+
 /// What instances tell each other of their traffic.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ReportMessage {
     /// Counts of one instance, to its region's reporter.
     Counted(Vec<RegionLoad>),
-    /// Sums of regions.
-    Summed(Vec<RegionSum>),
+    /// What one region serves, to the reporter of another.
+    Summed(RegionSum),
+    /// Traffic of all home regions, to the members of the reporter's region.
+    Told(Vec<HomeTraffic>),
 }
 
 /// What the keeper is told.
@@ -95,9 +108,18 @@
     fn age(&self, now: entity_time::Timestamp) -> time::Duration {
         self.sum.age + now.since(self.received)
     }
+}
 
-    fn aged(&self, now: entity_time::Timestamp) -> RegionSum {
-        RegionSum { age: self.age(now), ..self.sum.clone() }
+#[derive(Debug)]
+struct TimedTraffic {
+    traffic: HomeTraffic,
+    received: entity_time::Timestamp,
+}
+
+impl TimedTraffic {
+    fn aged(&self, now: entity_time::Timestamp) -> HomeTraffic {
+        let age = self.traffic.age + now.since(self.received);
+        HomeTraffic { age, ..self.traffic.clone() }
     }
 }
 
@@ -110,6 +132,7 @@
     view: Arc<view::MemberView>,
     counts: collections::BTreeMap<incarnation::Incarnation, TimedCount>,
     sums: collections::BTreeMap<Arc<str>, TimedSum>,
+    homes: collections::BTreeMap<Arc<str>, TimedTraffic>,
 }
 
 impl ReportKeeper {
@@ -123,6 +146,7 @@
             view: Arc::default(),
             counts: collections::BTreeMap::new(),
             sums: collections::BTreeMap::new(),
+            homes: collections::BTreeMap::new(),
         }
     }
 
@@ -139,18 +163,21 @@
             ReportEvent::Received { from, message: ReportMessage::Counted(loads) } => {
                 self.counts.insert(from, TimedCount { loads, received: now });
             }
-            ReportEvent::Received { message: ReportMessage::Summed(sums), .. } => {
-                for sum in sums {
-                    self.keep_newer(sum, now);
+            ReportEvent::Received { message: ReportMessage::Summed(sum), .. } => {
+                self.keep_newer_sum(sum, now);
+            }
+            ReportEvent::Received { message: ReportMessage::Told(homes), .. } => {
+                for traffic in homes {
+                    self.keep_newer_traffic(traffic, now);
                 }
             }
         }
     }
 
-    /// Returns the newest sums of all regions, with their ages.
+    /// Returns the newest traffic of each home region, with its age.
     #[must_use]
-    pub fn sums(&self, now: entity_time::Timestamp) -> Vec<RegionSum> {
-        self.sums.values().map(|timed| timed.aged(now)).collect()
+    pub fn homes(&self, now: entity_time::Timestamp) -> Vec<HomeTraffic> {
+        self.homes.values().map(|timed| timed.aged(now)).collect()
     }
 
     fn report(
@@ -166,49 +193,52 @@
             return;
         }
         self.counts.insert(self.own, TimedCount { loads, received: now });
-        self.sum_up(now);
-        self.tell_reporters(now, actions);
+        let sum = self.sum_up(now);
+        self.tell_reporters(&sum, actions);
+        self.keep_newer_sum(sum, now);
+        self.add_up_homes(now);
         self.tell_region(now, actions);
     }
 
-    fn sum_up(&mut self, now: entity_time::Timestamp) {
+    fn sum_up(&mut self, now: entity_time::Timestamp) -> RegionSum {
         self.counts.retain(|_, count| now.since(count.received) <= COUNT_LIFETIME);
-        let mut rates: collections::BTreeMap<Arc<str>, f64> = collections::BTreeMap::new();
-        for load in self.counts.values().flat_map(|count| &count.loads) {
-            *rates.entry(Arc::clone(&load.home)).or_default() += load.rate;
-        }
-        let loads = rates.into_iter().map(|(home, rate)| RegionLoad { home, rate });
+        let loads = add_up(self.counts.values().flat_map(|count| &count.loads));
         // Counts cover the period before they were made.
-        let sum = RegionSum {
-            region: Arc::clone(&self.region),
-            loads: loads.collect(),
-            age: REPORT_PERIOD,
-        };
-        self.sums.insert(Arc::clone(&self.region), TimedSum { sum, received: now });
+        RegionSum { region: Arc::clone(&self.region), loads, age: REPORT_PERIOD }
+    }
+
+    /// Adds up the traffic of each region that measured of late.
+    fn add_up_homes(&mut self, now: entity_time::Timestamp) {
+        self.sums.retain(|_, timed| timed.age(now) <= SUM_LIFETIME);
+        for load in add_up(self.sums.values().flat_map(|timed| &timed.sum.loads)) {
+            let Some(own) = self.sums.get(&load.home) else { continue };
+            let age = own.age(now);
+            let home = Arc::clone(&load.home);
+            let traffic = HomeTraffic { home: load.home, offered: load.rate, age };
+            self.homes.insert(home, TimedTraffic { traffic, received: now });
+        }
     }
 
-    fn tell_reporters(&self, now: entity_time::Timestamp, actions: &mut Vec<ReportAction>) {
-        let Some(own) = self.sums.get(&self.region) else { return };
-        let message = ReportMessage::Summed(vec![own.aged(now)]);
+    fn tell_reporters(&self, sum: &RegionSum, actions: &mut Vec<ReportAction>) {
         for region in self.other_regions() {
             if let Some(reporter) = self.reporter_of(&region) {
-                actions.push(ReportAction { to: reporter.peers, message: message.clone() });
+                let message = ReportMessage::Summed(sum.clone());
+                actions.push(ReportAction { to: reporter.peers, message });
             }
         }
     }
 
     fn tell_region(&self, now: entity_time::Timestamp, actions: &mut Vec<ReportAction>) {
-        let known = self.sums.values().filter(|timed| timed.age(now) <= SUM_LIFETIME);
-        let sums: Vec<_> = known.map(|timed| timed.aged(now)).collect();
+        let homes = self.homes(now);
         for member in self.members_of(&self.region) {
             if member.name != self.name {
-                let message = ReportMessage::Summed(sums.clone());
+                let message = ReportMessage::Told(homes.clone());
                 actions.push(ReportAction { to: member.peers, message });
             }
         }
     }
 
-    fn keep_newer(&mut self, sum: RegionSum, now: entity_time::Timestamp) {
+    fn keep_newer_sum(&mut self, sum: RegionSum, now: entity_time::Timestamp) {
         let known_age = self.sums.get(&sum.region).map(|timed| timed.age(now));
         if known_age.is_none_or(|age| sum.age < age) {
             let region = Arc::clone(&sum.region);
@@ -216,6 +246,14 @@
         }
     }
 
+    fn keep_newer_traffic(&mut self, traffic: HomeTraffic, now: entity_time::Timestamp) {
+        let known_age = self.homes.get(&traffic.home).map(|timed| timed.aged(now).age);
+        if known_age.is_none_or(|age| traffic.age < age) {
+            let home = Arc::clone(&traffic.home);
+            self.homes.insert(home, TimedTraffic { traffic, received: now });
+        }
+    }
+
     fn reporter_of<'a>(&'a self, region: &'a str) -> Option<&'a member::Member> {
         let key = rendezvous::seed_of(region);
         self.members_of(region)
@@ -232,9 +270,11 @@
     }
 }
 
-/// Sums what all regions serve of the clients of one region.
-#[must_use]
-pub fn offered_by(sums: &[RegionSum], home: &str) -> f64 {
-    let loads = sums.iter().flat_map(|sum| &sum.loads);
-    loads.filter(|load| &*load.home == home).map(|load| load.rate).sum()
+/// Adds up loads by home region.
+fn add_up<'a>(loads: impl Iterator<Item = &'a RegionLoad>) -> Vec<RegionLoad> {
+    let mut rates: collections::BTreeMap<Arc<str>, f64> = collections::BTreeMap::new();
+    for load in loads {
+        *rates.entry(Arc::clone(&load.home)).or_default() += load.rate;
+    }
+    rates.into_iter().map(|(home, rate)| RegionLoad { home, rate }).collect()
 }
--- a/crates/protocol/peer/src/report.rs
+++ b/crates/protocol/peer/src/report.rs
@@ -8,20 +8,23 @@
 /// One message about traffic.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Report {
-    /// Counts or sums.
-    #[prost(oneof = "Body", tags = "1, 2")]
+    /// Counts, sums or traffic.
+    #[prost(oneof = "Body", tags = "1, 2, 3")]
     pub body: Option<Body>,
 }
 
-/// Counts or sums.
+/// Counts, sums or traffic.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum Body {
     /// Counts of one instance.
     #[prost(message, tag = "1")]
     Counted(Counted),
-    /// Sums of regions.
+    /// What one region serves.
     #[prost(message, tag = "2")]
-    Summed(Summed),
+    Summed(Sum),
+    /// Traffic of all home regions.
+    #[prost(message, tag = "3")]
+    Told(Told),
 }
 
 /// Counts of one instance.
@@ -32,12 +35,26 @@
     pub loads: Vec<Load>,
 }
 
-/// Sums of regions.
+/// Traffic of all home regions.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Summed {
-    /// The sums.
+pub struct Told {
+    /// The traffic.
     #[prost(message, repeated, tag = "1")]
-    pub sums: Vec<Sum>,
+    pub homes: Vec<Home>,
+}
+
+/// Traffic of one region's clients, wherever served.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Home {
+    /// Home region of the clients.
+    #[prost(string, tag = "1")]
+    pub home: String,
+    /// Requests per second.
+    #[prost(float, tag = "2")]
+    pub offered: f32,
+    /// Milliseconds since the home region measured.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 
 /// Requests per second of the clients of one region.
@@ -83,8 +100,9 @@
             report::ReportMessage::Counted(loads) => {
                 Body::Counted(Counted { loads: loads.into_iter().map(Load::from).collect() })
             }
-            report::ReportMessage::Summed(sums) => {
-                Body::Summed(Summed { sums: sums.into_iter().map(Sum::from).collect() })
+            report::ReportMessage::Summed(sum) => Body::Summed(sum.into()),
+            report::ReportMessage::Told(homes) => {
+                Body::Told(Told { homes: homes.into_iter().map(Home::from).collect() })
             }
         };
         Self { body: Some(body) }
@@ -102,20 +120,35 @@
         Self {
             region: sum.region.to_string(),
             loads: sum.loads.into_iter().map(Load::from).collect(),
-            age_ms: u64::try_from(sum.age.as_millis()).unwrap_or(u64::MAX),
+            age_ms: millis(sum.age),
+        }
+    }
+}
+
+impl From<report::HomeTraffic> for Home {
+    fn from(traffic: report::HomeTraffic) -> Self {
+        Self {
+            home: traffic.home.to_string(),
+            offered: traffic.offered as f32,
+            age_ms: millis(traffic.age),
         }
     }
 }
 
+fn millis(age: time::Duration) -> u64 {
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl TryFrom<Report> for report::ReportMessage {
     type Error = ReportError;
 
     fn try_from(raw: Report) -> Result<Self, ReportError> {
         match raw.body.ok_or(ReportError::Empty)? {
             Body::Counted(counted) => check_loads(counted.loads).map(Self::Counted),
-            Body::Summed(summed) => {
-                let sums = summed.sums.into_iter().map(report::RegionSum::try_from);
-                sums.collect::<Result<_, _>>().map(Self::Summed)
+            Body::Summed(sum) => sum.try_into().map(Self::Summed),
+            Body::Told(told) => {
+                let homes = told.homes.into_iter().map(report::HomeTraffic::try_from);
+                homes.collect::<Result<_, _>>().map(Self::Told)
             }
         }
     }
@@ -133,12 +166,26 @@
     }
 }
 
+impl TryFrom<Home> for report::HomeTraffic {
+    type Error = ReportError;
+
+    fn try_from(raw: Home) -> Result<Self, ReportError> {
+        Ok(Self {
+            home: raw.home.into(),
+            offered: check_rate(raw.offered)?,
+            age: time::Duration::from_millis(raw.age_ms),
+        })
+    }
+}
+
 fn check_loads(raw: Vec<Load>) -> Result<Vec<report::RegionLoad>, ReportError> {
     let checked = raw.into_iter().map(|load| {
-        if !(load.rate.is_finite() && load.rate >= 0.0) {
-            return Err(ReportError::Rate);
-        }
-        Ok(report::RegionLoad { home: load.home.into(), rate: f64::from(load.rate) })
+        Ok(report::RegionLoad { home: load.home.into(), rate: check_rate(load.rate)? })
     });
     checked.collect()
 }
+
+fn check_rate(rate: f32) -> Result<f64, ReportError> {
+    let is_rate = rate.is_finite() && rate >= 0.0;
+    is_rate.then(|| f64::from(rate)).ok_or(ReportError::Rate)
+}
--- /dev/null
+++ b/crates/protocol/peer/tests/report_cost.rs
@@ -0,0 +1,100 @@
+//! What reports of traffic cost one instance, counted exactly against faked peers.
+
+use std::net;
+use std::sync::Arc;
+
+use marjoramwing_entity::incarnation;
+use marjoramwing_entity::time as entity_time;
+use marjoramwing_membership::member;
+use marjoramwing_membership::view;
+use marjoramwing_peer::frame;
+use marjoramwing_peer::message;
+use marjoramwing_peer::report as wire;
+use marjoramwing_steering::report;
+
+/// Bytes per second that one instance may spend on all control.
+const CONTROL_BYTES_PER_SECOND: u64 = 13_000;
+const REGIONS: u16 = 7;
+const HOUR_SECONDS: u64 = 3_600;
+
+fn region_of(index: u16) -> Arc<str> {
+    format!("region-{}", index % REGIONS).into()
+}
+
+fn make_member(index: u16) -> member::Member {
+    member::Member {
+        name: format!("palermo-a-{index:03}").into(),
+        callers: net::SocketAddr::from(([10, 20, 30, 40], 10_000 + index)),
+        peers: net::SocketAddr::from(([10, 20, 30, 40], 20_000 + index)),
+        site: region_of(index),
+        region: region_of(index),
+        failure_domain: "palermo-a".into(),
+        incarnation: Some(incarnation::Incarnation::from_u64(index.into())),
+        state: member::MemberState::Live,
+    }
+}
+
+/// Loads of an instance that serves some clients of every region.
+fn loads() -> Vec<report::RegionLoad> {
+    (0..REGIONS).map(|index| report::RegionLoad { home: region_of(index), rate: 104.7 }).collect()
+}
+
+fn sum_of(region: u16) -> report::RegionSum {
+    report::RegionSum { region: region_of(region), loads: loads(), age: report::REPORT_PERIOD }
+}
+
+fn home_of(region: u16) -> report::HomeTraffic {
+    let (home, age) = (region_of(region), report::REPORT_PERIOD);
+    report::HomeTraffic { home, offered: 47_142.9, age }
+}
+
+fn bytes_of(message: report::ReportMessage) -> u64 {
+    let body = message::Body::Report(wire::Report::from(message));
+    frame::frame_bytes(&message::Envelope::new(body))
+}
+
+/// Bytes of one period, sent and received, of one instance.
+fn period_bytes(fleet: u16, index: u16) -> u64 {
+    let members: Vec<_> = (0..fleet).map(make_member).collect();
+    let own = &members[usize::from(index)];
+    let run = own.incarnation.unwrap();
+    let mut keeper = report::ReportKeeper::new(Arc::clone(&own.name), Arc::clone(&own.region), run);
+    let now = entity_time::Timestamp::from_millis(1);
+    let view = Arc::new(view::MemberView::new(members));
+    let mut actions = Vec::new();
+    keeper.handle(report::ReportEvent::ViewChanged(view), now, &mut actions);
+    let mut received = 0;
+    for region in (0..REGIONS).filter(|region| *region != index % REGIONS) {
+        let message = report::ReportMessage::Summed(sum_of(region));
+        received += bytes_of(message.clone());
+        let from = incarnation::Incarnation::from_u64(region.into());
+        keeper.handle(report::ReportEvent::Received { from, message }, now, &mut actions);
+    }
+    keeper.handle(report::ReportEvent::Counted(loads()), now, &mut actions);
+    let is_reporter = actions.len() > 1;
+    let own_region = (0..fleet).filter(|other| other % REGIONS == index % REGIONS).count() as u64;
+    received = match is_reporter {
+        true => received + (own_region - 1) * bytes_of(report::ReportMessage::Counted(loads())),
+        false => bytes_of(report::ReportMessage::Told((0..REGIONS).map(home_of).collect())),
+    };
+    received + actions.into_iter().map(|action| bytes_of(action.message)).sum::<u64>()
+}
+
+fn check_cost(fleet: u16, least: u64, most: u64) {
+    let costs: Vec<_> = (0..fleet).map(|index| period_bytes(fleet, index)).collect();
+    let per_second = |bytes: u64| bytes / report::REPORT_PERIOD.as_secs();
+    let (low, high) = (costs.iter().min().unwrap(), costs.iter().max().unwrap());
+    println!("{fleet} instances: {} to {} bytes/s", per_second(*low), per_second(*high));
+    assert_eq!((per_second(*low), per_second(*high)), (least, most));
+    assert!(
+        high * HOUR_SECONDS / report::REPORT_PERIOD.as_secs()
+            <= CONTROL_BYTES_PER_SECOND * HOUR_SECONDS
+    );
+}
+
+marjoramwing_testing::cases! { check_cost:
+    cost_in_a_fleet_of_7 => (7, 568, 568);
+    cost_in_a_fleet_of_50 => (50, 92, 1214);
+    cost_in_a_fleet_of_150 => (150, 92, 2507);
+    cost_in_a_fleet_of_450 => (450, 92, 6477);
+}
--- a/crates/transport/node/src/steering/driver.rs
+++ b/crates/transport/node/src/steering/driver.rs
@@ -140,15 +140,15 @@
 
     fn step(&mut self) {
         let tables = sync::Arc::clone(&self.tables);
-        let sums = self.keeper.sums(self.shared.now());
+        let homes = self.keeper.homes(self.shared.now());
         let Some(table) = self.shared.steering.table() else { return };
         for (key, region) in tables.snapshot.regions.iter() {
-            let name = region.name.as_str();
-            let Some(own) = sums.iter().find(|sum| &*sum.region == name) else { continue };
+            let name = region.name.text();
+            let Some(traffic) = homes.iter().find(|traffic| traffic.home == name) else { continue };
             let report = planner::RegionReport {
-                offered: report::offered_by(&sums, name),
+                offered: traffic.offered,
                 capacity: table.serving_count(key) as f64 * tables.snapshot.instance_rate,
-                age: own.age,
+                age: traffic.age,
             };
             self.tell(&planner::PlannerEvent::Reported { region: key, report });
         }
@@ -164,16 +164,17 @@
         let control = &self.shared.steering;
         control.plan.store(sync::Arc::new(self.planner.plan().clone()));
         let Some(table) = control.table() else { return };
-        let sums = self.keeper.sums(self.shared.now());
+        let homes = self.keeper.homes(self.shared.now());
         let regions = self.tables.snapshot.regions.iter();
         let dumps = regions.map(|(key, region)| {
-            let own = sums.iter().find(|sum| sum.region == region.name.text());
+            let name = region.name.text();
+            let traffic = homes.iter().find(|traffic| traffic.home == name);
+            let age = traffic.map(|traffic| traffic.age.as_millis());
             steering::RegionDump {
-                region: region.name.text(),
+                region: name,
                 serving_members: table.serving_count(key),
-                offered: report::offered_by(&sums, region.name.as_str()),
-                report_age_ms: own
-                    .map(|sum| u64::try_from(sum.age.as_millis()).unwrap_or(u64::MAX)),
+                offered: traffic.map_or(0.0, |traffic| traffic.offered),
+                report_age_ms: age.map(|millis| u64::try_from(millis).unwrap_or(u64::MAX)),
                 shifted: self.planner.plan().regions[key].shifted().as_fraction(),
                 reason: self.planner.reason(key),
             }
