--- a/crates/coordination/membership/src/view.rs
+++ b/crates/coordination/membership/src/view.rs
@@ -66,7 +66,9 @@
         self.regions.dedup();
     }
 
-    fn is_live(&self, member: &member::Member) -> bool {
+    /// Tells whether a member of this view takes new requests.
+    #[must_use]
+    pub fn is_live(&self, member: &member::Member) -> bool {
         match member.state {
             member::MemberState::Live => true,
             member::MemberState::Suspect => self.counts_suspects,
--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::configuration;
 use crate::membership;
+use crate::report;
 
 /// Version of the protocol that this program speaks.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -10,7 +11,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// What the frame carries.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 7")]
     pub body: Option<Body>,
 }
 
@@ -29,6 +30,9 @@
     /// About the configuration.
     #[prost(message, tag = "4")]
     Configuration(configuration::Configuration),
+    /// About traffic between regions.
+    #[prost(message, tag = "7")]
+    Report(report::Report),
 }
 
 /// Introduces an end of a link.
--- a/crates/transport/node/src/control/configuration.rs
+++ b/crates/transport/node/src/control/configuration.rs
@@ -57,7 +57,7 @@
             shared.now(),
             &mut rng,
         );
-        shared.set_key_trust(keeper.trust());
+        shared.await_confirmation();
         Self { shared, mesh, client, events, answers, keeper, rng, reachable: true }
     }
 
--- a/crates/transport/node/src/inbox.rs
+++ b/crates/transport/node/src/inbox.rs
@@ -3,6 +3,7 @@
 use marjoramwing_configuration::keeper as configuration;
 use marjoramwing_membership::keeper;
 use marjoramwing_peer::message;
+use marjoramwing_steering::report;
 use tokio::sync::mpsc;
 
 use crate::peers::carrier;
@@ -16,6 +17,8 @@
     pub membership: mpsc::Sender<keeper::MembershipEvent>,
     /// Takes what concerns the configuration.
     pub configuration: mpsc::Sender<configuration::ConfigurationEvent>,
+    /// Takes what concerns traffic between regions.
+    pub reports: mpsc::Sender<report::ReportEvent>,
 }
 
 /// Routes received envelopes until the mesh ends.
@@ -40,6 +43,11 @@
                 let event = configuration::ConfigurationEvent::Received { address, message };
                 let _ = routes.configuration.try_send(event);
             }
+            message::Body::Report(raw) => {
+                let Ok(message) = raw.try_into() else { continue };
+                let event = report::ReportEvent::Received { from: envelope.from, message };
+                let _ = routes.reports.try_send(event);
+            }
         }
     }
 }
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -81,7 +81,7 @@
             picker: sync::Mutex::default(),
             leaving: atomic::AtomicBool::new(false),
             keys_trusted: atomic::AtomicBool::new(true),
-            was_confirmed: atomic::AtomicBool::new(false),
+            was_confirmed: atomic::AtomicBool::new(true),
             control: dump::ControlBoard::default(),
             seed: atomic::AtomicUsize::new(0),
         }
@@ -93,6 +93,12 @@
         self.clock.now()
     }
 
+    /// Returns the milliseconds since the process started.
+    #[must_use]
+    pub fn uptime_ms(&self) -> u64 {
+        u64::try_from(self.now().since(time::Timestamp::ZERO).as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Returns the process's clock.
     #[must_use]
     pub const fn clock(&self) -> clock::MonotonicClock {
@@ -134,6 +140,12 @@
         self.member_changes.subscribe()
     }
 
+    /// Believes no keys and is not ready until the tables are confirmed.
+    pub fn await_confirmation(&self) {
+        self.keys_trusted.store(false, atomic::Ordering::Release);
+        self.was_confirmed.store(false, atomic::Ordering::Release);
+    }
+
     /// Notes whether the keys may be believed.
     pub fn set_key_trust(&self, trust: trust::KeyTrust) {
         self.keys_trusted.store(trust.is_trusted(), atomic::Ordering::Release);
