Show dying watchers in a region of 65 and probes by way of others

Cause: the schedule of dying relays had six instances to a region, where notices alone reach nearly all; at 450 instances a region has 65. Nothing showed that indirect probes and the patience of an isolated instance are needed.

Change: schedules with one region of 20, 40 and 65 instances, and with all its watchers dying as the first applies a change; two instances that do not reach each other; an instance cut off for 15 s; the largest object of the store over a link. Probing moved to a file of its own.

--- a/crates/coordination/configuration/tests/fleet.rs
+++ b/crates/coordination/configuration/tests/fleet.rs
@@ -25,7 +25,16 @@
 }
 
 fn started_with(seed: u64, settings: settings::ConfigurationSettings) -> fleet::Fleet {
-    let mut fleet = fleet::Fleet::new(COUNT, REGIONS, seed, settings);
+    started_as(COUNT, REGIONS, seed, settings)
+}
+
+fn started_as(
+    count: usize,
+    regions: usize,
+    seed: u64,
+    settings: settings::ConfigurationSettings,
+) -> fleet::Fleet {
+    let mut fleet = fleet::Fleet::new(count, regions, seed, settings);
     fleet.put_all();
     fleet.run(seconds(20));
     for object in Object::ALL {
@@ -66,54 +75,67 @@
 }
 
 /// Kills whoever applies a change first, with all watchers of its region.
-fn slowest_with_dying_relays(
-    seed: u64,
-    settings: settings::ConfigurationSettings,
-) -> Option<time::Duration> {
-    let mut fleet = started_with(seed, settings);
+fn kill_relays(fleet: &mut fleet::Fleet, version: u64) {
+    let first = loop {
+        fleet.run(time::Duration::from_millis(50));
+        let mut watchers = fleet.watchers().into_iter();
+        let first = watchers.find(|watcher| {
+            let node = &fleet.nodes[*watcher];
+            !node.dead && node.keeper.applied().keys == version
+        });
+        if let Some(first) = first {
+            break first;
+        }
+    };
+    let region = fleet.nodes[first].region;
+    for watcher in fleet.watchers() {
+        if fleet.nodes[watcher].region == region {
+            fleet.nodes[watcher].dead = true;
+        }
+    }
+}
+
+fn slowest_with_dying_relays(mut fleet: fleet::Fleet, rounds: usize) -> Option<time::Duration> {
     let mut slowest = time::Duration::ZERO;
-    for round in 0..REGIONS {
+    for _ in 0..rounds {
         let version = change(&mut fleet, Object::Keys);
         let start = fleet.now;
-        let first = loop {
-            fleet.run(time::Duration::from_millis(50));
-            let watchers = fleet.watchers().into_iter();
-            let mut watchers = watchers.filter(|watcher| !fleet.nodes[*watcher].dead);
-            let first =
-                watchers.find(|watcher| fleet.nodes[*watcher].keeper.applied().keys == version);
-            if let Some(first) = first {
-                break first;
-            }
-        };
-        let region = fleet.nodes[first].region;
-        let lost: Vec<_> = fleet.watchers().into_iter().collect();
-        let lost = lost.into_iter().filter(|watcher| fleet.nodes[*watcher].region == region);
-        for watcher in lost.collect::<Vec<_>>() {
-            fleet.nodes[watcher].dead = true;
-        }
+        kill_relays(&mut fleet, version);
         fleet.time_to_force(Object::Keys, version, seconds(50))?;
         slowest = slowest.max(fleet.now.since(start));
-        for index in 0..COUNT {
+        for index in 0..fleet.nodes.len() {
             if fleet.nodes[index].dead {
                 fleet.restart(index);
             }
         }
         fleet.run(seconds(10));
-        println!("round {round}: slowest {slowest:?}");
     }
     assert!(fleet.reverted.is_empty());
+    println!("slowest of {rounds} deaths: {slowest:?}");
     Some(slowest)
 }
 
-fn check_dying_relays(seed: u64) {
-    let slowest = slowest_with_dying_relays(seed, settings::ConfigurationSettings::default());
+fn check_dying_relays(count: usize, regions: usize, seed: u64) {
+    let settings = settings::ConfigurationSettings::default();
+    let fleet = started_as(count, regions, seed, settings);
+    let slowest = slowest_with_dying_relays(fleet, REGIONS);
     assert!(slowest.is_some_and(|slowest| slowest <= IN_FORCE));
 }
 
 marjoramwing_testing::cases! { check_dying_relays:
-    withdrawn_key_while_relays_die_seed_1 => (1);
-    withdrawn_key_while_relays_die_seed_2 => (2);
-    withdrawn_key_while_relays_die_seed_3 => (3);
+    withdrawn_key_while_relays_die_seed_1 => (COUNT, REGIONS, 1);
+    withdrawn_key_while_relays_die_seed_2 => (COUNT, REGIONS, 2);
+    withdrawn_key_while_relays_die_seed_3 => (COUNT, REGIONS, 3);
+    withdrawn_key_while_all_watchers_of_a_region_of_65_die => (65, 1, 4);
+    withdrawn_key_while_all_watchers_of_3_die => (7, 3, 5);
+}
+
+#[test]
+fn withdrawn_key_is_late_without_repairs() {
+    let settings = settings::ConfigurationSettings { repairs: false, ..Default::default() };
+    let fleet = started_as(65, 1, 4, settings);
+    let slowest = slowest_with_dying_relays(fleet, 1);
+    assert!(slowest.is_none_or(|slowest| slowest > IN_FORCE));
 }
 
 #[test]
@@ -270,3 +292,24 @@
     assert_eq!((told.version, told.faults.len()), (version, 0));
     assert!(fleet.nodes[0].keeper.dump(fleet.now).held.is_empty());
 }
+
+/// A region of many instances, where a notice reaches few of them.
+fn check_large_region(count: usize, seed: u64) {
+    let settings = settings::ConfigurationSettings::default();
+    let mut fleet = started_as(count, 1, seed, settings);
+    let mut slowest = time::Duration::ZERO;
+    for _ in 0..10 {
+        let version = change(&mut fleet, Object::Routes);
+        let time = fleet.time_to_force(Object::Routes, version, seconds(60)).unwrap();
+        slowest = slowest.max(time);
+        fleet.run(seconds(2));
+    }
+    println!("slowest of 10 changes in a region of {count}: {slowest:?}");
+    assert!(slowest <= IN_FORCE);
+}
+
+marjoramwing_testing::cases! { check_large_region:
+    change_in_a_region_of_20 => (20, 1);
+    change_in_a_region_of_40 => (40, 2);
+    change_in_a_region_of_65 => (65, 3);
+}
--- a/crates/coordination/membership/src/keeper.rs
+++ b/crates/coordination/membership/src/keeper.rs
@@ -12,7 +12,6 @@
 use marjoramwing_entity::time;
 use rand::RngExt;
 use rand::seq::IteratorRandom;
-use rand::seq::SliceRandom;
 
 use crate::dump;
 use crate::gossip;
@@ -87,7 +86,7 @@
     pub(crate) next_sync: time::Timestamp,
     pub(crate) view_changed: bool,
     listed: Vec<net::SocketAddr>,
-    round: Vec<incarnation::Incarnation>,
+    pub(crate) round: Vec<incarnation::Incarnation>,
     next_probe: time::Timestamp,
     next_contact: time::Timestamp,
     last_heard: time::Timestamp,
@@ -224,83 +223,6 @@
         self.view_changed |= self.roster.expire_suspicions(suspicion, alone, now);
     }
 
-    fn probe_next(
-        &mut self,
-        now: time::Timestamp,
-        rng: &mut impl rand::Rng,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        if self.round.is_empty() {
-            self.round = self.roster.present().map(|(run, _)| run).collect();
-            self.round.shuffle(rng);
-        }
-        while let Some(target) = self.round.pop() {
-            let Some(record) = self.roster.get(target) else { continue };
-            if record.is_present() {
-                let address = record.profile.peers;
-                let deadline = now + self.settings.direct_timeout;
-                let number = self.probes.add(target, probe::ProbeStage::Direct, deadline);
-                self.ping(target, address, number, actions);
-                return;
-            }
-        }
-    }
-
-    fn advance_probes(
-        &mut self,
-        now: time::Timestamp,
-        rng: &mut impl rand::Rng,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        for expired in self.probes.take_expired(now) {
-            match expired.stage {
-                probe::ProbeStage::Direct => self.probe_indirectly(expired, now, rng, actions),
-                probe::ProbeStage::Indirect => self.suspect(expired.target, now, actions),
-                probe::ProbeStage::Relayed { .. } => {}
-            }
-        }
-    }
-
-    fn probe_indirectly(
-        &mut self,
-        mut pending: probe::PendingProbe,
-        now: time::Timestamp,
-        rng: &mut impl rand::Rng,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        let target = pending.target;
-        let Some(record) = self.roster.get(target) else { return };
-        let address = record.profile.peers;
-        pending.stage = probe::ProbeStage::Indirect;
-        pending.deadline = now + self.settings.indirect_timeout;
-        self.probes.put_back(pending);
-        actions.push(MembershipAction::ResetLink { address });
-        self.ping(target, address, pending.number, actions);
-        for (relay, relay_address) in self.pick_present(self.settings.indirect_probes, rng) {
-            if relay != target {
-                let number = pending.number;
-                let body = message::MembershipBody::PingRequest { number, target, address };
-                self.send(Some(relay), relay_address, body, actions);
-            }
-        }
-    }
-
-    fn suspect(
-        &mut self,
-        target: incarnation::Incarnation,
-        now: time::Timestamp,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        if !self.roster.suspect(target, now) {
-            return;
-        }
-        self.view_changed = true;
-        self.gossip.push(target);
-        let Some(record) = self.roster.get(target) else { return };
-        let address = record.profile.peers;
-        self.send(Some(target), address, message::MembershipBody::Note, actions);
-    }
-
     fn try_contacts(
         &mut self,
         now: time::Timestamp,
@@ -362,7 +284,7 @@
         }
     }
 
-    fn pick_present(
+    pub(crate) fn pick_present(
         &self,
         most: usize,
         rng: &mut impl rand::Rng,
@@ -372,17 +294,6 @@
         alive.map(|(run, record)| (run, record.profile.peers)).sample(rng, most)
     }
 
-    fn ping(
-        &mut self,
-        target: incarnation::Incarnation,
-        address: net::SocketAddr,
-        number: u64,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        let body = message::MembershipBody::Ping { number, target: Some(target) };
-        self.send(Some(target), address, body, actions);
-    }
-
     /// Returns what others are told of a run.
     pub(crate) fn update_of(&self, run: incarnation::Incarnation) -> Option<update::MemberUpdate> {
         if run != self.incarnation {
--- a/crates/coordination/membership/src/lib.rs
+++ b/crates/coordination/membership/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`gossip`]: updates that wait to be passed on.
 //! - [`probe`]: probes that wait for an answer.
 //! - [`keeper`]: the decisions.
+//! - `probing`: how the keeper probes others and comes to suspect them.
 //! - `exchange`: how the keeper makes and answers messages.
 //! - [`dump`]: the keeper's state for operators.
 
@@ -26,6 +27,7 @@
 pub mod member;
 pub mod message;
 pub mod probe;
+mod probing;
 pub mod record;
 pub mod roster;
 pub mod settings;
--- /dev/null
+++ b/crates/coordination/membership/src/probing.rs
@@ -0,0 +1,101 @@
+//! How the keeper probes others and comes to suspect them.
+
+use std::net;
+
+use marjoramwing_entity::incarnation;
+use marjoramwing_entity::time;
+use rand::seq::SliceRandom;
+
+use crate::keeper;
+use crate::message;
+use crate::probe;
+
+impl keeper::MembershipKeeper {
+    pub(crate) fn probe_next(
+        &mut self,
+        now: time::Timestamp,
+        rng: &mut impl rand::Rng,
+        actions: &mut Vec<keeper::MembershipAction>,
+    ) {
+        if self.round.is_empty() {
+            self.round = self.roster.present().map(|(run, _)| run).collect();
+            self.round.shuffle(rng);
+        }
+        while let Some(target) = self.round.pop() {
+            let Some(record) = self.roster.get(target) else { continue };
+            if record.is_present() {
+                let address = record.profile.peers;
+                let deadline = now + self.settings.direct_timeout;
+                let number = self.probes.add(target, probe::ProbeStage::Direct, deadline);
+                self.ping(target, address, number, actions);
+                return;
+            }
+        }
+    }
+
+    pub(crate) fn advance_probes(
+        &mut self,
+        now: time::Timestamp,
+        rng: &mut impl rand::Rng,
+        actions: &mut Vec<keeper::MembershipAction>,
+    ) {
+        for expired in self.probes.take_expired(now) {
+            match expired.stage {
+                probe::ProbeStage::Direct => self.probe_indirectly(expired, now, rng, actions),
+                probe::ProbeStage::Indirect => self.suspect(expired.target, now, actions),
+                probe::ProbeStage::Relayed { .. } => {}
+            }
+        }
+    }
+
+    fn probe_indirectly(
+        &mut self,
+        mut pending: probe::PendingProbe,
+        now: time::Timestamp,
+        rng: &mut impl rand::Rng,
+        actions: &mut Vec<keeper::MembershipAction>,
+    ) {
+        let target = pending.target;
+        let Some(record) = self.roster.get(target) else { return };
+        let address = record.profile.peers;
+        pending.stage = probe::ProbeStage::Indirect;
+        pending.deadline = now + self.settings.indirect_timeout;
+        self.probes.put_back(pending);
+        actions.push(keeper::MembershipAction::ResetLink { address });
+        self.ping(target, address, pending.number, actions);
+        for (relay, relay_address) in self.pick_present(self.settings.indirect_probes, rng) {
+            if relay != target {
+                let number = pending.number;
+                let body = message::MembershipBody::PingRequest { number, target, address };
+                self.send(Some(relay), relay_address, body, actions);
+            }
+        }
+    }
+
+    fn suspect(
+        &mut self,
+        target: incarnation::Incarnation,
+        now: time::Timestamp,
+        actions: &mut Vec<keeper::MembershipAction>,
+    ) {
+        if !self.roster.suspect(target, now) {
+            return;
+        }
+        self.view_changed = true;
+        self.gossip.push(target);
+        let Some(record) = self.roster.get(target) else { return };
+        let address = record.profile.peers;
+        self.send(Some(target), address, message::MembershipBody::Note, actions);
+    }
+
+    fn ping(
+        &mut self,
+        target: incarnation::Incarnation,
+        address: net::SocketAddr,
+        number: u64,
+        actions: &mut Vec<keeper::MembershipAction>,
+    ) {
+        let body = message::MembershipBody::Ping { number, target: Some(target) };
+        self.send(Some(target), address, body, actions);
+    }
+}
--- a/crates/coordination/membership/tests/membership.rs
+++ b/crates/coordination/membership/tests/membership.rs
@@ -195,3 +195,48 @@
     faulty_links_seed_23 => (23);
     faulty_links_seed_24 => (24);
 }
+
+/// Seconds in which one of two instances that do not reach each other is suspected.
+fn seconds_suspected(settings: settings::MembershipSettings) -> usize {
+    let mut schedule = started_with(10, 13, settings);
+    schedule.blocked = Some((2, 5));
+    let suspected = (0..120).filter(|_| {
+        schedule.run(seconds(1));
+        schedule.suspects(2, 5) || schedule.suspects(0, 5) || schedule.suspects(0, 2)
+    });
+    suspected.count()
+}
+
+#[test]
+fn instance_that_others_reach_is_not_suspected() {
+    assert_eq!(seconds_suspected(settings::MembershipSettings::default()), 0);
+}
+
+#[test]
+fn instance_that_others_reach_is_suspected_without_indirect_probes() {
+    let settings = settings::MembershipSettings { indirect_probes: 0, ..Default::default() };
+    assert!(seconds_suspected(settings) > 0);
+}
+
+/// Members that an instance loses while it is cut off for a while.
+fn lost_while_cut_off(settings: settings::MembershipSettings) -> usize {
+    let mut schedule = started_with(20, 14, settings);
+    schedule.cut_off = Some(3);
+    schedule.run(seconds(15));
+    let seen = schedule.nodes[3].keeper.view().members.len();
+    schedule.cut_off = None;
+    schedule.run(seconds(30));
+    assert!(schedule.agrees());
+    20 - seen
+}
+
+#[test]
+fn instance_that_is_cut_off_for_seconds_buries_nobody() {
+    assert_eq!(lost_while_cut_off(settings::MembershipSettings::default()), 0);
+}
+
+#[test]
+fn instance_that_is_cut_off_buries_others_without_patience() {
+    let settings = settings::MembershipSettings { isolation_factor: 1, ..Default::default() };
+    assert!(lost_while_cut_off(settings) > 0);
+}
--- a/crates/coordination/membership/tests/support/mod.rs
+++ b/crates/coordination/membership/tests/support/mod.rs
@@ -49,6 +49,10 @@
     pub(crate) faults: LinkFaults,
     /// Whether regions reach each other.
     pub(crate) split: bool,
+    /// Two instances that do not reach each other.
+    pub(crate) blocked: Option<(usize, usize)>,
+    /// An instance that reaches nobody.
+    pub(crate) cut_off: Option<usize>,
     rng: rand_pcg::Pcg64Mcg,
     queue: collections::BTreeMap<(entity_time::Timestamp, u64), Delivery>,
     order: u64,
@@ -63,6 +67,8 @@
             now: entity_time::Timestamp::from_millis(1_000),
             faults: LinkFaults { loss: 0.0, repetition: 0.0, delay_ms: 60 },
             split: false,
+            blocked: None,
+            cut_off: None,
             rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
             queue: collections::BTreeMap::new(),
             order: 0,
@@ -195,8 +201,7 @@
             let Some(index) = self.nodes.iter().position(|node| node.address == delivery.to) else {
                 continue;
             };
-            let is_cut = self.split && self.region_of(delivery.sender) != self.nodes[index].region;
-            if is_cut || self.nodes[index].dead {
+            if !self.reaches(delivery.sender, index) || self.nodes[index].dead {
                 continue;
             }
             if !self.runs(index) {
@@ -214,9 +219,14 @@
         }
     }
 
-    fn region_of(&self, address: net::SocketAddr) -> usize {
-        let node = self.nodes.iter().find(|node| node.address == address);
-        node.map_or(0, |node| node.region)
+    fn reaches(&self, sender: net::SocketAddr, to: usize) -> bool {
+        let Some(from) = self.nodes.iter().position(|node| node.address == sender) else {
+            return false;
+        };
+        let is_apart = self.split && self.nodes[from].region != self.nodes[to].region;
+        let is_blocked = self.blocked == Some((from, to)) || self.blocked == Some((to, from));
+        let is_cut = [Some(from), Some(to)].contains(&self.cut_off) && from != to;
+        !is_apart && !is_blocked && !is_cut
     }
 }
 
--- a/crates/transport/node/tests/mesh.rs
+++ b/crates/transport/node/tests/mesh.rs
@@ -12,6 +12,7 @@
 use marjoramwing_node::peers::carrier;
 use marjoramwing_node::peers::mesh;
 use marjoramwing_node::shared;
+use marjoramwing_peer::configuration;
 use marjoramwing_peer::frame;
 use marjoramwing_peer::handshake;
 use marjoramwing_peer::membership;
@@ -123,8 +124,7 @@
 #[tokio::test]
 async fn one_link_carries_both_ways() {
     let limits = carrier::LinkLimits::default();
-    let one = Instance::start("one", SECRET, limits).await;
-    let mut one = one;
+    let mut one = Instance::start("one", SECRET, limits).await;
     let mut two = Instance::start("two", SECRET, limits).await;
     one.mesh.send(two.address, body(1));
     let received = two.receive().await;
@@ -139,6 +139,20 @@
     assert!(bytes.with_label_values(&["sent"]).get() > 0);
 }
 
+#[tokio::test]
+async fn largest_object_of_the_store_passes_whole() {
+    let limits = carrier::LinkLimits::default();
+    let one = Instance::start("one", SECRET, limits).await;
+    let mut two = Instance::start("two", SECRET, limits).await;
+    let text = bytes::Bytes::from(vec![b' '; 1024 * 1024]);
+    let object = configuration::Object::Steering.into();
+    let carried = configuration::ObjectText { object, version: 7, text };
+    let body = Some(configuration::Body::Object(carried));
+    let body = message::Body::Configuration(configuration::Configuration { body });
+    one.mesh.send(two.address, body.clone());
+    assert_eq!(two.receive().await.body, body);
+}
+
 /// Sends numbered messages until one comes that was sent after the silence.
 async fn deliver_after_silence(limits: carrier::LinkLimits, tries: u32) -> bool {
     let one = Instance::start("one", SECRET, limits).await;
