--- a/crates/marjoramwing/tests/cli.rs
+++ b/crates/marjoramwing/tests/cli.rs
@@ -153,7 +153,7 @@
     let refused = platform.run(&["pool", "delete", "main"], "");
     assert_eq!(refused.code, 1);
     assert!(refused.stderr.contains("routes[0].pools[0]: `main` is not in the `pools` object"));
-    assert_eq!(platform.server.counts().writes, 0);
+    assert_eq!(platform.server.counts().total().writes, 0);
 }
 
 #[test]
@@ -179,7 +179,7 @@
     platform.server.set_faults(faults);
     let granted = platform.run(&["key", "grant", "etna-2", "--team", "etna"], "");
     assert_eq!(granted.code, 0, "{}", granted.stderr);
-    assert_eq!(platform.server.counts().writes, 1);
+    assert_eq!(platform.server.counts().total().writes, 1);
 }
 
 #[test]
--- /dev/null
+++ b/crates/marjoramwing/tests/process_stop.rs
@@ -0,0 +1,116 @@
+//! Instances and backend servers that leave as planned.
+
+use marjoramwing_object_api::listing;
+use marjoramwing_standins::attempt;
+use marjoramwing_standins::fleet;
+use marjoramwing_standins::report;
+use marjoramwing_standins::traffic;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_marjoramwing");
+const TEAMS: [&str; 3] = ["alpha", "beta", "gamma"];
+const CALLERS: usize = 3;
+
+fn assert_all_served(report: &report::LoadReport) {
+    let sent: u64 = report.whole.results.values().sum();
+    assert_eq!(report.count(attempt::CallResult::Served), sent, "{report}");
+    assert_eq!((report.lost, report.doubled), (0, 0), "{report}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_finishes_long_answers() {
+    let mut fleet = fleet::TestFleet::start(BINARY, 2).await;
+    for pool in [&fleet.reads, &fleet.writes] {
+        fleet::change_behaviour(pool, |behaviour| behaviour.body_pause_ms = 300);
+    }
+    let traffic = traffic::TestTraffic::start(&fleet, &TEAMS, CALLERS);
+    traffic.wait_served(&TEAMS, 3).await;
+    fleet.instances[0].signal("TERM");
+    let code = fleet.wait_ended(0).await;
+    traffic.wait_served(&TEAMS, 3).await;
+    assert_all_served(&traffic.finish(&fleet).await);
+    assert_eq!(code, 0, "{}", fleet.instances[0].log());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_instance_in_turn_stops_and_starts_without_a_cut() {
+    let mut fleet = fleet::TestFleet::start(BINARY, 3).await;
+    let traffic = traffic::TestTraffic::start(&fleet, &TEAMS, CALLERS);
+    for index in 0..fleet.instances.len() {
+        traffic.wait_served(&TEAMS, 20).await;
+        fleet.instances[index].signal("TERM");
+        fleet.wait_ended(index).await;
+        fleet.start_instance(index);
+        fleet.wait_ready().await;
+        let all: Vec<_> = (0..fleet.instances.len()).collect();
+        fleet.wait_lookup(&all, &all).await;
+    }
+    traffic.wait_served(&TEAMS, 20).await;
+    assert_all_served(&traffic.finish(&fleet).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_fleet_is_replaced_without_a_cut() {
+    let mut fleet = fleet::TestFleet::start(BINARY, 2).await;
+    let old = fleet.instances.len();
+    for index in 0..old {
+        fleet.add_instance(&format!("replacement-{index}"));
+    }
+    let traffic = traffic::TestTraffic::start(&fleet, &TEAMS, CALLERS);
+    traffic.wait_served(&TEAMS, 20).await;
+    fleet.list_all();
+    for index in old..fleet.instances.len() {
+        fleet.start_instance(index);
+    }
+    fleet.wait_ready().await;
+    let all: Vec<_> = (0..fleet.instances.len()).collect();
+    fleet.wait_lookup(&all, &all).await;
+    for index in 0..old {
+        fleet.instances[index].signal("TERM");
+    }
+    for index in 0..old {
+        fleet.wait_ended(index).await;
+    }
+    traffic.wait_served(&TEAMS, 50).await;
+    assert_all_served(&traffic.finish(&fleet).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_server_gets_no_new_work() {
+    let fleet = fleet::TestFleet::start(BINARY, 3).await;
+    let traffic = traffic::TestTraffic::start(&fleet, &TEAMS, CALLERS);
+    traffic.wait_served(&TEAMS, 20).await;
+    fleet.put_pools(&[fleet.reads[0].port.address, fleet.writes[0].port.address]);
+    wait_idle(&fleet, &traffic).await;
+    assert_all_served(&traffic.finish(&fleet).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn server_listed_as_leaving_gets_no_new_work() {
+    let fleet = fleet::TestFleet::start(BINARY, 3).await;
+    let traffic = traffic::TestTraffic::start(&fleet, &TEAMS, CALLERS);
+    traffic.wait_served(&TEAMS, 20).await;
+    let live = listing::ListedState::Live;
+    let instances = fleet.instances.iter().map(|instance| instance.listed(live)).collect();
+    let leaving = [&fleet.reads[0], &fleet.writes[0]].map(|served| listing::ListedServer {
+        address: served.port.address,
+        state: listing::ListedState::Leaving,
+    });
+    fleet.platform.set_listing(listing::InstanceListing { instances, servers: leaving.into() });
+    wait_idle(&fleet, &traffic).await;
+    assert_all_served(&traffic.finish(&fleet).await);
+}
+
+/// Waits until the first server of each pool gets nothing of 200 more requests.
+async fn wait_idle(fleet: &fleet::TestFleet, traffic: &traffic::TestTraffic) {
+    const MORE: usize = 200;
+    let runs = || {
+        let firsts = [&fleet.reads[0], &fleet.writes[0]];
+        firsts.iter().map(|served| served.server.activity().runs).sum::<u32>()
+    };
+    fleet::wait_until("a leaving server gets no new work", async || {
+        let before = runs();
+        traffic.wait_served(&TEAMS, MORE).await;
+        runs() == before
+    })
+    .await;
+}
--- a/crates/standins/src/attempt.rs
+++ b/crates/standins/src/attempt.rs
@@ -36,9 +36,12 @@
     /// A refusal that said that the outcome is unknown.
     #[display("unknown")]
     Unknown,
-    /// The answer broke off or was another request's.
+    /// The answer broke off.
     #[display("cut")]
     Cut,
+    /// The answer arrived as if whole, but was short or another request's.
+    #[display("foreign")]
+    Foreign,
     /// The connection failed, or nothing came, after the request may have been sent.
     #[display("broken")]
     Broken,
@@ -85,7 +88,7 @@
         match result {
             CallResult::Served | CallResult::Limited => false,
             CallResult::NotRun | CallResult::Unreached => true,
-            CallResult::Unknown | CallResult::Cut | CallResult::Broken => {
+            CallResult::Unknown | CallResult::Cut | CallResult::Foreign | CallResult::Broken => {
                 !self.shape.once || self.shape.idempotency_key
             }
         }
@@ -132,7 +135,7 @@
         if status == http::StatusCode::OK && body == whole {
             CallResult::Served
         } else {
-            CallResult::Cut
+            CallResult::Foreign
         }
     }
 }
--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -62,6 +62,13 @@
     finished: bool,
 }
 
+impl RunGuard {
+    /// Ends a run that did all its work.
+    fn finish(mut self) {
+        self.finished = true;
+    }
+}
+
 impl Drop for RunGuard {
     fn drop(&mut self) {
         self.server.lock().last_active = time::Instant::now();
@@ -215,7 +222,7 @@
     let refuses = behaviour.draining || behaviour.fault == behaviour::AnswerFault::Shed;
     let deadline_ms = header_text(&head, DEADLINE_HEADER).and_then(|text| text.parse().ok());
     let begun = if refuses || deadline_ms == Some(0) { None } else { server.begin_run(id, &head) };
-    let Some((mut guard, run)) = begun else {
+    let Some((guard, run)) = begun else {
         server.record.lock().shed += 1;
         let shed = (http::StatusCode::SERVICE_UNAVAILABLE, [(SHED_HEADER, "1")]);
         return with_load(shed.into_response(), server.load_report());
@@ -224,7 +231,7 @@
     let allowed_ms = run_ms.min(deadline_ms.unwrap_or(u64::MAX));
     tokio::time::sleep(time::Duration::from_millis(allowed_ms)).await;
     if allowed_ms < run_ms {
-        guard.finished = true;
+        guard.finish();
         server.record.lock().expired += 1;
         return http::StatusCode::GATEWAY_TIMEOUT.into_response();
     }
@@ -232,9 +239,13 @@
     if fault == behaviour::AnswerFault::Silent {
         std::future::pending::<()>().await;
     }
-    guard.finished = true;
     let earlier_id = std::mem::replace(&mut server.lock().last_id, id.to_owned());
-    let response = make_answer(fault, id, &earlier_id, behaviour.answer_bytes);
+    let response = if behaviour.body_pause_ms > 0 && fault == behaviour::AnswerFault::None {
+        slow_answer(id, behaviour, guard)
+    } else {
+        guard.finish();
+        make_answer(fault, id, &earlier_id, behaviour.answer_bytes)
+    };
     with_load(response, server.load_report())
 }
 
@@ -282,6 +293,29 @@
     ([(REQUEST_ID, id)], expected_body(id, length)).into_response()
 }
 
+/// Sends an answer in two halves and holds its slot until the second.
+fn slow_answer(
+    id: &str,
+    behaviour: behaviour::BackendBehaviour,
+    guard: RunGuard,
+) -> axum::response::Response {
+    let mut first = bytes::Bytes::from(expected_body(id, behaviour.answer_bytes));
+    let second = first.split_off(behaviour.answer_bytes / 2);
+    let pause = time::Duration::from_millis(behaviour.body_pause_ms);
+    let rest = async move {
+        tokio::time::sleep(pause).await;
+        guard.finish();
+        Ok::<_, std::io::Error>(second)
+    };
+    let halves = futures_util::stream::once(std::future::ready(Ok(first)));
+    let halves = futures_util::StreamExt::chain(halves, futures_util::stream::once(rest));
+    let length = http::HeaderValue::from(behaviour.answer_bytes);
+    let body = axum::body::Body::from_stream(halves);
+    let mut response = ([(REQUEST_ID, id)], body).into_response();
+    response.headers_mut().insert(http::header::CONTENT_LENGTH, length);
+    response
+}
+
 fn broken_answer(id: &str, length: usize, stated: Option<usize>) -> axum::response::Response {
     let half = bytes::Bytes::from(expected_body(id, length / 2));
     let frames = [Ok(half), Err(std::io::Error::other("the answer breaks off on purpose"))];
--- a/crates/standins/src/behaviour.rs
+++ b/crates/standins/src/behaviour.rs
@@ -13,6 +13,8 @@
     pub service_ms: u64,
     /// Bytes of an answer's body.
     pub answer_bytes: usize,
+    /// Pause between the two halves of an answer's body, in milliseconds.
+    pub body_pause_ms: u64,
     /// What goes wrong with answers.
     pub fault: AnswerFault,
     /// Every how many runs the fault shows; 1 for all.
@@ -77,6 +79,7 @@
             slots: 3,
             service_ms: 5,
             answer_bytes: 1_024,
+            body_pause_ms: 0,
             fault: AnswerFault::None,
             fault_every: 1,
             delay_ms: 500,
--- a/crates/standins/src/bin/marjoramwing-standins/drivers.rs
+++ b/crates/standins/src/bin/marjoramwing-standins/drivers.rs
@@ -142,7 +142,7 @@
 fn print_report(report: &report::LoadReport, label: &str) {
     print!("{report}");
     let served = report.count(attempt::CallResult::Served);
-    let cut = report.count(attempt::CallResult::Cut);
+    let cut = report.cut();
     println!(
         "{label}: {served} served, {} lost, {} doubled, {cut} cut",
         report.lost, report.doubled
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -40,6 +40,8 @@
     pub result: attempt::CallResult,
     /// Whether every attempt was said not to have run.
     pub all_not_run: bool,
+    /// Attempts whose answer was passed off as whole but was not.
+    pub foreign: usize,
     /// Attempts after the first.
     pub repeats: usize,
     /// Where the first attempt went.
@@ -60,11 +62,11 @@
 
 /// One request as it was planned.
 #[derive(Debug, Clone, Copy)]
-struct PlannedCall {
-    phase: usize,
-    number: usize,
-    at: tokio::time::Instant,
-    choice: usize,
+pub(crate) struct PlannedCall {
+    pub(crate) phase: usize,
+    pub(crate) number: usize,
+    pub(crate) at: tokio::time::Instant,
+    pub(crate) choice: usize,
 }
 
 impl TeamCaller {
@@ -96,6 +98,12 @@
     }
 
     async fn call(self, planned: PlannedCall) {
+        let record = self.send(planned).await;
+        self.records.lock().expect("no caller panicked").push(record);
+    }
+
+    /// Sends one request, with the repeats that are safe.
+    pub(crate) async fn send(&self, planned: PlannedCall) -> CallRecord {
         let team = &self.profile.teams[self.team];
         let shape = &team.requests[planned.number % team.requests.len()];
         let id = format!("{}-{}-{}", team.team, self.profile.seed, planned.number);
@@ -112,7 +120,7 @@
                 break;
             }
         }
-        let record = CallRecord {
+        CallRecord {
             team: self.team,
             phase: planned.phase,
             once: shape.once,
@@ -121,11 +129,14 @@
             latency: planned.at.elapsed(),
             result: results.last().copied().unwrap_or(attempt::CallResult::Unreached),
             all_not_run: results.iter().all(|result| result.is_not_run()),
+            foreign: results
+                .iter()
+                .filter(|result| **result == attempt::CallResult::Foreign)
+                .count(),
             repeats: repeats.saturating_sub(1),
             first: addresses.first().copied(),
             id,
-        };
-        self.records.lock().expect("no caller panicked").push(record);
+        }
     }
 
     async fn find_addresses(
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -19,7 +19,13 @@
 //! - [`caller`], [`attempt`], [`lookup`]: one team's callers.
 //! - [`observer`], [`judgement`], [`limiter`], [`report`]: what a run measured.
 //!
-//! Both:
+//! Process tests:
+//! - [`fleet`]: real instances with stand-ins around them.
+//! - [`instance`]: one real instance.
+//! - [`example`]: the tables that the tests start with.
+//! - [`traffic`]: callers that send until they are stopped.
+//!
+//! Shared:
 //! - [`control`]: switches, readiness and edits over HTTP.
 //! - [`deployment`]: copies of a deployment on other ports.
 //! - [`port`]: a listening port that can be closed.
@@ -31,6 +37,9 @@
 pub mod calls;
 pub mod control;
 pub mod deployment;
+pub mod example;
+pub mod fleet;
+pub mod instance;
 pub mod judgement;
 pub mod leak;
 pub mod limiter;
@@ -44,3 +53,4 @@
 pub mod run;
 mod storage;
 mod switch;
+pub mod traffic;
--- a/crates/standins/src/lookup.rs
+++ b/crates/standins/src/lookup.rs
@@ -61,7 +61,12 @@
             *self.lock() = Some(cached.clone());
             return cached.addresses.to_vec();
         }
-        Vec::new()
+        self.expired()
+    }
+
+    /// Returns the last answer, for when no instance gives a new one.
+    fn expired(&self) -> Vec<net::SocketAddr> {
+        self.lock().as_ref().map_or_else(Vec::new, |cached| cached.addresses.to_vec())
     }
 
     fn fresh(&self) -> Option<sync::Arc<[net::SocketAddr]>> {
--- a/crates/standins/src/report.rs
+++ b/crates/standins/src/report.rs
@@ -44,6 +44,8 @@
     pub name: String,
     /// Requests by result.
     pub results: collections::BTreeMap<attempt::CallResult, u64>,
+    /// Answers that arrived as if whole, but were short or another request's.
+    pub foreign: u64,
     /// Latency of served requests, in microseconds.
     pub latency: LatencyReport,
     /// Free slots over time, as a fraction of all.
@@ -161,6 +163,7 @@
         };
         PhaseReport {
             results: count_results(judged.iter().map(|(record, _)| record.result)),
+            foreign: judged.iter().map(|(record, _)| record.foreign as u64).sum(),
             latency: measure_latency(judged.iter().map(|(record, _)| *record)),
             headroom: observer::HeadroomReport::of(samples),
             wrongful: wrongful(&|judgement| judgement.wrongful),
@@ -237,11 +240,17 @@
         self.whole.count(result)
     }
 
+    /// Returns the requests whose last answer was not whole.
+    #[must_use]
+    pub fn cut(&self) -> u64 {
+        self.count(attempt::CallResult::Cut) + self.count(attempt::CallResult::Foreign)
+    }
+
     /// Tells whether something was served and nothing lost, doubled, cut or leaked.
     #[must_use]
     pub fn is_clean(&self) -> bool {
-        let cut = self.count(attempt::CallResult::Cut);
-        let faults = self.lost + self.doubled + cut + self.false_not_run + self.leaked_keys.total();
+        let faults =
+            self.lost + self.doubled + self.cut() + self.false_not_run + self.leaked_keys.total();
         self.count(attempt::CallResult::Served) > 0 && faults == 0
     }
 }
@@ -252,12 +261,17 @@
         for phase in self.phases.iter().chain([&self.whole]) {
             write_phase(f, phase)?;
         }
+        write!(f, "results:")?;
+        for (result, count) in &self.whole.results {
+            write!(f, " {result} {count}")?;
+        }
+        writeln!(f)?;
         writeln!(
             f,
             "lost {}, doubled {}, cut {}, unknown {}, false not-run {}, leaked keys {}",
             self.lost,
             self.doubled,
-            self.count(attempt::CallResult::Cut),
+            self.cut(),
             self.count(attempt::CallResult::Unknown),
             self.false_not_run,
             self.leaked_keys.total(),
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -32,7 +32,7 @@
 # Holds the deployment's ports, so that no outgoing connection takes one.
 hold_ports() {
     start holder "$standins" hold "$deployment"
-    until grep -q 'ports held' "$work/holder.log"; do
+    until grep -qs 'ports held' "$work/holder.log"; do
         check_alive || return 1
         sleep 0.1
     done
