--- a/crates/standins/src/calls.rs
+++ b/crates/standins/src/calls.rs
@@ -28,6 +28,14 @@
     pub refused: u64,
 }
 
+impl CallCounts {
+    /// Returns the writes and deletions asked for, with and without effect.
+    #[must_use]
+    pub const fn write_calls(&self) -> u64 {
+        self.writes + self.conflicts
+    }
+}
+
 impl PlatformCounts {
     /// Returns the counts of a kind, to be added to.
     pub fn of_kind(&mut self, kind: &str) -> &mut CallCounts {
--- a/crates/transport/node/src/callers/server.rs
+++ b/crates/transport/node/src/callers/server.rs
@@ -1,19 +1,18 @@
 //! Connections of callers.
 
-use std::net;
 use std::sync;
 
-use hyper_util::rt;
-use hyper_util::server::conn::auto;
 use hyper_util::server::graceful;
-use hyper_util::service;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
 use tokio_util::sync as cancellation;
-use tower::ServiceExt;
 
+use crate::callers::guard;
 use crate::callers::lookup;
+use crate::callers::overflow;
 use crate::callers::proxy;
+use crate::listener::bounded;
+use crate::listener::http as http_listener;
 use crate::shared;
 
 /// Makes the service of the caller port.
@@ -32,73 +31,48 @@
 ) {
     let router = make_router(sync::Arc::clone(&shared));
     let graceful = graceful::GracefulShutdown::new();
-    let permits =
-        sync::Arc::new(tokio::sync::Semaphore::new(shared.settings.callers.max_connections));
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.cancelled() => break,
-        };
-        let Ok((stream, peer)) = accepted else {
+    let overflow = overflow::OverflowGate::new();
+    let limits = shared.settings.callers;
+    let bounded = bounded::BoundedListener::new(listener, limits.max_connections, stop.clone());
+    while let Some(accepted) = bounded.accept().await {
+        let Some(permit) = accepted.permit else {
+            shared.metrics.refused_connections.inc();
+            emit!(catalogue::CALLER_CONNECTION_REFUSED, peer = %accepted.peer);
+            overflow.refuse(accepted.stream);
             continue;
         };
-        let Ok(permit) = sync::Arc::clone(&permits).try_acquire_owned() else {
-            emit!(catalogue::CALLER_CONNECTION_REFUSED, peer = %peer);
-            continue;
+        let guard = guard::CallerGuard {
+            shared: sync::Arc::clone(&shared),
+            router: router.clone(),
+            peer: accepted.peer,
         };
-        let connection = CallerConnection { shared: sync::Arc::clone(&shared), peer, permit };
-        connection.spawn(stream, router.clone(), &graceful);
+        let connection = http_listener::HttpConnection {
+            stream: accepted.stream,
+            limits: http_listener::HttpLimits {
+                max_header_bytes: limits.max_header_bytes,
+                header_timeout: limits.header_timeout,
+            },
+            watcher: graceful.watcher(),
+            stop: stop.clone(),
+        };
+        tokio::spawn(serve_caller(guard, connection, permit));
     }
-    drop(listener);
+    drop(bounded);
     graceful.shutdown().await;
 }
 
-struct CallerConnection {
-    shared: sync::Arc<shared::SharedTables>,
-    peer: net::SocketAddr,
+async fn serve_caller(
+    guard: guard::CallerGuard,
+    connection: http_listener::HttpConnection,
     permit: tokio::sync::OwnedSemaphorePermit,
-}
-
-impl CallerConnection {
-    fn spawn(
-        self,
-        stream: tokio::net::TcpStream,
-        router: axum::Router,
-        graceful: &graceful::GracefulShutdown,
-    ) {
-        let _ = stream.set_nodelay(true);
-        let peer = self.peer;
-        let service = router.map_request(move |request: http::Request<hyper::body::Incoming>| {
-            let mut request = request.map(axum::body::Body::new);
-            request.extensions_mut().insert(axum::extract::ConnectInfo(peer));
-            request
-        });
-        let builder = make_builder(&self.shared);
-        let service = service::TowerToHyperService::new(service);
-        let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
-        let watched = graceful.watch(connection.into_owned());
-        tokio::spawn(async move {
-            self.shared.metrics.caller_connections.inc();
-            if let Err(error) = watched.await {
-                emit!(catalogue::CALLER_CONNECTION_FAILED, peer = %peer, error = %error);
-            }
-            self.shared.metrics.caller_connections.dec();
-            drop(self.permit);
-        });
+) {
+    let shared = sync::Arc::clone(&guard.shared);
+    let peer = guard.peer;
+    shared.metrics.caller_connections.inc();
+    let service = hyper::service::service_fn(move |request| guard.clone().answer(request));
+    if let Err(error) = connection.serve(service).await {
+        emit!(catalogue::CALLER_CONNECTION_FAILED, peer = %peer, error = %error);
     }
-}
-
-fn make_builder(shared: &shared::SharedTables) -> auto::Builder<rt::TokioExecutor> {
-    let limits = shared.settings.callers;
-    let mut builder = auto::Builder::new(rt::TokioExecutor::new());
-    builder
-        .http1()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(limits.header_timeout)
-        .max_buf_size(limits.max_header_bytes);
-    builder
-        .http2()
-        .timer(rt::TokioTimer::new())
-        .max_header_list_size(u32::try_from(limits.max_header_bytes).unwrap_or(u32::MAX));
-    builder
+    drop(permit);
+    shared.metrics.caller_connections.dec();
 }
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -83,6 +83,12 @@
         self.clock.now()
     }
 
+    /// Returns the milliseconds since the process started.
+    #[must_use]
+    pub fn uptime_ms(&self) -> u64 {
+        u64::try_from(self.now().since(time::Timestamp::ZERO).as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Returns the process's clock.
     #[must_use]
     pub const fn clock(&self) -> clock::MonotonicClock {
