--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -1,5 +1,6 @@
 //! The messages between instances.
 
+use crate::configuration;
 use crate::membership;
 use crate::report;
 
@@ -10,7 +11,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// What the frame carries.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 7")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 7")]
     pub body: Option<Body>,
 }
 
@@ -26,6 +27,9 @@
     /// About the members.
     #[prost(message, tag = "3")]
     Membership(membership::Membership),
+    /// About the configuration.
+    #[prost(message, tag = "4")]
+    Configuration(configuration::Configuration),
     /// About traffic between regions.
     #[prost(message, tag = "7")]
     Report(report::Report),
--- a/crates/transport/node/src/inbox.rs
+++ b/crates/transport/node/src/inbox.rs
@@ -1,5 +1,6 @@
 //! Hands received envelopes to those who wait for them.
 
+use marjoramwing_configuration::keeper as configuration;
 use marjoramwing_membership::keeper;
 use marjoramwing_peer::message;
 use marjoramwing_steering::report;
@@ -16,6 +17,8 @@
     pub membership: mpsc::Sender<keeper::MembershipEvent>,
     /// Takes what concerns traffic between regions.
     pub reports: mpsc::Sender<report::ReportEvent>,
+    /// Takes what concerns the configuration.
+    pub configuration: mpsc::Sender<configuration::ConfigurationEvent>,
 }
 
 /// Routes received envelopes until the mesh ends.
@@ -39,6 +42,12 @@
                 let event = report::ReportEvent::Received { from: envelope.from, message };
                 let _ = routes.reports.try_send(event);
             }
+            message::Body::Configuration(raw) => {
+                let Some(address) = envelope.address else { continue };
+                let Ok(message) = raw.try_into() else { continue };
+                let event = configuration::ConfigurationEvent::Received { address, message };
+                let _ = routes.configuration.try_send(event);
+            }
         }
     }
 }
--- a/crates/transport/node/tests/ports/admin.rs
+++ b/crates/transport/node/tests/ports/admin.rs
@@ -3,6 +3,7 @@
 use std::sync;
 
 use axum::body;
+use marjoramwing_configuration::trust;
 use marjoramwing_membership::member;
 use marjoramwing_membership::view;
 use marjoramwing_node::admin;
@@ -71,6 +72,9 @@
     assert_eq!(early.status, 503);
     assert!(early.text.contains("no tables yet; check that the object API answers"));
     harness::apply_tables(&shared, "127.0.0.1:1".parse().unwrap());
+    let unconfirmed = ask(&shared, http::Method::GET, "/readyz", "").await;
+    assert_eq!(unconfirmed.status, 503);
+    shared.set_key_trust(trust::KeyTrust::Fresh);
     assert_eq!(ask(&shared, http::Method::GET, "/readyz", "").await.status, 200);
     shared.leave();
     let late = ask(&shared, http::Method::GET, "/readyz", "").await;
