--- a/crates/coordination/membership/src/keeper.rs
+++ b/crates/coordination/membership/src/keeper.rs
@@ -167,12 +167,16 @@
     pub fn dump(&self, now: time::Timestamp) -> dump::MembershipDump {
         let absent = self.roster.iter();
         let absent = absent.filter_map(|(run, record)| dump::AbsentMember::new(run, record, now));
+        let mut absent: Vec<_> = absent.collect();
+        let absent_count = absent.len();
+        absent.truncate(dump::MAX_ABSENT);
         dump::MembershipDump {
             sequence: self.sequence,
             isolated: self.is_isolated(now),
             queued_updates: self.gossip.len(),
             unanswered_contacts: self.contacts().len(),
-            absent: absent.collect(),
+            absent_count,
+            absent,
         }
     }
 
--- a/crates/protocol/settings/src/settings.rs
+++ b/crates/protocol/settings/src/settings.rs
@@ -31,6 +31,8 @@
     pub callers: CallerLimits,
     /// What the deployment weighs more.
     pub objective: DeploymentObjective,
+    /// How long and when keys are believed.
+    pub keys: KeyTrustSettings,
 }
 
 /// Who an instance is.
@@ -79,6 +81,16 @@
     pub max_connections: usize,
 }
 
+/// How long and when keys are believed.
+#[derives::value]
+pub struct KeyTrustSettings {
+    /// Age of the tables above which keys are in doubt.
+    pub max_age: time::Duration,
+    /// Whether keyed requests are served when an outage of the store cannot be
+    /// told from being cut off.
+    pub serve_undecided: bool,
+}
+
 /// What a deployment weighs more.
 #[derives::value]
 pub enum DeploymentObjective {
@@ -130,6 +142,7 @@
             document::WeighDocument::Fairness => DeploymentObjective::Fairness,
             document::WeighDocument::Latency => DeploymentObjective::Latency,
         };
+        let keys = check_keys(&mut faults, &raw.keys);
         let checked = (|| {
             Some(Self {
                 identity: identity?,
@@ -139,6 +152,7 @@
                 admin_secret: admin_secret?,
                 callers: callers?,
                 objective,
+                keys: keys?,
             })
         })();
         checked.ok_or(faults)
@@ -169,8 +183,8 @@
     faults: &mut fault::FaultList,
     raw: &document::ListenDocument,
 ) -> Option<ListenAddresses> {
-    let callers = faults.check("listen.callers", check_address(&raw.callers));
-    let peers = faults.check("listen.peers", check_address(&raw.peers));
+    let callers = faults.check("listen.callers", check_reachable(&raw.callers));
+    let peers = faults.check("listen.peers", check_reachable(&raw.peers));
     let admin = faults.check("listen.admin", check_address(&raw.admin));
     let listen = ListenAddresses { callers: callers?, peers: peers?, admin: admin? };
     let peers = check_distinct(listen.peers, &[("listen.callers", listen.callers)]);
@@ -221,6 +235,27 @@
     })
 }
 
+fn check_keys(
+    faults: &mut fault::FaultList,
+    raw: &document::KeysDocument,
+) -> Option<KeyTrustSettings> {
+    let max_age = catalogue::KEYS_MAX_AGE_MS.check(raw.max_age_ms);
+    let max_age = faults.check("keys.max_age_ms", max_age);
+    Some(KeyTrustSettings {
+        max_age: time::Duration::from_millis(max_age?),
+        serve_undecided: raw.undecided == document::UndecidedDocument::Serve,
+    })
+}
+
+/// Checks an address that others are told.
+fn check_reachable(text: &Arc<str>) -> Result<net::SocketAddr, fault::FaultKind> {
+    let address = check_address(text)?;
+    if address.ip().is_unspecified() {
+        return Err(fault::FaultKind::Unspecified(Arc::clone(text)));
+    }
+    Ok(address)
+}
+
 fn check_address(text: &Arc<str>) -> Result<net::SocketAddr, fault::FaultKind> {
     text.parse().map_err(|_| fault::FaultKind::Address(Arc::clone(text)))
 }
--- a/crates/transport/node/src/dump.rs
+++ b/crates/transport/node/src/dump.rs
@@ -30,11 +30,15 @@
     /// Regions as steering sees them.
     #[display("regions")]
     Regions,
+    /// Decisions on membership, configuration and keys.
+    #[display("control")]
+    Control,
 }
 
 impl DumpSection {
     /// All sections.
-    pub const ALL: [Self; 4] = [Self::Instance, Self::Tables, Self::Members, Self::Regions];
+    pub const ALL: [Self; 5] =
+        [Self::Instance, Self::Tables, Self::Members, Self::Regions, Self::Control];
 
     /// Returns the section of a name.
     #[must_use]
@@ -54,6 +58,7 @@
             Self::Regions => {
                 to_json(&BoundedRows::<steering::RegionDump>::new(&shared.steering.dump()))
             }
+            Self::Control => to_json(&shared.control.dump()),
         }
     }
 }
--- a/crates/transport/node/src/inbox.rs
+++ b/crates/transport/node/src/inbox.rs
@@ -15,10 +15,10 @@
 pub struct InboxRoutes {
     /// Takes what concerns the members.
     pub membership: mpsc::Sender<keeper::MembershipEvent>,
-    /// Takes what concerns traffic between regions.
-    pub reports: mpsc::Sender<report::ReportEvent>,
     /// Takes what concerns the configuration.
     pub configuration: mpsc::Sender<configuration::ConfigurationEvent>,
+    /// Takes what concerns traffic between regions.
+    pub reports: mpsc::Sender<report::ReportEvent>,
 }
 
 /// Routes received envelopes until the mesh ends.
@@ -37,17 +37,17 @@
                 let event = keeper::MembershipEvent::Received { from, address, message };
                 let _ = routes.membership.try_send(event);
             }
-            message::Body::Report(raw) => {
-                let Ok(message) = raw.try_into() else { continue };
-                let event = report::ReportEvent::Received { from: envelope.from, message };
-                let _ = routes.reports.try_send(event);
-            }
             message::Body::Configuration(raw) => {
                 let Some(address) = envelope.address else { continue };
                 let Ok(message) = raw.try_into() else { continue };
                 let event = configuration::ConfigurationEvent::Received { address, message };
                 let _ = routes.configuration.try_send(event);
             }
+            message::Body::Report(raw) => {
+                let Ok(message) = raw.try_into() else { continue };
+                let event = report::ReportEvent::Received { from: envelope.from, message };
+                let _ = routes.reports.try_send(event);
+            }
         }
     }
 }
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -81,7 +81,7 @@
             picker: sync::Mutex::default(),
             leaving: atomic::AtomicBool::new(false),
             keys_trusted: atomic::AtomicBool::new(true),
-            was_confirmed: atomic::AtomicBool::new(false),
+            was_confirmed: atomic::AtomicBool::new(true),
             control: dump::ControlBoard::default(),
             seed: atomic::AtomicUsize::new(0),
         }
@@ -140,6 +140,12 @@
         self.member_changes.subscribe()
     }
 
+    /// Believes no keys and is not ready until the tables are confirmed.
+    pub fn await_confirmation(&self) {
+        self.keys_trusted.store(false, atomic::Ordering::Release);
+        self.was_confirmed.store(false, atomic::Ordering::Release);
+    }
+
     /// Notes whether the keys may be believed.
     pub fn set_key_trust(&self, trust: trust::KeyTrust) {
         self.keys_trusted.store(trust.is_trusted(), atomic::Ordering::Release);
