--- a/crates/coordination/membership/src/keeper.rs
+++ b/crates/coordination/membership/src/keeper.rs
@@ -157,7 +157,9 @@
             if self.leaving { member::MemberState::Leaving } else { member::MemberState::Live };
         let mut members = vec![member::Member::new(&self.own, self.incarnation, state)];
         members.extend(self.roster.iter().filter_map(|(run, record)| record.to_member(run)));
-        view::MemberView::new(members)
+        let dead = self.roster.iter().filter(|(_, record)| record.is_dead());
+        let dead_regions = dead.map(|(_, record)| Arc::clone(&record.profile.region));
+        view::MemberView::new(members).with_regions(dead_regions)
     }
 
     /// Returns the keeper's state for operators.
@@ -165,12 +167,16 @@
     pub fn dump(&self, now: time::Timestamp) -> dump::MembershipDump {
         let absent = self.roster.iter();
         let absent = absent.filter_map(|(run, record)| dump::AbsentMember::new(run, record, now));
+        let mut absent: Vec<_> = absent.collect();
+        let absent_count = absent.len();
+        absent.truncate(dump::MAX_ABSENT);
         dump::MembershipDump {
             sequence: self.sequence,
             isolated: self.is_isolated(now),
             queued_updates: self.gossip.len(),
             unanswered_contacts: self.contacts().len(),
-            absent: absent.collect(),
+            absent_count,
+            absent,
         }
     }
 
--- a/crates/protocol/settings/src/catalogue.rs
+++ b/crates/protocol/settings/src/catalogue.rs
@@ -94,4 +94,8 @@
         "Connections of callers at once; one more is told 503, not run.";
     OBJECTIVE_WEIGH = "objective.weigh", "`fairness` or `latency`", "fairness", None,
         "What the deployment weighs more: the worst-served team and wrongful refusals, or latency and headroom.";
+    KEYS_MAX_AGE_MS = "keys.max_age_ms", "milliseconds", "15000", Some((10_000, 600_000)),
+        "Time without word of the object API, also by way of peers, after which keys are in doubt.";
+    KEYS_UNDECIDED = "keys.undecided", "`refuse` or `serve`", "refuse", None,
+        "What becomes of keyed requests when an outage of the object API cannot be told from being cut off.";
 }
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -122,18 +122,24 @@
 ) -> mpsc::Sender<keeper::MembershipEvent> {
     let store = shared.settings.store;
     let client = client::StoreClient::new(store.address, store.timeout);
-    let follower =
-        configuration::ConfigurationFollower::new(sync::Arc::clone(shared), client.clone());
-    tokio::spawn(follower.run());
     let (sender, events) = mpsc::channel(membership::EVENT_QUEUE);
     let driver = membership::MembershipDriver::new(sync::Arc::clone(shared), mesh.clone(), events);
     tokio::spawn(driver.run());
-    tokio::spawn(listing::follow_listing(sync::Arc::clone(shared), client, sender.clone()));
+    tokio::spawn(listing::follow_listing(sync::Arc::clone(shared), client.clone(), sender.clone()));
+    let (answers, events) = mpsc::channel(configuration::EVENT_QUEUE);
+    let driver = configuration::ConfigurationDriver::new(
+        sync::Arc::clone(shared),
+        mesh.clone(),
+        client.clone(),
+        answers.clone(),
+        events,
+    );
+    tokio::spawn(driver.run());
     let (reports, report_events) = mpsc::channel(steering_driver::EVENT_QUEUE);
     let steering =
         steering_driver::SteeringDriver::new(sync::Arc::clone(shared), mesh.clone(), report_events);
     tokio::spawn(steering.run());
-    let routes = inbox::InboxRoutes { membership: sender.clone(), reports };
+    let routes = inbox::InboxRoutes { membership: sender.clone(), configuration: answers, reports };
     tokio::spawn(inbox::route_envelopes(received, routes));
     sender
 }
