--- a/crates/transport/node/tests/ports/admin.rs
+++ b/crates/transport/node/tests/ports/admin.rs
@@ -72,6 +72,7 @@
     assert_eq!(early.status, 503);
     assert!(early.text.contains("no tables yet; check that the object API answers"));
     harness::apply_tables(&shared, "127.0.0.1:1".parse().unwrap());
+    shared.await_confirmation();
     let unconfirmed = ask(&shared, http::Method::GET, "/readyz", "").await;
     assert_eq!(unconfirmed.status, 503);
     shared.set_key_trust(trust::KeyTrust::Fresh);
