--- a/crates/coordination/dispatch/src/exchange.rs
+++ b/crates/coordination/dispatch/src/exchange.rs
@@ -76,7 +76,7 @@
     pub idempotent: bool,
     /// Time at which the request must be answered.
     pub deadline: time::Timestamp,
-    /// Attempts in all.
+    /// Attempts that are not shed.
     pub max_attempts: u32,
     /// Longest wait for the head of an answer before another server is tried.
     pub silence: duration::Duration,
@@ -86,6 +86,9 @@
     pub disabled: mechanism::DisabledMechanism,
 }
 
+/// Attempts at one request, shed ones included.
+const MAX_STARTS: usize = 64;
+
 /// The attempts at one request.
 #[derive(Debug)]
 pub struct RequestExchange {
@@ -140,6 +143,20 @@
         self.attempts.len()
     }
 
+    /// Tells whether the next attempt costs a token of the retry budget.
+    ///
+    /// An attempt after a shed one does not: its server did no work.
+    #[must_use]
+    pub fn costs_retry(&self) -> bool {
+        let last = self.attempts.values().next_back();
+        last.is_some_and(|attempt| attempt.state != AttemptState::Shed)
+    }
+
+    /// Gives up the second attempt beside the first.
+    pub const fn skip_hedge(&mut self) {
+        self.rules.hedge_after = None;
+    }
+
     /// Records the start of an attempt.
     pub fn begin(&mut self, now: time::Timestamp) -> AttemptKey {
         let state = AttemptState::NotSent;
@@ -200,9 +217,12 @@
 
     fn may_start(&self, can_replay: bool) -> bool {
         let count = self.attempts.len();
+        let unshed = self.attempts.values().filter(|attempt| attempt.state != AttemptState::Shed);
+        let unshed = unshed.count();
         let guarded = self.rules.disabled != mechanism::DisabledMechanism::RepeatGuard;
         let repeatable = self.rules.idempotent || !guarded || self.is_not_run();
-        count == 0 || (can_replay && repeatable && count < self.rules.max_attempts as usize)
+        let bounded = unshed < self.rules.max_attempts as usize && count < MAX_STARTS;
+        count == 0 || (can_replay && repeatable && bounded)
     }
 
     fn is_not_run(&self) -> bool {
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -1,11 +1,21 @@
-//! Where a request goes and what may be said of its outcome.
+//! Where a request goes, when, and what may be said of its outcome.
 //!
+//! - [`budget`]: retries as a share of live traffic.
 //! - [`exchange`]: how far the attempts came, and what may follow.
 //! - [`gate`]: the last moment before the first byte.
+//! - [`health`]: ejection and slow start.
 //! - [`mechanism`]: what tests can switch off.
 //! - [`picker`]: the choice of a backend server.
+//! - [`policy`]: what a deployment weighs more.
+//! - [`queue`]: requests that wait, in a line for each team.
+//! - [`service`]: the dispatch of one service.
 
+pub mod budget;
 pub mod exchange;
 pub mod gate;
+pub mod health;
 pub mod mechanism;
 pub mod picker;
+pub mod policy;
+pub mod queue;
+pub mod service;
--- a/crates/coordination/dispatch/src/mechanism.rs
+++ b/crates/coordination/dispatch/src/mechanism.rs
@@ -13,4 +13,14 @@
     AbandonedAttempts,
     /// A request that may have run is not repeated.
     RepeatGuard,
+    /// Only a fraction of a pool is ejected at once.
+    EjectionBound,
+    /// Each team waits in a line of its own.
+    TeamLines,
+    /// A full queue pushes out the longest line.
+    PushOut,
+    /// Requests that cannot meet their deadline are shed.
+    DeadlineShedding,
+    /// Retries are a share of live traffic.
+    RetryBudget,
 }
--- /dev/null
+++ b/crates/coordination/dispatch/src/policy.rs
@@ -0,0 +1,79 @@
+//! What a deployment weighs more, as numbers that the decisions use.
+
+use std::time as duration;
+
+use marjoramwing_derives as derives;
+
+use crate::mechanism;
+
+/// How a backend server is chosen.
+#[derives::value]
+pub enum ChoiceRule {
+    /// Any server that this instance does not fill alone.
+    Random,
+    /// The server with the fewest requests of this instance.
+    LeastInFlight,
+    /// The better of two random servers by reported load.
+    TwoChoices,
+    /// The soonest answer by latency, reported load and sheds, over all servers.
+    SoonestAnswer,
+}
+
+/// Which queued request goes next.
+#[derives::value]
+pub enum QueueOrder {
+    /// The team that got least; within it the request that waits longest.
+    LeastServedTeam,
+    /// The team that got least; within it the request whose deadline is next.
+    EarliestDeadline,
+}
+
+/// Numbers by which one instance dispatches.
+#[derives::measure]
+pub struct DispatchPolicy {
+    /// How a backend server is chosen.
+    pub choice: ChoiceRule,
+    /// Which queued request goes next.
+    pub order: QueueOrder,
+    /// Wait before an idempotent request runs a second time beside the first.
+    pub hedge_after: Option<duration::Duration>,
+    /// Retries per request of a service.
+    pub retry_share: f64,
+    /// Requests that wait for one service.
+    pub max_queued: usize,
+    /// Bytes of bodies that wait for one service.
+    pub max_queued_bytes: usize,
+    /// Mechanism that a test switches off.
+    pub disabled: mechanism::DisabledMechanism,
+}
+
+const MAX_QUEUED: usize = 1_024;
+const MAX_QUEUED_BYTES: usize = 4 * 1024 * 1024;
+const RETRY_SHARE: f64 = 0.1;
+const HEDGE_AFTER: duration::Duration = duration::Duration::from_millis(500);
+
+impl DispatchPolicy {
+    /// Weighs the worst-served team and wrongful refusals more.
+    #[must_use]
+    pub const fn fairness() -> Self {
+        Self {
+            choice: ChoiceRule::SoonestAnswer,
+            order: QueueOrder::LeastServedTeam,
+            hedge_after: None,
+            retry_share: RETRY_SHARE,
+            max_queued: MAX_QUEUED,
+            max_queued_bytes: MAX_QUEUED_BYTES,
+            disabled: mechanism::DisabledMechanism::Nothing,
+        }
+    }
+
+    /// Weighs latency and headroom more.
+    #[must_use]
+    pub const fn latency() -> Self {
+        Self {
+            order: QueueOrder::EarliestDeadline,
+            hedge_after: Some(HEDGE_AFTER),
+            ..Self::fairness()
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/dispatch/src/service.rs
@@ -0,0 +1,185 @@
+//! The dispatch of one service: its servers, queue and retry budget.
+//!
+//! Each service has its own, so that one whose backend servers hang takes
+//! nothing from another. Invariant: no request waits while a server that it
+//! may use has a free slot, as far as this instance knows.
+
+use std::net;
+
+use marjoramwing_derives as derives;
+use marjoramwing_entity::time;
+use marjoramwing_tables::pool;
+
+use crate::budget;
+use crate::mechanism;
+use crate::picker;
+use crate::policy;
+use crate::queue;
+
+/// A slot for a request.
+#[derives::value]
+pub struct SlotGrant {
+    /// Request that goes.
+    pub ticket: queue::TicketKey,
+    /// Server that it goes to.
+    pub server: net::SocketAddr,
+}
+
+/// What came of asking for a slot.
+#[derives::record]
+pub enum SubmitOutcome {
+    /// The request goes to this server.
+    Granted(net::SocketAddr),
+    /// The request waits; one that waited before may have given way.
+    Waits {
+        /// The request that waits.
+        ticket: queue::TicketKey,
+        /// The request that gave way.
+        displaced: Option<queue::TicketKey>,
+    },
+    /// The queue is full.
+    Full,
+    /// No server is left that the request may use.
+    NoServer,
+}
+
+/// What a turn of the queue did.
+#[derives::record]
+#[derive(Default)]
+pub struct QueueTurn {
+    /// Requests that go.
+    pub granted: Vec<SlotGrant>,
+    /// Requests that cannot be answered by their deadline.
+    pub expired: Vec<queue::TicketKey>,
+}
+
+/// Decides where and when one service's requests go.
+#[derive(Debug)]
+pub struct ServiceDispatcher {
+    policy: policy::DispatchPolicy,
+    picker: picker::BackendPicker,
+    queue: queue::TeamQueue,
+    budget: budget::RetryBudget,
+}
+
+impl ServiceDispatcher {
+    /// Makes a service without servers.
+    #[must_use]
+    pub fn new(policy: policy::DispatchPolicy) -> Self {
+        Self {
+            picker: picker::BackendPicker::new(policy.choice, policy.disabled),
+            queue: queue::TeamQueue::new(&policy),
+            budget: budget::RetryBudget::new(policy.retry_share),
+            policy,
+        }
+    }
+
+    /// Takes over the servers of a pool.
+    pub fn set_servers(&mut self, pool: &pool::Pool, now: time::Timestamp) {
+        self.picker.set_servers(pool, now);
+    }
+
+    /// Asks for a slot for a request's first attempt.
+    pub fn submit(
+        &mut self,
+        request: queue::SlotRequest,
+        seed: u64,
+        now: time::Timestamp,
+    ) -> SubmitOutcome {
+        if !self.picker.has_server(&request.avoided) {
+            return SubmitOutcome::NoServer;
+        }
+        if self.queue.is_empty()
+            && let Some(server) = self.try_submit(&request.avoided, seed, now)
+        {
+            return SubmitOutcome::Granted(server);
+        }
+        match self.queue.push(request) {
+            queue::PushOutcome::Waits(ticket) => SubmitOutcome::Waits { ticket, displaced: None },
+            queue::PushOutcome::Displaces { ticket, displaced } => {
+                SubmitOutcome::Waits { ticket, displaced: Some(displaced) }
+            }
+            queue::PushOutcome::Full => SubmitOutcome::Full,
+        }
+    }
+
+    /// Takes a slot that is free now, past the queue.
+    pub fn try_submit(
+        &mut self,
+        avoided: &[net::SocketAddr],
+        seed: u64,
+        now: time::Timestamp,
+    ) -> Option<net::SocketAddr> {
+        let server = self.picker.pick(avoided, seed, now)?;
+        self.picker.begin(server);
+        Some(server)
+    }
+
+    /// Records a request's first attempt for the retry budget.
+    pub fn record_request(&mut self) {
+        self.budget.record_request();
+    }
+
+    /// Takes the token of one retry, if the budget holds one.
+    pub fn take_retry(&mut self) -> bool {
+        self.policy.disabled == mechanism::DisabledMechanism::RetryBudget
+            || self.budget.take_retry()
+    }
+
+    /// Records the end of an attempt, which frees its slot.
+    pub fn finish(
+        &mut self,
+        server: net::SocketAddr,
+        report: picker::AttemptReport,
+        now: time::Timestamp,
+    ) {
+        self.picker.finish(server, report, now);
+    }
+
+    /// Removes a request that no longer waits.
+    pub fn cancel(&mut self, ticket: queue::TicketKey) {
+        self.queue.remove(ticket);
+    }
+
+    /// Gives free slots to waiting requests and drops those that are too late.
+    pub fn turn(&mut self, seed: u64, now: time::Timestamp) -> QueueTurn {
+        if self.queue.is_empty() {
+            return QueueTurn::default();
+        }
+        let sheds = self.policy.disabled != mechanism::DisabledMechanism::DeadlineShedding;
+        let expired =
+            if sheds { self.queue.expire(now + self.picker.least_latency()) } else { Vec::new() };
+        let mut granted = Vec::new();
+        while let Some(grant) = self.next_grant(seed.wrapping_add(granted.len() as u64), now) {
+            self.queue.take(grant.ticket);
+            self.picker.begin(grant.server);
+            granted.push(grant);
+        }
+        QueueTurn { granted, expired }
+    }
+
+    /// Returns when the next turn is due although nothing ends.
+    #[must_use]
+    pub fn next_turn(&self, now: time::Timestamp) -> Option<time::Timestamp> {
+        if self.queue.is_empty() { None } else { self.picker.next_change(now) }
+    }
+
+    /// Returns the requests that wait.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the requests that this instance has open at a server.
+    #[must_use]
+    pub fn in_flight(&self, server: net::SocketAddr) -> u32 {
+        self.picker.in_flight(server)
+    }
+
+    fn next_grant(&self, seed: u64, now: time::Timestamp) -> Option<SlotGrant> {
+        self.queue.heads().find_map(|queued| {
+            let server = self.picker.pick(&queued.request.avoided, seed, now)?;
+            Some(SlotGrant { ticket: queued.ticket, server })
+        })
+    }
+}
--- /dev/null
+++ b/crates/coordination/dispatch/tests/fleet/main.rs
@@ -0,0 +1,4 @@
+//! Several instances before one pool, under virtual time.
+
+mod choice;
+mod trial;
--- /dev/null
+++ b/crates/coordination/dispatch/tests/fleet/trial.rs
@@ -0,0 +1,288 @@
+//! A seeded schedule of arrivals, services and network delays.
+
+use std::cmp;
+use std::collections;
+use std::net;
+use std::sync::Arc;
+use std::time as duration;
+
+use marjoramwing_dispatch::picker;
+use marjoramwing_dispatch::policy;
+use marjoramwing_dispatch::queue;
+use marjoramwing_dispatch::service;
+use marjoramwing_entity::primary;
+use marjoramwing_entity::time;
+use marjoramwing_tables::name;
+use marjoramwing_tables::pool;
+use rand::RngExt;
+use rand::SeedableRng;
+
+pub(crate) const SLOTS: u32 = 3;
+pub(crate) const SERVERS: usize = 12;
+const INSTANCE_REGIONS: [usize; 7] = [0, 0, 0, 1, 1, 2, 2];
+const REGIONS: usize = 3;
+const NEAR_US: u64 = 1_000;
+const SKEW_PERIOD_US: u64 = 20_000_000;
+const DEADLINE: duration::Duration = duration::Duration::from_secs(5);
+
+/// What is tried.
+#[derive(Clone, Copy)]
+pub(crate) struct TrialSetup {
+    pub(crate) policy: policy::DispatchPolicy,
+    /// Offered load as a share of all slots.
+    pub(crate) load: f64,
+    /// Share of arrivals at one instance, which changes every 20 s.
+    pub(crate) skew: f64,
+    /// One-way delay between regions.
+    pub(crate) far_us: u64,
+    /// Whether servers report too few open requests.
+    pub(crate) lies: bool,
+    /// Time over which requests arrive.
+    pub(crate) span_us: u64,
+}
+
+/// What was counted.
+#[derive(Debug, Default)]
+pub(crate) struct TrialCounts {
+    pub(crate) requests: u64,
+    pub(crate) sheds: u64,
+    pub(crate) late: u64,
+    pub(crate) latencies_us: Vec<u64>,
+    /// Slots that were idle while requests waited, as a share of all slots.
+    pub(crate) idle_share: f64,
+}
+
+impl TrialCounts {
+    pub(crate) fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.sheds += other.sheds;
+        self.late += other.late;
+        self.latencies_us.extend(other.latencies_us);
+        self.idle_share += other.idle_share;
+    }
+
+    pub(crate) fn quantile_ms(&self, quantile: f64) -> f64 {
+        let mut sorted = self.latencies_us.clone();
+        sorted.sort_unstable();
+        sorted[((sorted.len() - 1) as f64 * quantile) as usize] as f64 / 1_000.0
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    Reach { request: usize, server: usize },
+    Leave { request: usize, server: usize },
+    Return { request: usize, server: usize, answered: bool, open: u32 },
+    Wake { instance: usize },
+}
+
+struct Request {
+    instance: usize,
+    arrived_us: u64,
+    sent_us: u64,
+}
+
+struct Instance {
+    dispatcher: service::ServiceDispatcher,
+    waiting: collections::HashMap<queue::TicketKey, usize>,
+    wake_us: u64,
+}
+
+pub(crate) struct FleetTrial {
+    setup: TrialSetup,
+    instances: Vec<Instance>,
+    busy: Vec<u32>,
+    requests: Vec<Request>,
+    events: collections::BinaryHeap<cmp::Reverse<(u64, usize, Event)>>,
+    sequence: usize,
+    rng: rand_pcg::Pcg64,
+    counts: TrialCounts,
+    idle_slot_us: u64,
+    now_us: u64,
+}
+
+pub(crate) fn address(server: usize) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 0, 0, 1], 1_000 + u16::try_from(server).unwrap()))
+}
+
+pub(crate) fn make_pool(servers: impl Iterator<Item = usize>) -> pool::Pool {
+    let text = |text: &str| Arc::<str>::from(text);
+    let server = |server| pool::BackendServer {
+        address: address(server),
+        failure_domain: name::DomainName::try_from(&text("a")).unwrap(),
+        slots: SLOTS,
+        draining: false,
+    };
+    let servers: primary::PrimaryMap<_, _> = servers.map(server).collect();
+    pool::Pool { name: name::PoolName::try_from(&text("web")).unwrap(), servers }
+}
+
+impl FleetTrial {
+    pub(crate) fn run(setup: TrialSetup, seed: u64) -> TrialCounts {
+        let instance = |_| {
+            let mut dispatcher = service::ServiceDispatcher::new(setup.policy);
+            dispatcher.set_servers(&make_pool(0..SERVERS), time::Timestamp::ZERO);
+            Instance { dispatcher, waiting: collections::HashMap::new(), wake_us: 0 }
+        };
+        let mut trial = Self {
+            setup,
+            instances: (0..INSTANCE_REGIONS.len()).map(instance).collect(),
+            busy: vec![0; SERVERS],
+            requests: Vec::new(),
+            events: collections::BinaryHeap::new(),
+            sequence: 0,
+            rng: rand_pcg::Pcg64::seed_from_u64(seed),
+            counts: TrialCounts::default(),
+            idle_slot_us: 0,
+            now_us: 0,
+        };
+        trial.schedule(0, Event::Arrive);
+        while let Some(cmp::Reverse((at_us, _, event))) = trial.events.pop() {
+            trial.count_idle(at_us);
+            trial.now_us = at_us;
+            trial.handle(event);
+        }
+        let slots_us = f64::from(SLOTS) * SERVERS as f64 * setup.span_us as f64;
+        trial.counts.idle_share = trial.idle_slot_us as f64 / slots_us;
+        trial.counts
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::Reach { request, server } => self.reach(request, server),
+            Event::Leave { request, server } => {
+                let open = self.busy[server];
+                self.busy[server] -= 1;
+                self.send_back(request, server, true, open);
+            }
+            Event::Return { request, server, answered, open } => {
+                self.receive(request, server, answered, open);
+            }
+            Event::Wake { instance } => self.turn(instance),
+        }
+    }
+
+    fn arrive(&mut self) {
+        if self.now_us >= self.setup.span_us {
+            return;
+        }
+        const MEAN_SERVICE_US: f64 = 40_000.0;
+        let rate = self.setup.load * f64::from(SLOTS) * SERVERS as f64 / MEAN_SERVICE_US;
+        let gap_us = -(1.0 - self.rng.random::<f64>()).ln() / rate;
+        self.schedule(gap_us as u64 + 1, Event::Arrive);
+        let hot = (self.now_us / SKEW_PERIOD_US) as usize * 3 % INSTANCE_REGIONS.len();
+        let skewed = self.rng.random_bool(self.setup.skew);
+        let instance = if skewed { hot } else { self.rng.random_range(0..INSTANCE_REGIONS.len()) };
+        self.counts.requests += 1;
+        let (arrived_us, sent_us) = (self.now_us, self.now_us);
+        self.requests.push(Request { instance, arrived_us, sent_us });
+        self.submit(self.requests.len() - 1);
+    }
+
+    fn submit(&mut self, request: usize) {
+        let Request { instance, arrived_us, .. } = self.requests[request];
+        let slot_request = queue::SlotRequest {
+            team: Arc::from("team"),
+            deadline: time::Timestamp::from_micros(arrived_us) + DEADLINE,
+            bytes: 0,
+            avoided: Vec::new(),
+        };
+        let (seed, now) = (self.rng.random(), self.now());
+        match self.instances[instance].dispatcher.submit(slot_request, seed, now) {
+            service::SubmitOutcome::Granted(server) => self.send(request, server),
+            service::SubmitOutcome::Waits { ticket, .. } => {
+                self.instances[instance].waiting.insert(ticket, request);
+                self.schedule_wake(instance);
+            }
+            service::SubmitOutcome::Full | service::SubmitOutcome::NoServer => {
+                self.counts.late += 1;
+            }
+        }
+    }
+
+    fn turn(&mut self, instance: usize) {
+        let (seed, now) = (self.rng.random(), self.now());
+        let turn = self.instances[instance].dispatcher.turn(seed, now);
+        for grant in turn.granted {
+            let request = self.instances[instance].waiting.remove(&grant.ticket).unwrap();
+            self.send(request, grant.server);
+        }
+        self.counts.late += turn.expired.len() as u64;
+        self.schedule_wake(instance);
+    }
+
+    fn schedule_wake(&mut self, instance: usize) {
+        let now = self.now();
+        let Some(at) = self.instances[instance].dispatcher.next_turn(now) else { return };
+        let pending_us = self.instances[instance].wake_us;
+        if pending_us <= self.now_us || at.as_micros() < pending_us {
+            self.instances[instance].wake_us = at.as_micros();
+            self.schedule(at.as_micros() - self.now_us, Event::Wake { instance });
+        }
+    }
+
+    fn send(&mut self, request: usize, address: net::SocketAddr) {
+        let server = usize::from(address.port()) - 1_000;
+        self.requests[request].sent_us = self.now_us;
+        let delay_us = self.delay_us(request, server);
+        self.schedule(delay_us, Event::Reach { request, server });
+    }
+
+    fn reach(&mut self, request: usize, server: usize) {
+        if self.busy[server] >= SLOTS {
+            self.counts.sheds += 1;
+            return self.send_back(request, server, false, self.busy[server]);
+        }
+        self.busy[server] += 1;
+        let service_us = if self.rng.random_bool(0.8) { 20_000 } else { 120_000 };
+        self.schedule(service_us, Event::Leave { request, server });
+    }
+
+    fn send_back(&mut self, request: usize, server: usize, answered: bool, open: u32) {
+        let open = if self.setup.lies { 1 } else { open };
+        let delay_us = self.delay_us(request, server);
+        self.schedule(delay_us, Event::Return { request, server, answered, open });
+    }
+
+    fn receive(&mut self, request: usize, server: usize, answered: bool, open: u32) {
+        let Request { instance, arrived_us, sent_us } = self.requests[request];
+        let latency = duration::Duration::from_micros(self.now_us - sent_us);
+        let result = if answered {
+            picker::ReportedResult::Answered(latency)
+        } else {
+            picker::ReportedResult::Shed
+        };
+        let report = picker::AttemptReport { result, open_requests: Some(open) };
+        let now = self.now();
+        self.instances[instance].dispatcher.finish(address(server), report, now);
+        if answered {
+            self.counts.latencies_us.push(self.now_us - arrived_us);
+        } else {
+            self.submit(request);
+        }
+        self.turn(instance);
+    }
+
+    fn count_idle(&mut self, until_us: u64) {
+        let waiting: usize = self.instances.iter().map(|instance| instance.waiting.len()).sum();
+        let free: u32 = self.busy.iter().map(|busy| SLOTS - busy).sum();
+        let idle = u64::from(free).min(waiting as u64);
+        self.idle_slot_us += idle * (until_us - self.now_us);
+    }
+
+    fn delay_us(&self, request: usize, server: usize) -> u64 {
+        let region = INSTANCE_REGIONS[self.requests[request].instance];
+        if region == server % REGIONS { NEAR_US } else { self.setup.far_us }
+    }
+
+    fn schedule(&mut self, delay_us: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(cmp::Reverse((self.now_us + delay_us, self.sequence, event)));
+    }
+
+    fn now(&self) -> time::Timestamp {
+        time::Timestamp::from_micros(self.now_us)
+    }
+}
--- /dev/null
+++ b/crates/coordination/dispatch/tests/service.rs
@@ -0,0 +1,249 @@
+//! One service: its slots, its fair and bounded queue, its retries.
+
+use std::collections;
+use std::net;
+use std::sync::Arc;
+use std::time as duration;
+
+use marjoramwing_dispatch::mechanism;
+use marjoramwing_dispatch::picker;
+use marjoramwing_dispatch::policy;
+use marjoramwing_dispatch::queue;
+use marjoramwing_dispatch::service;
+use marjoramwing_entity::primary;
+use marjoramwing_entity::time;
+use marjoramwing_tables::name;
+use marjoramwing_tables::pool;
+use marjoramwing_testing::cases;
+use rand::RngExt;
+use rand::SeedableRng;
+
+use mechanism::DisabledMechanism::{self, Nothing};
+use picker::ReportedResult::{Answered, Failed, Shed};
+use queue::PushOutcome;
+
+fn address(server: u16) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 0, 0, 1], server))
+}
+
+fn make_pool(servers: &[u16], draining: &[u16], slots: u32) -> pool::Pool {
+    let server = |port: &u16| pool::BackendServer {
+        address: address(*port),
+        failure_domain: name::DomainName::try_from(&Arc::from("a")).unwrap(),
+        slots,
+        draining: draining.contains(port),
+    };
+    let servers: primary::PrimaryMap<_, _> = servers.iter().map(server).collect();
+    pool::Pool { name: name::PoolName::try_from(&Arc::from("web")).unwrap(), servers }
+}
+
+fn make_policy(disabled: DisabledMechanism) -> policy::DispatchPolicy {
+    policy::DispatchPolicy { disabled, ..policy::DispatchPolicy::fairness() }
+}
+
+fn make_service(disabled: DisabledMechanism, servers: &[u16]) -> service::ServiceDispatcher {
+    let mut dispatcher = service::ServiceDispatcher::new(make_policy(disabled));
+    dispatcher.set_servers(&make_pool(servers, &[], 3), time::Timestamp::ZERO);
+    dispatcher
+}
+
+fn ask(team: &str, deadline_ms: u64) -> queue::SlotRequest {
+    let deadline = time::Timestamp::from_millis(deadline_ms);
+    queue::SlotRequest { team: Arc::from(team), deadline, bytes: 1, avoided: Vec::new() }
+}
+
+fn report(result: picker::ReportedResult) -> picker::AttemptReport {
+    picker::AttemptReport { result, open_requests: None }
+}
+
+/// A loud team asks twenty times as often as the quiet one; both are counted
+/// over one second in which one request ends each millisecond.
+fn quiet_team_latency_ms(disabled: DisabledMechanism, order: policy::QueueOrder) -> u64 {
+    let policy = policy::DispatchPolicy { order, ..make_policy(disabled) };
+    let mut dispatcher = service::ServiceDispatcher::new(policy);
+    dispatcher.set_servers(&make_pool(&[1], &[], 1), time::Timestamp::ZERO);
+    let mut asked = collections::HashMap::new();
+    let mut worst_ms = 0;
+    for at_ms in 0..1_000 {
+        let now = time::Timestamp::from_millis(at_ms);
+        let mut teams = vec!["loud"; 2];
+        teams.extend((at_ms % 10 == 0).then_some("quiet"));
+        for team in teams {
+            let outcome = dispatcher.submit(ask(team, at_ms + 10_000), at_ms, now);
+            if let (service::SubmitOutcome::Waits { ticket, .. }, "quiet") = (&outcome, team) {
+                asked.insert(*ticket, at_ms);
+            }
+        }
+        dispatcher.finish(address(1), report(Answered(duration::Duration::from_millis(1))), now);
+        for grant in dispatcher.turn(at_ms, now).granted {
+            let waited_ms = asked.remove(&grant.ticket).map_or(0, |since_ms| at_ms - since_ms);
+            worst_ms = worst_ms.max(waited_ms);
+        }
+    }
+    let oldest_ms = asked.values().map(|since_ms| 1_000 - since_ms).max();
+    worst_ms.max(oldest_ms.unwrap_or(0))
+}
+
+fn check_loud_team(disabled: DisabledMechanism, order: policy::QueueOrder, holds: bool) {
+    const MOST_MS: u64 = 3;
+    assert_eq!(quiet_team_latency_ms(disabled, order) <= MOST_MS, holds);
+}
+
+cases! { check_loud_team:
+    loud_team_delays_no_other_under_fairness => (Nothing, policy::QueueOrder::LeastServedTeam, true);
+    loud_team_delays_no_other_under_latency => (Nothing, policy::QueueOrder::EarliestDeadline, true);
+    one_line_for_all_lets_it_delay_others =>
+        (DisabledMechanism::TeamLines, policy::QueueOrder::LeastServedTeam, false);
+}
+
+/// A full queue of the loud team takes a request of the quiet one.
+fn check_push_out(disabled: DisabledMechanism, taken: bool) {
+    let policy = policy::DispatchPolicy { max_queued: 8, ..make_policy(disabled) };
+    let mut queue = queue::TeamQueue::new(&policy);
+    for _ in 0..8 {
+        assert!(matches!(queue.push(ask("loud", 10)), PushOutcome::Waits(_)));
+    }
+    assert_eq!(queue.push(ask("loud", 10)), PushOutcome::Full);
+    let displaced = matches!(queue.push(ask("quiet", 10)), PushOutcome::Displaces { .. });
+    assert_eq!(displaced, taken);
+    assert_eq!((queue.len(), queue.bytes()), (8, 8));
+}
+
+cases! { check_push_out:
+    longest_line_gives_way => (Nothing, true);
+    without_push_out_the_quiet_team_is_shut_out => (DisabledMechanism::PushOut, false);
+}
+
+/// Failing servers are ejected, but never more than a third of the pool.
+fn check_ejection(disabled: DisabledMechanism, holds: bool) {
+    let servers = [1, 2, 3, 4, 5, 6];
+    let mut picker = picker::BackendPicker::new(policy::ChoiceRule::SoonestAnswer, disabled);
+    picker.set_servers(&make_pool(&servers, &[], 3), time::Timestamp::ZERO);
+    let now = time::Timestamp::from_millis(1);
+    for server in servers {
+        for _ in 0..3 {
+            picker.begin(address(server));
+            picker.finish(address(server), report(Failed), now);
+        }
+    }
+    assert!(picker.ejected_count(now) >= 2);
+    assert_eq!(picker.ejected_count(now) <= 2, holds);
+    assert_eq!(picker.pick(&[], 1, now).is_some(), holds);
+}
+
+cases! { check_ejection:
+    ejection_is_bounded => (Nothing, true);
+    without_bound_the_whole_pool_is_ejected => (DisabledMechanism::EjectionBound, false);
+}
+
+/// Retries over ten thousand requests that all fail.
+fn check_retries(disabled: DisabledMechanism, holds: bool) {
+    const REQUESTS: u32 = 10_000;
+    const RESERVE: u32 = 10;
+    let mut dispatcher = make_service(disabled, &[1]);
+    let mut retries = 0;
+    for _ in 0..REQUESTS {
+        dispatcher.record_request();
+        retries += (0..2).filter(|_| dispatcher.take_retry()).count() as u32;
+    }
+    assert!(retries >= REQUESTS / 10 - 1);
+    assert_eq!(retries <= REQUESTS / 10 + RESERVE, holds);
+}
+
+cases! { check_retries:
+    retries_are_a_share_of_traffic => (Nothing, true);
+    without_budget_they_multiply_the_load => (DisabledMechanism::RetryBudget, false);
+}
+
+fn check_late(disabled: DisabledMechanism, holds: bool) {
+    let mut dispatcher = make_service(disabled, &[1]);
+    let now = time::Timestamp::from_millis(1);
+    dispatcher.submit(ask("a", 10_000), 1, now);
+    dispatcher.finish(address(1), report(Answered(duration::Duration::from_millis(20))), now);
+    for _ in 0..3 {
+        dispatcher.submit(ask("a", 10_000), 1, now);
+    }
+    dispatcher.submit(ask("a", 15), 1, now);
+    dispatcher.finish(address(1), report(Answered(duration::Duration::from_millis(20))), now);
+    let turn = dispatcher.turn(1, now);
+    assert_eq!((turn.expired.len(), turn.granted.len()), if holds { (1, 0) } else { (0, 1) });
+}
+
+cases! { check_late:
+    request_that_cannot_meet_its_deadline_is_shed => (Nothing, true);
+    without_shedding_it_takes_a_slot => (DisabledMechanism::DeadlineShedding, false);
+}
+
+#[test]
+fn draining_and_removed_servers_get_nothing_new_at_once() {
+    let mut dispatcher = make_service(Nothing, &[1, 2, 3]);
+    let now = time::Timestamp::from_millis(1);
+    dispatcher.set_servers(&make_pool(&[1, 3], &[1], 3), now);
+    let granted = (0..4).filter_map(|seed| dispatcher.try_submit(&[], seed, now));
+    assert_eq!(granted.collect::<Vec<_>>(), [address(3); 3]);
+    dispatcher.set_servers(&make_pool(&[1], &[1], 3), now);
+    assert_eq!(dispatcher.submit(ask("a", 10), 1, now), service::SubmitOutcome::NoServer);
+}
+
+#[test]
+fn server_that_joins_starts_slowly() {
+    let mut dispatcher = make_service(Nothing, &[1]);
+    let joined = time::Timestamp::from_millis(1);
+    dispatcher.set_servers(&make_pool(&[2], &[], 8), joined);
+    let free = |dispatcher: &mut service::ServiceDispatcher, now| {
+        std::iter::from_fn(|| dispatcher.try_submit(&[], 1, now)).count()
+    };
+    assert_eq!(free(&mut dispatcher, joined), 1);
+    assert_eq!(free(&mut dispatcher, joined + duration::Duration::from_secs(5)), 3);
+    assert_eq!(free(&mut dispatcher, joined + duration::Duration::from_secs(10)), 4);
+}
+
+/// Picker and queue against naive versions, over random events.
+#[test]
+fn slots_and_order_match_a_naive_service() {
+    const TEAMS: [&str; 3] = ["a", "b", "c"];
+    for seed in 0..200 {
+        let mut rng = rand_pcg::Pcg64::seed_from_u64(seed);
+        let mut dispatcher = make_service(Nothing, &[1, 2]);
+        let mut open = Vec::new();
+        let mut naive: Vec<(queue::TicketKey, &str)> = Vec::new();
+        for step in 0..300 {
+            let now = time::Timestamp::from_millis(step * 30);
+            if rng.random_bool(0.6) {
+                let team = TEAMS[rng.random_range(0..3) * rng.random_range(0..2)];
+                match dispatcher.submit(ask(team, u64::MAX / 1_000), step, now) {
+                    service::SubmitOutcome::Granted(server) => {
+                        assert!(naive.is_empty(), "no request overtakes the queue");
+                        open.push(server);
+                    }
+                    service::SubmitOutcome::Waits { ticket, .. } => {
+                        assert_eq!(open.len(), 6, "no slot is idle");
+                        naive.push((ticket, team));
+                    }
+                    other => panic!("{other:?}"),
+                }
+            } else if !open.is_empty() {
+                let server = open.swap_remove(rng.random_range(0..open.len()));
+                let result = if rng.random_bool(0.2) {
+                    Shed
+                } else {
+                    Answered(duration::Duration::from_millis(1))
+                };
+                dispatcher.finish(server, report(result), now);
+            }
+            for grant in dispatcher.turn(step, now + duration::Duration::from_millis(25)).granted {
+                let place = naive.iter().position(|(ticket, _)| *ticket == grant.ticket).unwrap();
+                let (_, team) = naive.remove(place);
+                let first = naive[..place].iter().all(|(_, other)| *other != team);
+                assert!(first, "a team's requests go in their order");
+                open.push(grant.server);
+            }
+            for server in [address(1), address(2)] {
+                let naive_count = open.iter().filter(|other| **other == server).count();
+                assert_eq!(dispatcher.in_flight(server) as usize, naive_count);
+                assert!(naive_count <= 3, "no server gets more than its slots");
+            }
+            assert_eq!(dispatcher.queued(), naive.len());
+        }
+    }
+}
--- a/crates/state/tables/src/site.rs
+++ b/crates/state/tables/src/site.rs
@@ -51,19 +51,58 @@
     fn try_from(text: &Arc<str>) -> Result<Self, Self::Error> {
         parse_prefix(text).ok_or_else(|| fault::FaultKind::Form {
             text: Arc::clone(text),
-            expected: "an address block such as 10.2.0.0/16 with no bits set after its length",
+            expected: "an address block such as 10.2.0.0/16 or 2001:db8::/48, \
+                       with no bits set after its length and, for IPv6, at most 64 of them",
         })
     }
 }
 
+impl AddressPrefix {
+    /// Tells whether the block holds an address of the same family.
+    #[must_use]
+    pub fn contains(&self, address: net::IpAddr) -> bool {
+        let same_family = self.address.is_ipv4() == address.is_ipv4();
+        let bits = address_bits(address);
+        same_family && (self.first_bits()..=self.last_bits()).contains(&bits)
+    }
+
+    /// Returns the first address of the block as a number.
+    #[must_use]
+    pub fn first_bits(&self) -> u128 {
+        address_bits(self.address)
+    }
+
+    /// Returns the last address of the block as a number.
+    #[must_use]
+    pub fn last_bits(&self) -> u128 {
+        let free_bits = address_width(self.address) - u32::from(self.length);
+        let tail = u128::MAX.checked_shr(u128::BITS - free_bits).unwrap_or(0);
+        self.first_bits() | tail
+    }
+}
+
+/// Longest prefix of an IPv6 block; the rest names hosts of one network.
+const MAX_WIDE_LENGTH: u8 = 64;
+
 fn parse_prefix(text: &str) -> Option<AddressPrefix> {
     let (address, length) = text.split_once('/')?;
-    let address: net::IpAddr = address.parse().ok()?;
-    let length: u8 = length.parse().ok()?;
-    let (bits, width) = match address {
-        net::IpAddr::V4(v4) => (u128::from(v4.to_bits()) << 96, 32),
-        net::IpAddr::V6(v6) => (v6.to_bits(), 128),
-    };
-    let tail = bits.checked_shl(u32::from(length)).unwrap_or(0);
-    (length <= width && tail == 0).then_some(AddressPrefix { address, length })
+    let prefix = AddressPrefix { address: address.parse().ok()?, length: length.parse().ok()? };
+    let longest = if prefix.address.is_ipv4() { 32 } else { MAX_WIDE_LENGTH };
+    if prefix.length > longest {
+        return None;
+    }
+    let tail = prefix.first_bits() ^ prefix.last_bits();
+    let free_bits = address_width(prefix.address) - u32::from(prefix.length);
+    (tail.count_ones() == free_bits).then_some(prefix)
+}
+
+fn address_bits(address: net::IpAddr) -> u128 {
+    match address {
+        net::IpAddr::V4(address) => u128::from(address.to_bits()),
+        net::IpAddr::V6(address) => address.to_bits(),
+    }
+}
+
+const fn address_width(address: net::IpAddr) -> u32 {
+    if address.is_ipv4() { 32 } else { 128 }
 }
--- a/crates/state/tables/tests/snapshot.rs
+++ b/crates/state/tables/tests/snapshot.rs
@@ -77,7 +77,7 @@
     );
     block_with_bits_after_its_length => (
         |documents| documents.steering.blocks[0].prefix = "10.1.2.0/16".into(),
-        "blocks[0].prefix: `10.1.2.0/16` is not an address block such as 10.2.0.0/16 with no bits set after its length",
+        "blocks[0].prefix: `10.1.2.0/16` is not an address block such as 10.2.0.0/16 or 2001:db8::/48, with no bits set after its length and, for IPv6, at most 64 of them",
     );
     two_faults_at_once => (
         |documents| {
--- a/crates/transport/node/src/backends/answer.rs
+++ b/crates/transport/node/src/backends/answer.rs
@@ -5,16 +5,17 @@
 //! key is withdrawn.
 
 use std::future::Future;
-use std::net;
 use std::pin;
 use std::sync;
 use std::task;
 use std::time as duration;
 
 use http_body::Body as _;
+use marjoramwing_dispatch::picker;
 use marjoramwing_entity::time;
 
 use crate::backends::connection;
+use crate::backends::service;
 use crate::callers::credential;
 use crate::callers::headers;
 use crate::shared;
@@ -53,30 +54,8 @@
 pub struct OpenExchange {
     /// Connection that carries the answer.
     pub connection: connection::Connection,
-    /// Place at the backend server.
-    pub guard: ServerGuard,
-}
-
-/// Counts a request at its backend server until dropped.
-#[derive(Debug)]
-pub struct ServerGuard {
-    shared: sync::Arc<shared::SharedTables>,
-    address: net::SocketAddr,
-}
-
-impl ServerGuard {
-    /// Counts a request at a backend server.
-    #[must_use]
-    pub fn begin(shared: &sync::Arc<shared::SharedTables>, address: net::SocketAddr) -> Self {
-        shared.picker().begin(address);
-        Self { shared: sync::Arc::clone(shared), address }
-    }
-}
-
-impl Drop for ServerGuard {
-    fn drop(&mut self) {
-        self.shared.picker().finish(self.address);
-    }
+    /// Slot of the backend server.
+    pub guard: service::ServerGuard,
 }
 
 impl AnswerBody {
@@ -86,8 +65,8 @@
         body: hyper::body::Incoming,
         exchange: OpenExchange,
         credential: Option<credential::KeyWatch>,
+        shared: sync::Arc<shared::SharedTables>,
     ) -> Self {
-        let shared = sync::Arc::clone(&exchange.guard.shared);
         let now = shared.now();
         let (checked_at, heard_at) = (now, now);
         let exchange = Some(exchange);
@@ -100,9 +79,17 @@
     }
 
     fn return_connection(&mut self) {
-        if let Some(exchange) = self.exchange.take() {
-            let address = exchange.guard.address;
-            self.shared.connections.put_back(address, exchange.connection, self.shared.now());
+        if let Some(OpenExchange { connection, guard }) = self.exchange.take() {
+            let connections = &guard.service().connections;
+            connections.put_back(guard.address(), connection, self.shared.now());
+        }
+    }
+
+    fn break_off(&mut self, error: &AnswerError) {
+        if let Some(mut exchange) = self.exchange.take()
+            && !matches!(error, AnswerError::KeyWithdrawn)
+        {
+            exchange.guard.note(picker::ReportedResult::Failed, None);
         }
     }
 
@@ -167,7 +154,7 @@
         let polled = self.poll_checked(context);
         match &polled {
             task::Poll::Ready(None) => self.return_connection(),
-            task::Poll::Ready(Some(Err(_))) => self.exchange = None,
+            task::Poll::Ready(Some(Err(error))) => self.break_off(error),
             task::Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => {
                 self.return_connection();
             }
--- a/crates/transport/node/src/backends/mod.rs
+++ b/crates/transport/node/src/backends/mod.rs
@@ -4,10 +4,12 @@
 //! - [`connection`]: one connection, whose first byte passes a gate.
 //! - [`pool`]: idle connections.
 //! - [`replay`]: the body of a request that may be sent more than once.
+//! - [`service`]: slots, queue and connections of one service.
 //! - [`stream`]: the socket behind the gate.
 
 pub mod answer;
 pub mod connection;
 pub mod pool;
 pub mod replay;
+pub mod service;
 pub mod stream;
--- a/crates/transport/node/src/backends/replay.rs
+++ b/crates/transport/node/src/backends/replay.rs
@@ -14,8 +14,27 @@
 /// Largest body that is read whole, and longest start that is kept, in bytes.
 pub const KEPT_BYTES: usize = 64 * 1024;
 
-/// Bodies that are kept at once in one instance, in bytes.
-pub const KEPT_BYTES_IN_ALL: usize = 16 * 1024 * 1024;
+/// Bodies that are kept at once for one service, in bytes.
+const KEPT_BYTES_PER_SERVICE: usize = 16 * 1024 * 1024;
+
+/// Memory for the bodies of one service's open requests.
+#[derive(Debug, Clone)]
+pub struct BodyMemory(sync::Arc<tokio::sync::Semaphore>);
+
+impl Default for BodyMemory {
+    fn default() -> Self {
+        Self(sync::Arc::new(tokio::sync::Semaphore::new(KEPT_BYTES_PER_SERVICE)))
+    }
+}
+
+impl BodyMemory {
+    /// Takes a share of the memory, if it is free.
+    #[must_use]
+    pub fn share(&self, bytes: usize) -> Option<tokio::sync::OwnedSemaphorePermit> {
+        let bytes = u32::try_from(bytes).ok()?;
+        sync::Arc::clone(&self.0).try_acquire_many_owned(bytes).ok()
+    }
+}
 
 /// Where the attempts at one request take the body from.
 #[derive(Debug)]
@@ -114,6 +133,15 @@
         matches!(self, Self::Whole(_))
     }
 
+    /// Returns the bytes that the request holds while it waits.
+    #[must_use]
+    pub fn kept_bytes(&self) -> usize {
+        match self {
+            Self::Whole(kept) => kept.bytes.len(),
+            Self::Stream(stream) => stream.lock().kept_bytes.min(KEPT_BYTES),
+        }
+    }
+
     /// Makes the body of a new attempt; bodies of earlier attempts end.
     #[must_use]
     pub fn body(&self) -> RequestBody {
--- a/crates/transport/node/src/callers/answer.rs
+++ b/crates/transport/node/src/callers/answer.rs
@@ -53,6 +53,9 @@
     /// No backend server took the request.
     #[display("no backend server of this route takes requests now; send again later")]
     NoServer,
+    /// Too many requests wait for the service.
+    #[display("too many requests wait for this service; send again later")]
+    QueueFull,
     /// The backend server broke off.
     #[display(
         "the backend server broke off; check whether the request took effect before you send it again"
@@ -108,6 +111,7 @@
             RefusalKind::BodyBroken => http::StatusCode::BAD_REQUEST,
             RefusalKind::NotReady
             | RefusalKind::NoServer
+            | RefusalKind::QueueFull
             | RefusalKind::BodiesFull
             | RefusalKind::DeadlineUnsent => http::StatusCode::SERVICE_UNAVAILABLE,
             RefusalKind::BrokenOff | RefusalKind::AnswerUnbounded => http::StatusCode::BAD_GATEWAY,
@@ -130,6 +134,7 @@
             RefusalKind::BodiesFull => "bodies_full",
             RefusalKind::NotReady => "not_ready",
             RefusalKind::NoServer => "no_server",
+            RefusalKind::QueueFull => "queue_full",
             RefusalKind::BrokenOff => "broken_off",
             RefusalKind::AnswerUnbounded => "answer_unbounded",
             RefusalKind::DeadlinePassed => "deadline_passed",
@@ -142,6 +147,7 @@
             RefusalKind::OverLimit { retry_after, .. } => Some(retry_after),
             RefusalKind::NotReady
             | RefusalKind::NoServer
+            | RefusalKind::QueueFull
             | RefusalKind::BodiesFull
             | RefusalKind::DeadlineUnsent => Some(time::Duration::from_secs(1)),
             _ => None,
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -10,17 +10,20 @@
 use futures_util::StreamExt;
 use futures_util::stream;
 use marjoramwing_dispatch::exchange;
-use marjoramwing_entity::key;
+use marjoramwing_dispatch::gate;
+use marjoramwing_dispatch::mechanism;
+use marjoramwing_dispatch::picker;
+use marjoramwing_dispatch::queue;
 use marjoramwing_entity::primary;
 use marjoramwing_entity::time;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
 use marjoramwing_tables::route;
-use marjoramwing_tables::snapshot;
 use tokio_util::sync as cancellation;
 
 use crate::backends::answer as backend_answer;
 use crate::backends::connection;
+use crate::backends::service;
 use crate::callers::answer;
 use crate::callers::request;
 use crate::shared;
@@ -35,8 +38,10 @@
 pub struct AttemptContext<'a> {
     /// Tables of the instance.
     pub shared: &'a sync::Arc<shared::SharedTables>,
-    /// Tables in force when the request arrived.
-    pub tables: &'a snapshot::TableSnapshot,
+    /// Services of the route's pools, in order of preference.
+    pub services: &'a [sync::Arc<service::ServiceControl>],
+    /// Team of the request; empty on a route open to all.
+    pub team: &'a str,
     /// Route of the request.
     pub route: &'a route::Route,
     /// The request.
@@ -95,12 +100,13 @@
         deadline: context.deadline,
         max_attempts: MAX_ATTEMPTS,
         silence,
-        hedge_after: None,
-        disabled: Default::default(),
+        hedge_after: context.shared.dispatch.policy().hedge_after,
+        disabled: mechanism::DisabledMechanism::Nothing,
     };
     let exchange = exchange::RequestExchange::new(rules);
     let (open, cancels) = (stream::FuturesUnordered::new(), primary::PrimaryMap::new());
-    AttemptDriver { context, exchange, open, cancels, tried: Vec::new() }.run().await
+    let (failed, fault) = (Vec::new(), None);
+    AttemptDriver { context, exchange, open, cancels, failed, fault }.run().await
 }
 
 type AttemptFuture<'a> = futures_util::future::BoxFuture<'a, AttemptEnd>;
@@ -110,23 +116,60 @@
     exchange: exchange::RequestExchange,
     open: stream::FuturesUnordered<AttemptFuture<'a>>,
     cancels: primary::PrimaryMap<exchange::AttemptKey, cancellation::CancellationToken>,
-    tried: Vec<net::SocketAddr>,
+    failed: Vec<net::SocketAddr>,
+    fault: Option<service::SlotFault>,
+}
+
+impl AttemptContext<'_> {
+    /// Waits for a slot of the route's first service, or takes one of another
+    /// that is free now.
+    async fn find_slot(
+        &self,
+        failed: &[net::SocketAddr],
+    ) -> Result<service::ServerGuard, service::SlotFault> {
+        let free = self.services.iter().find_map(|service| {
+            if service.queued() == 0 { service.try_slot(failed) } else { None }
+        });
+        if let Some(guard) = free {
+            return Ok(guard);
+        }
+        let mut fault = service::SlotFault::NoServer;
+        for service in self.services {
+            let request = queue::SlotRequest {
+                team: self.team.into(),
+                deadline: self.deadline,
+                bytes: self.request.source.kept_bytes(),
+                avoided: failed.to_vec(),
+            };
+            match service.wait_slot(request).await {
+                Err(service::SlotFault::NoServer) => {}
+                Err(other) => fault = other,
+                granted => return granted,
+            }
+        }
+        Err(fault)
+    }
 }
 
 impl AttemptDriver<'_> {
     async fn run(mut self) -> Result<OpenAnswer, answer::Refusal> {
+        self.context.services[0].record_request();
         loop {
             let can_replay = self.context.request.source.can_replay();
             let answered = match self.exchange.next_step(self.now(), can_replay) {
-                exchange::ExchangeStep::Start if self.start() => None,
-                exchange::ExchangeStep::Start if !self.open.is_empty() => {
-                    self.wait(self.context.deadline).await
+                exchange::ExchangeStep::Start if self.open.is_empty() => {
+                    if !self.start().await {
+                        return Err(self.refuse());
+                    }
+                    None
+                }
+                exchange::ExchangeStep::Start => {
+                    self.start_hedge();
+                    None
                 }
-                exchange::ExchangeStep::Start => return Err(self.refuse()),
                 exchange::ExchangeStep::Wait(until) => self.wait(until).await,
                 exchange::ExchangeStep::Abandon(key) => {
                     self.cancels[key].cancel();
-                    self.context.shared.connections.forget(self.tried[key::EntityKey::index(key)]);
                     self.wait(self.context.deadline).await
                 }
                 exchange::ExchangeStep::Refuse => match self.abandon_all().await {
@@ -140,24 +183,41 @@
         }
     }
 
-    fn start(&mut self) -> bool {
-        let Some(address) = self.pick() else { return false };
-        self.tried.push(address);
+    async fn start(&mut self) -> bool {
+        if self.exchange.costs_retry() && !self.context.services[0].take_retry() {
+            return false;
+        }
+        match self.context.find_slot(&self.failed).await {
+            Ok(guard) => {
+                self.begin(guard);
+                true
+            }
+            Err(fault) => {
+                self.fault = Some(fault);
+                false
+            }
+        }
+    }
+
+    /// Starts a second attempt if a slot is free for it now.
+    fn start_hedge(&mut self) {
+        let service = &self.context.services[0];
+        let slot = service.try_slot(&self.failed).filter(|_| service.take_retry());
+        match slot {
+            Some(guard) => self.begin(guard),
+            None => self.exchange.skip_hedge(),
+        }
+    }
+
+    fn begin(&mut self, guard: service::ServerGuard) {
+        let address = guard.address();
+        // An attempt that is not shed sends the next one elsewhere.
+        self.failed.push(address);
         let cancel = cancellation::CancellationToken::new();
         let key = self.exchange.begin(self.now());
         self.cancels.push(cancel.clone());
-        let guard = backend_answer::ServerGuard::begin(self.context.shared, address);
         let attempt = ServerAttempt { context: self.context, key, address, cancel };
         self.open.push(Box::pin(attempt.run(guard)));
-        true
-    }
-
-    fn pick(&self) -> Option<net::SocketAddr> {
-        let seed = self.context.shared.next_seed();
-        let picker = self.context.shared.picker();
-        let pools = self.context.route.pools.iter().map(|key| &self.context.tables.pools[*key]);
-        let mut choices = pools.map(|pool| picker.pick(pool, &self.tried, seed));
-        choices.find_map(|choice| choice)
     }
 
     async fn wait(&mut self, until: time::Timestamp) -> Option<OpenAnswer> {
@@ -184,7 +244,10 @@
                 self.exchange.end(key, exchange::AttemptState::Answered);
                 return Some(*open);
             }
-            AttemptResult::Shed => self.exchange.end(key, exchange::AttemptState::Shed),
+            AttemptResult::Shed => {
+                self.exchange.end(key, exchange::AttemptState::Shed);
+                self.failed.retain(|failed| *failed != address);
+            }
             AttemptResult::Unreachable => self.exchange.end(key, exchange::AttemptState::NotSent),
             AttemptResult::Crossed => self.exchange.end(key, exchange::AttemptState::PossiblySent),
             AttemptResult::Failed(state) => self.exchange.end(key, state),
@@ -225,8 +288,11 @@
 
     fn refuse(&self) -> answer::Refusal {
         let outcome = self.exchange.outcome();
-        let late = self.now() >= self.context.deadline;
+        let late =
+            self.now() >= self.context.deadline || self.fault == Some(service::SlotFault::TooLate);
+        let full = self.fault == Some(service::SlotFault::QueueFull);
         let kind = match (outcome, late) {
+            (exchange::RequestOutcome::NotRun, false) if full => answer::RefusalKind::QueueFull,
             (exchange::RequestOutcome::NotRun, true) => answer::RefusalKind::DeadlineUnsent,
             (exchange::RequestOutcome::NotRun, false) => answer::RefusalKind::NoServer,
             (exchange::RequestOutcome::Unknown, true) => answer::RefusalKind::DeadlinePassed,
@@ -241,51 +307,74 @@
 }
 
 impl ServerAttempt<'_> {
-    async fn run(self, guard: backend_answer::ServerGuard) -> AttemptEnd {
+    async fn run(self, guard: service::ServerGuard) -> AttemptEnd {
         let result = self.exchange(guard).await;
         AttemptEnd { key: self.key, address: self.address, result }
     }
 
-    async fn exchange(&self, guard: backend_answer::ServerGuard) -> AttemptResult {
+    async fn exchange(&self, mut guard: service::ServerGuard) -> AttemptResult {
         let connection = tokio::select! {
             biased;
             () = self.cancel.cancelled() => None,
-            connection = self.connect() => Some(connection),
+            connection = self.connect(&guard) => Some(connection),
         };
         let mut connection = match connection {
             None => return AttemptResult::Abandoned(exchange::AttemptState::NotSent),
-            Some(None) => return AttemptResult::Unreachable,
+            Some(None) => {
+                guard.note(picker::ReportedResult::Failed, None);
+                return AttemptResult::Unreachable;
+            }
             Some(Some(connection)) => connection,
         };
-        let now = self.context.shared.now();
         let send_before = self.context.deadline.min(self.context.send_before);
-        let request = self.context.request.build(send_before.since(now));
+        let request = self.context.request.build(send_before.since(self.context.shared.now()));
         let marks = request::AnswerMarks::of(request.headers());
         let gate = sync::Arc::clone(connection.gate());
         let sent = tokio::select! {
             biased;
-            sent = connection.send(request, send_before) => sent,
-            () = self.cancel.cancelled() => return AttemptResult::Abandoned(gate.close()),
+            sent = connection.send(request, send_before) => Some(sent),
+            () = self.cancel.cancelled() => None,
         };
         let response = match sent {
-            Err(state) => return AttemptResult::Failed(state),
-            Ok(response) if marks.contradict(response.headers()) => return AttemptResult::Crossed,
-            Ok(response) => response,
+            None => return self.abandon(&gate, guard),
+            Some(Ok(response)) if !marks.contradict(response.headers()) => response,
+            Some(sent) => {
+                let unsent = sent.as_ref().is_err_and(|state| state.is_not_run());
+                let told = if unsent {
+                    picker::ReportedResult::Cancelled
+                } else {
+                    picker::ReportedResult::Failed
+                };
+                guard.note(told, None);
+                return sent.map_or_else(AttemptResult::Failed, |_| AttemptResult::Crossed);
+            }
         };
+        let open_requests = told_load(response.headers());
         match gate.reached().after(head_event(&response)) {
             exchange::AttemptState::Answered => {
+                guard.note(picker::ReportedResult::Answered(guard.age()), open_requests);
                 let exchange = backend_answer::OpenExchange { connection, guard };
                 AttemptResult::Answered(Box::new(OpenAnswer { response, exchange }))
             }
-            exchange::AttemptState::Shed => AttemptResult::Shed,
+            exchange::AttemptState::Shed => {
+                guard.note(picker::ReportedResult::Shed, open_requests);
+                AttemptResult::Shed
+            }
             state => AttemptResult::Failed(state),
         }
     }
 
-    async fn connect(&self) -> Option<connection::Connection> {
+    /// Closes a silent exchange and forgets what may have gone silent with it.
+    fn abandon(&self, gate: &gate::SendGate, mut guard: service::ServerGuard) -> AttemptResult {
+        guard.service().connections.forget(self.address);
+        guard.note(picker::ReportedResult::Failed, None);
+        AttemptResult::Abandoned(gate.close())
+    }
+
+    async fn connect(&self, guard: &service::ServerGuard) -> Option<connection::Connection> {
         let shared = self.context.shared;
         let idempotent = self.context.route.is_idempotent(self.context.request.method().as_str());
-        let kept = shared.connections.take(self.address, idempotent, shared.now());
+        let kept = guard.service().connections.take(self.address, idempotent, shared.now());
         match kept {
             Some(connection) => Some(connection),
             None => connection::Connection::open(self.address, shared.clock()).await,
@@ -293,6 +382,13 @@
     }
 }
 
+/// Header with which a backend server tells its open requests.
+const LOAD_HEADER: &str = "marjoramwing-load";
+
+fn told_load(headers: &http::HeaderMap) -> Option<u32> {
+    headers.get(LOAD_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 /// Header with which a backend server says that it did not run a request.
 const SHED_HEADER: &str = "marjoramwing-shed";
 
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -14,6 +14,8 @@
 use marjoramwing_tables::team;
 
 use crate::backends::answer as backend_answer;
+use crate::backends::replay;
+use crate::backends::service;
 use crate::callers::answer;
 use crate::callers::attempts;
 use crate::callers::credential;
@@ -118,17 +120,20 @@
         let team = sender.as_ref().map(|sender| sender.team);
         self.check_body(request.headers())?;
         self.admit(team).await?;
-        let request = self.prepare(request, team).await?;
+        let services = self.find_services()?;
+        let request = self.prepare(request, team, &services[0].body_memory).await?;
         let context = attempts::AttemptContext {
             shared: self.shared,
-            tables: self.tables,
+            services: &services,
+            team: team.map_or("", |team| self.tables.teams[team].name.as_str()),
             route: self.route,
             request: &request,
             deadline: self.deadline,
             send_before: self.send_before(),
         };
         let open = attempts::run_attempts(context).await?;
-        Ok(pass_on(open, sender.map(|sender| sender.watch)))
+        let watch = sender.map(|sender| sender.watch);
+        Ok(pass_on(open, watch, sync::Arc::clone(self.shared)))
     }
 
     /// Returns the time up to which the instance may start work under its limits.
@@ -136,6 +141,17 @@
         time::Timestamp::NEVER
     }
 
+    /// Finds the services of the route's pools, in order of preference.
+    fn find_services(&self) -> Result<Vec<sync::Arc<service::ServiceControl>>, answer::Refusal> {
+        let pools = self.route.pools.iter().map(|key| &self.tables.pools[*key].name);
+        let services = pools.filter_map(|pool| self.shared.dispatch.service(pool));
+        let services: Vec<_> = services.collect();
+        if services.is_empty() {
+            return Err(answer::Refusal::not_run(answer::RefusalKind::NoServer));
+        }
+        Ok(services)
+    }
+
     fn authenticate(
         &self,
         headers: &http::HeaderMap,
@@ -178,9 +194,9 @@
         &self,
         request: http::Request<axum::body::Body>,
         team: Option<team::TeamKey>,
+        memory: &replay::BodyMemory,
     ) -> Result<request::PreparedRequest, answer::Refusal> {
         let team = team.map(|team| self.tables.teams[team].name.as_str());
-        let memory = &self.shared.body_memory;
         let prepared = request::PreparedRequest::prepare(request, self.route, team, memory);
         let left = self.deadline.since(self.shared.now());
         let late = answer::Refusal::not_run(answer::RefusalKind::DeadlineUnsent);
@@ -205,10 +221,11 @@
 fn pass_on(
     open: attempts::OpenAnswer,
     watch: Option<credential::KeyWatch>,
+    shared: sync::Arc<shared::SharedTables>,
 ) -> axum::response::Response {
     let (mut parts, body) = open.response.into_parts();
     headers::remove_hop_by_hop(&mut parts.headers);
     headers::remove_internal(&mut parts.headers);
-    let body = backend_answer::AnswerBody::new(body, open.exchange, watch);
+    let body = backend_answer::AnswerBody::new(body, open.exchange, watch, shared);
     http::Response::from_parts(parts, axum::body::Body::new(body))
 }
--- a/crates/transport/node/src/callers/request.rs
+++ b/crates/transport/node/src/callers/request.rs
@@ -3,7 +3,6 @@
 //! Invariants: no backend server sees a key or a forged internal header; of a
 //! body that turns out too large no part is sent.
 
-use std::sync;
 use std::sync::atomic;
 use std::time;
 
@@ -30,23 +29,6 @@
     pub source: replay::BodySource,
 }
 
-/// Memory for the bodies of one instance's open requests.
-#[derive(Debug, Clone)]
-pub struct BodyMemory(sync::Arc<tokio::sync::Semaphore>);
-
-impl Default for BodyMemory {
-    fn default() -> Self {
-        Self(sync::Arc::new(tokio::sync::Semaphore::new(replay::KEPT_BYTES_IN_ALL)))
-    }
-}
-
-impl BodyMemory {
-    fn share(&self, bytes: usize) -> Option<tokio::sync::OwnedSemaphorePermit> {
-        let bytes = u32::try_from(bytes).ok()?;
-        sync::Arc::clone(&self.0).try_acquire_many_owned(bytes).ok()
-    }
-}
-
 impl PreparedRequest {
     /// Checks a request's body against its route, and reads it if it is small.
     ///
@@ -57,7 +39,7 @@
         request: http::Request<axum::body::Body>,
         route: &route::Route,
         team: Option<&str>,
-        memory: &BodyMemory,
+        memory: &replay::BodyMemory,
     ) -> Result<Self, answer::Refusal> {
         let (parts, body) = request.into_parts();
         let max_bytes = usize::try_from(route.max_body_bytes).unwrap_or(usize::MAX);
@@ -134,7 +116,7 @@
 async fn read_body(
     body: axum::body::Body,
     max_bytes: usize,
-    memory: &BodyMemory,
+    memory: &replay::BodyMemory,
 ) -> Result<replay::BodySource, answer::Refusal> {
     if body.is_end_stream() {
         return Ok(replay::BodySource::empty());
--- /dev/null
+++ b/crates/transport/node/src/dispatch.rs
@@ -0,0 +1,64 @@
+//! The services of an instance, each with a dispatch of its own.
+
+use std::collections;
+use std::sync;
+
+use marjoramwing_dispatch::policy;
+use marjoramwing_settings::settings;
+use marjoramwing_tables::name;
+use marjoramwing_tables::snapshot;
+
+use crate::backends::service;
+use crate::clock;
+
+/// Dispatch of all services.
+///
+/// Services are found without a lock; each has locks of its own, which are
+/// taken after the ledger's.
+#[derive(Debug)]
+pub struct DispatchControl {
+    policy: policy::DispatchPolicy,
+    clock: clock::MonotonicClock,
+    services: arc_swap::ArcSwap<ServiceTable>,
+}
+
+type ServiceTable = collections::HashMap<name::PoolName, sync::Arc<service::ServiceControl>>;
+
+impl DispatchControl {
+    /// Makes a dispatch without services.
+    #[must_use]
+    pub fn new(objective: settings::DeploymentObjective, clock: clock::MonotonicClock) -> Self {
+        let policy = match objective {
+            settings::DeploymentObjective::Fairness => policy::DispatchPolicy::fairness(),
+            settings::DeploymentObjective::Latency => policy::DispatchPolicy::latency(),
+        };
+        Self { policy, clock, services: arc_swap::ArcSwap::default() }
+    }
+
+    /// Returns the policy in force.
+    #[must_use]
+    pub const fn policy(&self) -> &policy::DispatchPolicy {
+        &self.policy
+    }
+
+    /// Returns the service of a pool, if the tables have it.
+    #[must_use]
+    pub fn service(&self, pool: &name::PoolName) -> Option<sync::Arc<service::ServiceControl>> {
+        self.services.load().get(pool).map(sync::Arc::clone)
+    }
+
+    /// Takes over the pools of a snapshot; called before it is in force.
+    pub fn set_pools(&self, tables: &snapshot::TableSnapshot) {
+        let known = self.services.load();
+        let mut services = ServiceTable::new();
+        for pool in tables.pools.values() {
+            let kept = known.get(&pool.name).map(sync::Arc::clone);
+            let service = kept.unwrap_or_else(|| {
+                sync::Arc::new(service::ServiceControl::new(self.policy, self.clock))
+            });
+            service.set_servers(pool);
+            services.insert(pool.name.clone(), service);
+        }
+        self.services.store(sync::Arc::new(services));
+    }
+}
--- a/crates/transport/node/src/lib.rs
+++ b/crates/transport/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`callers`]: the caller port, look-up and the path of a request.
 //! - [`clock`]: the monotonic clock.
 //! - [`control`]: tasks that follow the store and the list of instances.
+//! - [`dispatch`]: the services, each with a dispatch of its own.
 //! - [`inbox`]: hands received envelopes to those who wait for them.
 //! - [`metrics`]: counters and gauges.
 //! - [`peers`]: links to other instances.
@@ -18,6 +19,7 @@
 pub mod callers;
 pub mod clock;
 pub mod control;
+pub mod dispatch;
 pub mod inbox;
 pub mod metrics;
 pub mod peers;
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -1,6 +1,7 @@
 //! Tables that all tasks of an instance share.
 //!
-//! Lock order: the ledger of `admission`, then `picker`, then idle connections.
+//! Lock order: the ledger of `admission`, then the state of one service of
+//! `dispatch`, then its idle connections.
 //! No lock is held across an await, and
 //! the snapshots are read without one.
 
@@ -8,7 +9,6 @@
 use std::sync::atomic;
 
 use marjoramwing_configuration::configuration;
-use marjoramwing_dispatch::picker;
 use marjoramwing_entity::incarnation;
 use marjoramwing_entity::time;
 use marjoramwing_membership::view;
@@ -16,9 +16,8 @@
 use marjoramwing_tables::snapshot;
 
 use crate::admission;
-use crate::backends::pool;
-use crate::callers::request;
 use crate::clock;
+use crate::dispatch;
 use crate::metrics;
 
 /// The shared tables of one instance.
@@ -32,18 +31,14 @@
     pub tables: arc_swap::ArcSwap<configuration::AppliedTables>,
     /// Members as seen here.
     pub members: arc_swap::ArcSwap<view::MemberView>,
-    /// Connections to backend servers.
-    pub connections: pool::ConnectionPool,
-    /// Memory for request bodies.
-    pub body_memory: request::BodyMemory,
+    /// Dispatch of requests to backend servers.
+    pub dispatch: dispatch::DispatchControl,
     /// Admission of requests under limits.
     pub admission: admission::AdmissionControl,
     /// Metrics of the instance.
     pub metrics: metrics::InstanceMetrics,
     clock: clock::MonotonicClock,
-    picker: sync::Mutex<picker::BackendPicker>,
     leaving: atomic::AtomicBool,
-    seed: atomic::AtomicUsize,
 }
 
 impl SharedTables {
@@ -54,19 +49,17 @@
             versions: snapshot::TableVersions::default(),
             snapshot: sync::Arc::new(snapshot::TableSnapshot::default()),
         };
+        let clock = clock::MonotonicClock::start();
         Self {
-            settings,
             incarnation: incarnation::Incarnation::from_u64(rand::random()),
             tables: arc_swap::ArcSwap::from_pointee(empty),
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
-            connections: pool::ConnectionPool::default(),
-            body_memory: request::BodyMemory::default(),
+            dispatch: dispatch::DispatchControl::new(settings.objective, clock),
+            settings,
             metrics: metrics::InstanceMetrics::new(),
-            clock: clock::MonotonicClock::start(),
+            clock,
             admission: admission::AdmissionControl::default(),
-            picker: sync::Mutex::default(),
             leaving: atomic::AtomicBool::new(false),
-            seed: atomic::AtomicUsize::new(0),
         }
     }
 
@@ -82,24 +75,11 @@
         self.clock
     }
 
-    /// Locks the picker of backend servers.
-    ///
-    /// # Panics
-    ///
-    /// Panics if a task panicked while it held the lock.
-    pub fn picker(&self) -> sync::MutexGuard<'_, picker::BackendPicker> {
-        self.picker.lock().expect("no task panics while it holds the picker")
-    }
-
-    /// Returns a number that differs from call to call.
-    pub fn next_seed(&self) -> usize {
-        self.seed.fetch_add(1, atomic::Ordering::Relaxed)
-    }
-
     /// Puts a set of tables in force.
     pub fn apply(&self, applied: configuration::AppliedTables) {
         let live_count = self.members.load().live_count();
         self.admission.set_limits(&applied.snapshot, live_count, self.now());
+        self.dispatch.set_pools(&applied.snapshot);
         self.record_versions(&applied.versions);
         self.tables.store(sync::Arc::new(applied));
     }
--- a/crates/transport/node/tests/outcome/exchange.rs
+++ b/crates/transport/node/tests/outcome/exchange.rs
@@ -52,7 +52,7 @@
         if !matches!(step, Step::Answer | Step::AnswerTwice) {
             let faulty = &servers[0];
             support::until(|| faulty.closed() == faulty.connections()).await;
-            assert_eq!(instance.shared.connections.idle_count(faulty.address), 0);
+            assert_eq!(instance.service().connections.idle_count(faulty.address), 0);
         }
     });
 }
@@ -121,7 +121,7 @@
             () = support::until(|| server.runs().len() == 1) => {}
         }
         support::until(|| server.closed() == 1).await;
-        assert_eq!(instance.shared.picker().in_flight(server.address), 0);
+        assert_eq!(instance.service().in_flight(server.address), 0);
     });
 }
 
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -4,5 +4,6 @@
 mod bodies;
 mod credentials;
 mod exchange;
+mod service;
 mod stream;
 mod support;
--- a/crates/transport/node/tests/outcome/support.rs
+++ b/crates/transport/node/tests/outcome/support.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper_util::rt;
 use marjoramwing_configuration::configuration;
+use marjoramwing_node::backends::service;
 use marjoramwing_node::callers::server;
 use marjoramwing_node::shared;
 use marjoramwing_settings::secret;
@@ -40,16 +41,23 @@
 
 fn documents(servers: &[net::SocketAddr], deadline_ms: u64) -> snapshot::TableDocuments {
     let hash = credential::KeyHash::of(KEY);
-    let rows = servers.iter().map(|address| {
-        serde_json::json!({"address": address.to_string(), "failure_domain": "a", "slots": 3})
-    });
+    // One pool for each server, so that the first is tried first.
+    let pools: Vec<_> = servers
+        .iter()
+        .map(|address| {
+            let server = serde_json::json!(
+                {"address": address.to_string(), "failure_domain": "a", "slots": 3});
+            serde_json::json!({"name": format!("pool-{}", address.port()), "servers": [server]})
+        })
+        .collect();
+    let names: Vec<_> = pools.iter().map(|pool| pool["name"].clone()).collect();
     let route = |name: &str, access: &str| {
-        serde_json::json!({"name": name, "path": format!("/{name}"), "pools": ["web"],
+        serde_json::json!({"name": name, "path": format!("/{name}"), "pools": names,
             "access": access, "deadline_ms": deadline_ms})
     };
     let json = serde_json::json!({
         "routes": {"routes": [route("open", "open"), route("keyed", "keyed")]},
-        "pools": {"pools": [{"name": "web", "servers": rows.collect::<Vec<_>>()}]},
+        "pools": {"pools": pools},
         "teams": {"teams": [{"name": "conad", "rate": 1000.0, "burst": 1000}]},
         "keys": {"keys": [{"id": "conad-1", "team": "conad", "sha256": hash.to_string()}]},
         "steering": {"sites": []},
@@ -93,6 +101,13 @@
         Self { shared, address, tables: snapshot::TableDocuments::default() }
     }
 
+    /// Returns the dispatch of the first service.
+    pub(crate) fn service(&self) -> sync::Arc<service::ServiceControl> {
+        let tables = sync::Arc::clone(&self.shared.tables.load().snapshot);
+        let pool = tables.pools.values().next().unwrap();
+        self.shared.dispatch.service(&pool.name).unwrap()
+    }
+
     pub(crate) fn edit(&mut self, edit: impl FnOnce(&mut snapshot::TableDocuments)) {
         edit(&mut self.tables);
         self.apply();
