--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -55,6 +55,8 @@
     STORE_UNREACHABLE = 2003, WARN, "object API did not answer; retrying", "check the platform's object API; traffic goes on with the tables in force";
     /// The store answers again.
     STORE_REACHABLE = 2004, INFO, "object API answers again", "none";
+    /// Whether keyed requests are served has changed, or why.
+    KEY_TRUST_CHANGED = 2005, WARN, "belief in the keys changed", "when refused: restore the way to the object API or to peers of other regions, or change the setting for the undecided case";
 
     /// A caller's connection ended with an error.
     CALLER_CONNECTION_FAILED = 3001, DEBUG, "caller connection ended with an error", "none";
@@ -74,4 +76,6 @@
     PEER_DISCONNECTED = 5002, DEBUG, "peer link ended", "none";
     /// A peer failed to prove the deployment's secret.
     PEER_REFUSED = 5003, WARN, "peer refused; it does not hold the deployment's secret", "give all instances the same peer secret";
+    /// A peer link carried nothing for long and was closed.
+    PEER_SILENT = 5004, WARN, "peer link went silent; closed, a new one is opened on demand", "look for a device between the instances that forgets connections";
 }
--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -4,10 +4,16 @@
 //! A link starts with a handshake in which both ends prove that they hold the
 //! deployment's secret; only then are other messages accepted.
 //!
+//! - [`configuration`]: messages about the configuration.
 //! - [`frame`]: the codec of frames.
 //! - [`handshake`]: proof of the deployment's secret.
-//! - [`message`]: the messages.
+//! - [`membership`]: messages about the members.
+//! - [`message`]: the envelope and the handshake's messages.
+//! - [`report`]: messages about traffic between regions.
 
+pub mod configuration;
 pub mod frame;
 pub mod handshake;
+pub mod membership;
 pub mod message;
+pub mod report;
--- a/crates/protocol/settings/src/settings.rs
+++ b/crates/protocol/settings/src/settings.rs
@@ -9,15 +9,11 @@
 use marjoramwing_derives as derives;
 use marjoramwing_tables::name;
 
+use crate::catalogue;
 use crate::document;
 use crate::fault;
 use crate::secret;
 
-const STORE_TIMEOUT_RANGE_MS: (u64, u64) = (50, 60_000);
-const HEADER_BYTES_RANGE: (u64, u64) = (8 * 1024, 1024 * 1024);
-const TIMEOUT_RANGE_MS: (u64, u64) = (100, 600_000);
-const CONNECTIONS_RANGE: (u64, u64) = (1, 1_000_000);
-
 /// Everything an instance is told at its start.
 #[derive(Debug, Clone)]
 pub struct InstanceSettings {
@@ -35,6 +31,8 @@
     pub callers: CallerLimits,
     /// What the deployment weighs more.
     pub objective: DeploymentObjective,
+    /// How long and when keys are believed.
+    pub keys: KeyTrustSettings,
 }
 
 /// Who an instance is.
@@ -83,6 +81,16 @@
     pub max_connections: usize,
 }
 
+/// How long and when keys are believed.
+#[derives::value]
+pub struct KeyTrustSettings {
+    /// Age of the tables above which keys are in doubt.
+    pub max_age: time::Duration,
+    /// Whether keyed requests are served when an outage of the store cannot be
+    /// told from being cut off.
+    pub serve_undecided: bool,
+}
+
 /// What a deployment weighs more.
 #[derives::value]
 pub enum DeploymentObjective {
@@ -127,13 +135,14 @@
         let identity = check_identity(&mut faults, &raw.instance);
         let listen = check_listen(&mut faults, &raw.listen);
         let store = check_store(&mut faults, &raw.store);
-        let peer_secret = faults.check("secrets", peer_source(&raw.secrets).load());
-        let admin_secret = faults.check("secrets", admin_source(&raw.secrets).load());
+        let peer_secret = check_secret(&mut faults, &peer_source(&raw.secrets));
+        let admin_secret = check_secret(&mut faults, &admin_source(&raw.secrets));
         let callers = check_callers(&mut faults, &raw.callers);
         let objective = match raw.objective.weigh {
             document::WeighDocument::Fairness => DeploymentObjective::Fairness,
             document::WeighDocument::Latency => DeploymentObjective::Latency,
         };
+        let keys = check_keys(&mut faults, &raw.keys);
         let checked = (|| {
             Some(Self {
                 identity: identity?,
@@ -143,6 +152,7 @@
                 admin_secret: admin_secret?,
                 callers: callers?,
                 objective,
+                keys: keys?,
             })
         })();
         checked.ok_or(faults)
@@ -173,8 +183,8 @@
     faults: &mut fault::FaultList,
     raw: &document::ListenDocument,
 ) -> Option<ListenAddresses> {
-    let callers = faults.check("listen.callers", check_address(&raw.callers));
-    let peers = faults.check("listen.peers", check_address(&raw.peers));
+    let callers = faults.check("listen.callers", check_reachable(&raw.callers));
+    let peers = faults.check("listen.peers", check_reachable(&raw.peers));
     let admin = faults.check("listen.admin", check_address(&raw.admin));
     let listen = ListenAddresses { callers: callers?, peers: peers?, admin: admin? };
     let peers = check_distinct(listen.peers, &[("listen.callers", listen.callers)]);
@@ -188,7 +198,8 @@
     address: net::SocketAddr,
     others: &[(&'static str, net::SocketAddr)],
 ) -> Result<net::SocketAddr, fault::FaultKind> {
-    match others.iter().find(|(_, other)| *other == address) {
+    // Port 0 stands for any free port, so that two of it do not clash.
+    match others.iter().find(|(_, other)| *other == address && address.port() != 0) {
         Some((member, _)) => Err(fault::FaultKind::SameAddress(member)),
         None => Ok(address),
     }
@@ -199,7 +210,7 @@
     raw: &document::StoreDocument,
 ) -> Option<StoreSettings> {
     let address = faults.check("store.address", check_address(&raw.address));
-    let timeout = check_range(raw.timeout_ms, STORE_TIMEOUT_RANGE_MS);
+    let timeout = catalogue::STORE_TIMEOUT_MS.check(raw.timeout_ms);
     let timeout = faults.check("store.timeout_ms", timeout);
     Some(StoreSettings { address: address?, timeout: time::Duration::from_millis(timeout?) })
 }
@@ -208,13 +219,13 @@
     faults: &mut fault::FaultList,
     raw: &document::CallersDocument,
 ) -> Option<CallerLimits> {
-    let header_bytes = check_range(raw.max_header_bytes, HEADER_BYTES_RANGE);
+    let header_bytes = catalogue::CALLERS_MAX_HEADER_BYTES.check(raw.max_header_bytes);
     let header_bytes = faults.check("callers.max_header_bytes", header_bytes);
-    let header_timeout = check_range(raw.header_timeout_ms, TIMEOUT_RANGE_MS);
+    let header_timeout = catalogue::CALLERS_HEADER_TIMEOUT_MS.check(raw.header_timeout_ms);
     let header_timeout = faults.check("callers.header_timeout_ms", header_timeout);
-    let body_pause = check_range(raw.body_pause_ms, TIMEOUT_RANGE_MS);
+    let body_pause = catalogue::CALLERS_BODY_PAUSE_MS.check(raw.body_pause_ms);
     let body_pause = faults.check("callers.body_pause_ms", body_pause);
-    let connections = check_range(raw.max_connections, CONNECTIONS_RANGE);
+    let connections = catalogue::CALLERS_MAX_CONNECTIONS.check(raw.max_connections);
     let connections = faults.check("callers.max_connections", connections);
     Some(CallerLimits {
         max_header_bytes: usize::try_from(header_bytes?).ok()?,
@@ -224,15 +235,36 @@
     })
 }
 
+fn check_keys(
+    faults: &mut fault::FaultList,
+    raw: &document::KeysDocument,
+) -> Option<KeyTrustSettings> {
+    let max_age = catalogue::KEYS_MAX_AGE_MS.check(raw.max_age_ms);
+    let max_age = faults.check("keys.max_age_ms", max_age);
+    Some(KeyTrustSettings {
+        max_age: time::Duration::from_millis(max_age?),
+        serve_undecided: raw.undecided == document::UndecidedDocument::Serve,
+    })
+}
+
+/// Checks an address that others are told.
+fn check_reachable(text: &Arc<str>) -> Result<net::SocketAddr, fault::FaultKind> {
+    let address = check_address(text)?;
+    if address.ip().is_unspecified() {
+        return Err(fault::FaultKind::Unspecified(Arc::clone(text)));
+    }
+    Ok(address)
+}
+
 fn check_address(text: &Arc<str>) -> Result<net::SocketAddr, fault::FaultKind> {
     text.parse().map_err(|_| fault::FaultKind::Address(Arc::clone(text)))
 }
 
-fn check_range(value: u64, (low, high): (u64, u64)) -> Result<u64, fault::FaultKind> {
-    if (low..=high).contains(&value) {
-        return Ok(value);
-    }
-    Err(fault::FaultKind::Range { value, low, high })
+fn check_secret(
+    faults: &mut fault::FaultList,
+    source: &secret::SecretSource<'_>,
+) -> Option<secret::SharedSecret> {
+    faults.check(&source.path(), source.load())
 }
 
 fn peer_source(raw: &document::SecretsDocument) -> secret::SecretSource<'_> {
--- a/crates/protocol/settings/tests/settings.rs
+++ b/crates/protocol/settings/tests/settings.rs
@@ -35,12 +35,37 @@
     instance.region: `` is not a name; use 1 to 63 of a-z, 0-9, `-`, `_` and `.`
     listen.callers: `localhost:7101` is not an address; write an IP address and port such as 10.0.0.1:7100
     store.timeout_ms: 1 is out of range; use 50 to 60000
-    secrets: the environment variable `MARJORAMWING_TEST_NOT_SET` is not set; export it before the start
+    secrets.peer_env: the environment variable `MARJORAMWING_TEST_NOT_SET` is not set; export it before the start
     secrets: needs exactly one of `admin_file` and `admin_env`; set one and remove the other
     callers.max_header_bytes: 1 is out of range; use 8192 to 1048576
     ");
 }
 
+fn check_fault(line: &str, replacement: &str, fault: &str) {
+    let text = BAD.replace(line, replacement);
+    assert_ne!(text, BAD);
+    let faults = settings::InstanceSettings::try_from(text.as_str()).unwrap_err();
+    assert!(faults.to_string().contains(fault), "{faults}");
+}
+
+marjoramwing_testing::cases! { check_fault:
+    address_that_names_no_interface => (
+        "localhost:7101",
+        "0.0.0.0:7101",
+        "listen.callers: `0.0.0.0:7101` is no address that others can reach",
+    );
+    key_age_below_ordinary_ages => (
+        "[callers]",
+        "[keys]\nmax_age_ms = 500\n[callers]",
+        "keys.max_age_ms: 500 is out of range; use 10000 to 600000",
+    );
+    unknown_choice_for_undecided_keys => (
+        "[callers]",
+        "[keys]\nundecided = \"maybe\"\n[callers]",
+        "unknown variant `maybe`, expected `refuse` or `serve`",
+    );
+}
+
 #[test]
 fn misspelt_member_is_refused() {
     let text = BAD.replace("max_header_bytes", "max_headers");
--- /dev/null
+++ b/crates/transport/node/src/control/configuration.rs
@@ -0,0 +1,181 @@
+//! Drives the decisions on configuration.
+
+use std::sync;
+use std::time;
+
+use marjoramwing_configuration::candidate;
+use marjoramwing_configuration::keeper;
+use marjoramwing_configuration::settings;
+use marjoramwing_configuration::trust;
+use marjoramwing_events::catalogue;
+use marjoramwing_events::emit;
+use marjoramwing_objects::object;
+use marjoramwing_objects::operation;
+use marjoramwing_peer::message;
+use marjoramwing_settings::settings as instance;
+use marjoramwing_store_client::client;
+use rand::SeedableRng;
+use tokio::sync::mpsc;
+
+use crate::peers::mesh;
+use crate::shared;
+
+/// Events that wait for the task.
+pub const EVENT_QUEUE: usize = 1_024;
+/// Time between two ticks of the decisions.
+const TICK_PERIOD: time::Duration = time::Duration::from_millis(200);
+
+/// Carries out what the configuration keeper decides.
+#[derive(Debug)]
+pub struct ConfigurationDriver {
+    shared: sync::Arc<shared::SharedTables>,
+    mesh: mesh::PeerMesh,
+    client: client::StoreClient,
+    events: mpsc::Receiver<keeper::ConfigurationEvent>,
+    /// Brings the answers of the store back.
+    answers: mpsc::Sender<keeper::ConfigurationEvent>,
+    keeper: keeper::ConfigurationKeeper,
+    rng: rand_pcg::Pcg64Mcg,
+    reachable: bool,
+}
+
+impl ConfigurationDriver {
+    /// Makes a driver that knows no object yet.
+    #[must_use]
+    pub fn new(
+        shared: sync::Arc<shared::SharedTables>,
+        mesh: mesh::PeerMesh,
+        client: client::StoreClient,
+        answers: mpsc::Sender<keeper::ConfigurationEvent>,
+        events: mpsc::Receiver<keeper::ConfigurationEvent>,
+    ) -> Self {
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(rand::random());
+        let keeper = keeper::ConfigurationKeeper::new(
+            shared.incarnation,
+            shared.settings.identity.region.text(),
+            make_settings(shared.settings.keys),
+            shared.now(),
+            &mut rng,
+        );
+        shared.await_confirmation();
+        Self { shared, mesh, client, events, answers, keeper, rng, reachable: true }
+    }
+
+    /// Runs until the task is cancelled.
+    pub async fn run(mut self) {
+        let mut ticks = tokio::time::interval(TICK_PERIOD);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut members = self.shared.watch_members();
+        members.mark_changed();
+        loop {
+            let event = tokio::select! {
+                event = self.events.recv() => event,
+                _ = ticks.tick() => Some(keeper::ConfigurationEvent::Tick),
+                changed = members.changed() => changed.ok().map(|()| {
+                    let view = sync::Arc::clone(&members.borrow_and_update());
+                    keeper::ConfigurationEvent::Members(view)
+                }),
+            };
+            let Some(event) = event else { return };
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: keeper::ConfigurationEvent) {
+        let is_tick = matches!(event, keeper::ConfigurationEvent::Tick);
+        let mut actions = Vec::new();
+        let now = self.shared.now();
+        self.keeper.handle(event, now, &mut self.rng, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+        if is_tick {
+            self.publish();
+        }
+    }
+
+    fn carry_out(&self, action: keeper::ConfigurationAction) {
+        match action {
+            keeper::ConfigurationAction::Send { address, message } => {
+                self.mesh.send(address, message::Body::Configuration(message.into()));
+            }
+            keeper::ConfigurationAction::Watch { after, wait } => self.watch(after, wait),
+            keeper::ConfigurationAction::Read(table) => self.read(table),
+            keeper::ConfigurationAction::Status { object, operation } => {
+                self.run_status(object, operation);
+            }
+            keeper::ConfigurationAction::Apply(applied) => {
+                emit!(catalogue::TABLES_APPLIED, versions = ?applied.versions);
+                self.shared.apply(applied);
+            }
+            keeper::ConfigurationAction::Refused(object) => self.note_refused(object),
+            keeper::ConfigurationAction::Trust(trust) => {
+                emit!(catalogue::KEY_TRUST_CHANGED, trust = ?trust);
+                self.shared.set_key_trust(trust);
+            }
+        }
+    }
+
+    fn watch(&self, after: u64, wait: time::Duration) {
+        let (client, answers) = (self.client.clone(), self.answers.clone());
+        let kind = object::ObjectKind::Tables;
+        tokio::spawn(async move {
+            let request = operation::WatchRequest { kind, after, wait };
+            let answer = client.watch(&request).await.ok();
+            let _ = answers.send(keeper::ConfigurationEvent::Watched(answer)).await;
+        });
+    }
+
+    fn read(&self, table: candidate::TableObject) {
+        let (client, answers) = (self.client.clone(), self.answers.clone());
+        tokio::spawn(async move {
+            let answer = client.run(&operation::StoreOperation::Read(table.object_name())).await;
+            let _ = answers.send(keeper::ConfigurationEvent::Read { object: table, answer }).await;
+        });
+    }
+
+    fn run_status(&self, object: candidate::TableObject, operation: operation::StoreOperation) {
+        let (client, answers) = (self.client.clone(), self.answers.clone());
+        tokio::spawn(async move {
+            let answer = client.run(&operation).await;
+            let _ = answers.send(keeper::ConfigurationEvent::Status { object, answer }).await;
+        });
+    }
+
+    fn note_refused(&self, object: candidate::TableObject) {
+        let dump = self.keeper.dump(self.shared.now());
+        self.shared.metrics.refused_objects.inc();
+        let held = dump.held.into_iter().find(|held| held.object == object);
+        if let Some(held) = held {
+            let faults = held.faults.join("\n");
+            emit!(catalogue::TABLES_REFUSED, object = %object, version = held.version,
+                faults = %faults);
+        }
+    }
+
+    /// Shows the keeper's state in metrics, the dump and the log.
+    fn publish(&mut self) {
+        let dump = self.keeper.dump(self.shared.now());
+        let metrics = &self.shared.metrics;
+        metrics.held_objects.set(i64::try_from(dump.held.len()).unwrap_or(i64::MAX));
+        metrics.tables_age_ms.set(dump.age_ms.map_or(-1, |age| i64::try_from(age).unwrap_or(-1)));
+        metrics.keys_trusted.set(i64::from(dump.keys != trust::KeyTrust::Refused));
+        let is_reachable = dump.failing_ms.is_none();
+        match (self.reachable, is_reachable) {
+            (true, false) => emit!(catalogue::STORE_UNREACHABLE),
+            (false, true) => emit!(catalogue::STORE_REACHABLE),
+            _ => {}
+        }
+        self.reachable = is_reachable;
+        self.shared.control.set_configuration(dump);
+    }
+}
+
+fn make_settings(keys: instance::KeyTrustSettings) -> settings::ConfigurationSettings {
+    let undecided = if keys.serve_undecided {
+        settings::UndecidedKeys::Serve
+    } else {
+        settings::UndecidedKeys::Refuse
+    };
+    settings::ConfigurationSettings { max_age: keys.max_age, undecided, ..Default::default() }
+}
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -9,16 +9,21 @@
 use std::sync::atomic;
 
 use marjoramwing_configuration::configuration;
+use marjoramwing_configuration::trust;
 use marjoramwing_entity::incarnation;
 use marjoramwing_entity::time;
 use marjoramwing_membership::view;
 use marjoramwing_settings::settings;
+use marjoramwing_tables::credential;
 use marjoramwing_tables::snapshot;
+use tokio::sync::watch;
 
 use crate::admission;
 use crate::clock;
+use crate::control::dump;
 use crate::dispatch;
 use crate::metrics;
+use crate::steering;
 
 /// The shared tables of one instance.
 #[derive(Debug)]
@@ -31,14 +36,21 @@
     pub tables: arc_swap::ArcSwap<configuration::AppliedTables>,
     /// Members as seen here.
     pub members: arc_swap::ArcSwap<view::MemberView>,
+    member_changes: watch::Sender<sync::Arc<view::MemberView>>,
     /// Dispatch of requests to backend servers.
     pub dispatch: dispatch::DispatchControl,
     /// Admission of requests under limits.
     pub admission: admission::AdmissionControl,
+    /// State of the control tasks for the dump.
+    pub control: dump::ControlBoard,
+    /// Steering of callers.
+    pub steering: steering::SteeringControl,
     /// Metrics of the instance.
     pub metrics: metrics::InstanceMetrics,
     clock: clock::MonotonicClock,
     leaving: atomic::AtomicBool,
+    keys_trusted: atomic::AtomicBool,
+    was_confirmed: atomic::AtomicBool,
 }
 
 impl SharedTables {
@@ -56,10 +68,15 @@
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
             dispatch: dispatch::DispatchControl::new(settings.objective, clock),
             settings,
+            member_changes: watch::Sender::default(),
+            steering: steering::SteeringControl::default(),
             metrics: metrics::InstanceMetrics::new(),
             clock,
             admission: admission::AdmissionControl::default(),
             leaving: atomic::AtomicBool::new(false),
+            keys_trusted: atomic::AtomicBool::new(true),
+            was_confirmed: atomic::AtomicBool::new(true),
+            control: dump::ControlBoard::default(),
         }
     }
 
@@ -69,6 +86,12 @@
         self.clock.now()
     }
 
+    /// Returns the milliseconds since the process started.
+    #[must_use]
+    pub fn uptime_ms(&self) -> u64 {
+        u64::try_from(self.now().since(time::Timestamp::ZERO).as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Returns the process's clock.
     #[must_use]
     pub const fn clock(&self) -> clock::MonotonicClock {
@@ -84,6 +107,48 @@
         self.tables.store(sync::Arc::new(applied));
     }
 
+    /// Publishes a changed view of the members.
+    pub fn publish_members(&self, view: view::MemberView) {
+        let view = sync::Arc::new(view);
+        self.members.store(sync::Arc::clone(&view));
+        self.member_changes.send_replace(view);
+    }
+
+    /// Subscribes to changes of the members.
+    #[must_use]
+    pub fn watch_members(&self) -> watch::Receiver<sync::Arc<view::MemberView>> {
+        self.member_changes.subscribe()
+    }
+
+    /// Believes no keys and is not ready until the tables are confirmed.
+    pub fn await_confirmation(&self) {
+        self.keys_trusted.store(false, atomic::Ordering::Release);
+        self.was_confirmed.store(false, atomic::Ordering::Release);
+    }
+
+    /// Notes whether the keys may be believed.
+    pub fn set_key_trust(&self, trust: trust::KeyTrust) {
+        self.keys_trusted.store(trust.is_trusted(), atomic::Ordering::Release);
+        self.was_confirmed.fetch_or(trust.is_trusted(), atomic::Ordering::AcqRel);
+    }
+
+    /// Tells whether keyed requests may be served.
+    ///
+    /// Not while the tables are older than their greatest age and this
+    /// instance may be the one that is cut off.
+    #[must_use]
+    pub fn keys_trusted(&self) -> bool {
+        self.keys_trusted.load(atomic::Ordering::Acquire)
+    }
+
+    /// Tells whether a key that was accepted before still works.
+    ///
+    /// For requests and answers that are under way.
+    #[must_use]
+    pub fn key_in_force(&self, id: &str, hash: &credential::KeyHash) -> bool {
+        self.keys_trusted() && self.tables.load().snapshot.holds_credential(id, hash)
+    }
+
     /// Marks the instance as leaving.
     pub fn leave(&self) {
         self.leaving.store(true, atomic::Ordering::Release);
@@ -96,9 +161,13 @@
     }
 
     /// Tells whether the instance has tables and takes requests.
+    ///
+    /// It has once all objects were read and the keys were believed; an
+    /// instance that is cut off later still serves open routes.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.tables.load().versions.routes > 0
+        let was_confirmed = self.was_confirmed.load(atomic::Ordering::Acquire);
+        !self.is_leaving() && was_confirmed && self.tables.load().versions.routes > 0
     }
 
     fn record_versions(&self, versions: &snapshot::TableVersions) {
--- a/crates/transport/node/tests/outcome/service.rs
+++ b/crates/transport/node/tests/outcome/service.rs
@@ -97,7 +97,8 @@
         instance.send("GET", "/open", "before", "").await;
         instance.edit(|tables| tables.pools.pools[0].servers[0].draining = true);
         instance.send("GET", "/open", "after", "").await;
-        let ids = servers.iter().map(|server| server.runs().iter().map(|run| run.id.clone()).collect());
+        let ids =
+            servers.iter().map(|server| server.runs().iter().map(|run| run.id.clone()).collect());
         assert_eq!(ids.collect::<Vec<Vec<_>>>(), [["before"], ["after"]]);
     });
 }
