--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -1,6 +1,7 @@
 //! Tables that all tasks of an instance share.
 //!
-//! Lock order: the ledger of `admission`, then `picker`, then idle connections.
+//! Lock order: the ledger of `admission`, then the state of one service of
+//! `dispatch`, then its idle connections.
 //! No lock is held across an await, and
 //! the snapshots are read without one.
 
@@ -9,7 +10,6 @@
 
 use marjoramwing_configuration::configuration;
 use marjoramwing_configuration::trust;
-use marjoramwing_dispatch::picker;
 use marjoramwing_entity::incarnation;
 use marjoramwing_entity::time;
 use marjoramwing_membership::view;
@@ -19,10 +19,9 @@
 use tokio::sync::watch;
 
 use crate::admission;
-use crate::backends::pool;
-use crate::callers::request;
 use crate::clock;
 use crate::control::dump;
+use crate::dispatch;
 use crate::metrics;
 use crate::steering;
 
@@ -38,10 +37,8 @@
     /// Members as seen here.
     pub members: arc_swap::ArcSwap<view::MemberView>,
     member_changes: watch::Sender<sync::Arc<view::MemberView>>,
-    /// Connections to backend servers.
-    pub connections: pool::ConnectionPool,
-    /// Memory for request bodies.
-    pub body_memory: request::BodyMemory,
+    /// Dispatch of requests to backend servers.
+    pub dispatch: dispatch::DispatchControl,
     /// Admission of requests under limits.
     pub admission: admission::AdmissionControl,
     /// State of the control tasks for the dump.
@@ -51,11 +48,9 @@
     /// Metrics of the instance.
     pub metrics: metrics::InstanceMetrics,
     clock: clock::MonotonicClock,
-    picker: sync::Mutex<picker::BackendPicker>,
     leaving: atomic::AtomicBool,
     keys_trusted: atomic::AtomicBool,
     was_confirmed: atomic::AtomicBool,
-    seed: atomic::AtomicUsize,
 }
 
 impl SharedTables {
@@ -66,24 +61,22 @@
             versions: snapshot::TableVersions::default(),
             snapshot: sync::Arc::new(snapshot::TableSnapshot::default()),
         };
+        let clock = clock::MonotonicClock::start();
         Self {
-            settings,
             incarnation: incarnation::Incarnation::from_u64(rand::random()),
             tables: arc_swap::ArcSwap::from_pointee(empty),
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
+            dispatch: dispatch::DispatchControl::new(settings.objective, clock),
+            settings,
             member_changes: watch::Sender::default(),
-            connections: pool::ConnectionPool::default(),
             steering: steering::SteeringControl::default(),
-            body_memory: request::BodyMemory::default(),
             metrics: metrics::InstanceMetrics::new(),
-            clock: clock::MonotonicClock::start(),
+            clock,
             admission: admission::AdmissionControl::default(),
-            picker: sync::Mutex::default(),
             leaving: atomic::AtomicBool::new(false),
             keys_trusted: atomic::AtomicBool::new(true),
             was_confirmed: atomic::AtomicBool::new(true),
             control: dump::ControlBoard::default(),
-            seed: atomic::AtomicUsize::new(0),
         }
     }
 
@@ -105,24 +98,11 @@
         self.clock
     }
 
-    /// Locks the picker of backend servers.
-    ///
-    /// # Panics
-    ///
-    /// Panics if a task panicked while it held the lock.
-    pub fn picker(&self) -> sync::MutexGuard<'_, picker::BackendPicker> {
-        self.picker.lock().expect("no task panics while it holds the picker")
-    }
-
-    /// Returns a number that differs from call to call.
-    pub fn next_seed(&self) -> usize {
-        self.seed.fetch_add(1, atomic::Ordering::Relaxed)
-    }
-
     /// Puts a set of tables in force.
     pub fn apply(&self, applied: configuration::AppliedTables) {
         let live_count = self.members.load().live_count();
         self.admission.set_limits(&applied.snapshot, live_count, self.now());
+        self.dispatch.set_pools(&applied.snapshot);
         self.record_versions(&applied.versions);
         self.tables.store(sync::Arc::new(applied));
     }
