--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -64,6 +64,7 @@
     slot_load: u64,
     in_flight: u32,
     listed: bool,
+    leaving: bool,
     others: u32,
     reported_at: time::Timestamp,
     /// End of the pause after a shed, or of the ejection.
@@ -101,6 +102,13 @@
         self.forget_gone();
     }
 
+    /// Gives the leaving among the servers no new work; a later call replaces it.
+    pub fn set_leaving(&mut self, leaving: &collections::HashSet<net::SocketAddr>) {
+        for server in &mut self.servers {
+            server.leaving = leaving.contains(&server.address);
+        }
+    }
+
     /// Chooses a server that is listed, healthy, not avoided and has a free slot.
     #[must_use]
     pub fn pick(
@@ -126,8 +134,8 @@
     /// Tells whether any server may be used, now or later.
     #[must_use]
     pub fn has_server(&self, avoided: &[net::SocketAddr]) -> bool {
-        let mut listed = self.servers.iter().filter(|server| server.listed);
-        listed.any(|server| !avoided.contains(&server.address))
+        let mut staying = self.servers.iter().filter(|server| server.listed && !server.leaving);
+        staying.any(|server| !avoided.contains(&server.address))
     }
 
     /// Records the start of a request at a server.
@@ -236,6 +244,7 @@
             slot_load: LOAD_SCALE / u64::from(server.slots.max(1)),
             in_flight: 0,
             listed: true,
+            leaving: false,
             others: 0,
             reported_at: time::Timestamp::ZERO,
             blocked_until: time::Timestamp::ZERO,
@@ -248,6 +257,7 @@
         self.in_flight < self.slots
             && now >= self.blocked_until
             && self.listed
+            && !self.leaving
             && self.in_flight < self.health.usable_slots(self.slots, now)
     }
 
--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -4,6 +4,7 @@
 //! nothing from another. Invariant: no request waits while a server that it
 //! may use has a free slot, as far as this instance knows.
 
+use std::collections;
 use std::net;
 
 use marjoramwing_derives as derives;
@@ -74,6 +75,11 @@
         }
     }
 
+    /// Gives the leaving among the servers no new work.
+    pub fn set_leaving(&mut self, leaving: &collections::HashSet<net::SocketAddr>) {
+        self.picker.set_leaving(leaving);
+    }
+
     /// Takes over the servers of a pool.
     pub fn set_servers(&mut self, pool: &pool::Pool, now: time::Timestamp) {
         self.picker.set_servers(pool, now);
--- a/crates/coordination/dispatch/tests/fleet/choice.rs
+++ b/crates/coordination/dispatch/tests/fleet/choice.rs
@@ -38,3 +38,13 @@
     soonest_answer_beats_two_choices => (TwoChoices, false);
     soonest_answer_beats_least_in_flight_with_false_reports => (LeastInFlight, true);
 }
+
+impl trial::TrialCounts {
+    fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.sheds += other.sheds;
+        self.late += other.late;
+        self.latencies_us.extend(other.latencies_us);
+        self.idle_share += other.idle_share;
+    }
+}
--- a/crates/state/tables/src/snapshot.rs
+++ b/crates/state/tables/src/snapshot.rs
@@ -105,6 +105,12 @@
         self.credentials.get(id).is_some_and(|credential| credential.hash.matches(hash))
     }
 
+    /// Tells whether a key with this identifier is in force.
+    #[must_use]
+    pub fn holds_key_id(&self, id: &str) -> bool {
+        self.credentials.contains_key(id)
+    }
+
     /// Returns the number of keys in force.
     #[must_use]
     pub fn credential_count(&self) -> usize {
--- a/crates/transport/node/src/backends/service.rs
+++ b/crates/transport/node/src/backends/service.rs
@@ -79,6 +79,12 @@
         self.turn();
     }
 
+    /// Gives the leaving among the servers no new work.
+    pub fn set_leaving(self: &sync::Arc<Self>, leaving: &collections::HashSet<net::SocketAddr>) {
+        self.lock().dispatcher.set_leaving(leaving);
+        self.turn();
+    }
+
     /// Takes a slot that is free now.
     #[must_use]
     pub fn try_slot(self: &sync::Arc<Self>, avoided: &[net::SocketAddr]) -> Option<ServerGuard> {
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -20,6 +20,7 @@
 use crate::callers::answer;
 use crate::callers::attempts;
 use crate::callers::credential;
+use crate::callers::exposure;
 use crate::callers::headers;
 use crate::callers::request;
 use crate::shared;
@@ -120,6 +121,7 @@
         request: http::Request<axum::body::Body>,
     ) -> Result<axum::response::Response, answer::Refusal> {
         let sender = self.authenticate(request.headers())?;
+        exposure::check_exposure(self.tables, &request)?;
         let team = sender.as_ref().map(|sender| sender.team);
         self.check_body(request.headers())?;
         self.admit(team).await?;
--- a/crates/transport/node/src/control/listing.rs
+++ b/crates/transport/node/src/control/listing.rs
@@ -1,10 +1,12 @@
 //! Follows the platform's list of instances, which is only a hint.
 
+use std::collections;
 use std::net;
 use std::sync;
 use std::time;
 
 use marjoramwing_membership::keeper;
+use marjoramwing_object_api::listing;
 use marjoramwing_store_client::client;
 use tokio::sync::mpsc;
 
@@ -13,7 +15,7 @@
 /// Time between two reads while no other instance is known.
 const JOIN_PERIOD: time::Duration = time::Duration::from_secs(1);
 /// Time between two reads otherwise.
-const LISTING_PERIOD: time::Duration = time::Duration::from_secs(10);
+const LISTING_PERIOD: time::Duration = time::Duration::from_secs(3);
 
 /// Reads the list now and then until the task is cancelled.
 pub async fn follow_listing(
@@ -23,6 +25,7 @@
 ) {
     loop {
         if let Ok(list) = client.list_instances().await {
+            shared.dispatch.set_leaving(leaving_servers(&list));
             let addresses: Vec<net::SocketAddr> =
                 list.instances.into_iter().map(|listed| listed.peers).collect();
             if events.send(keeper::MembershipEvent::Listed(addresses)).await.is_err() {
@@ -34,3 +37,10 @@
         tokio::time::sleep(period.mul_f64(rand::random_range(0.75..1.25))).await;
     }
 }
+
+/// Returns the backend servers that are to get no new work.
+fn leaving_servers(list: &listing::InstanceListing) -> collections::HashSet<net::SocketAddr> {
+    let leaving =
+        list.servers.iter().filter(|server| server.state == listing::ListedState::Leaving);
+    leaving.map(|server| server.address).collect()
+}
--- a/crates/transport/node/src/dispatch.rs
+++ b/crates/transport/node/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! The services of an instance, each with a dispatch of its own.
 
 use std::collections;
+use std::net;
 use std::sync;
 
 use marjoramwing_dispatch::policy;
@@ -20,6 +21,7 @@
     policy: policy::DispatchPolicy,
     clock: clock::MonotonicClock,
     services: arc_swap::ArcSwap<ServiceTable>,
+    leaving: arc_swap::ArcSwap<collections::HashSet<net::SocketAddr>>,
 }
 
 type ServiceTable = collections::HashMap<name::PoolName, sync::Arc<service::ServiceControl>>;
@@ -32,7 +34,12 @@
             settings::DeploymentObjective::Fairness => policy::DispatchPolicy::fairness(),
             settings::DeploymentObjective::Latency => policy::DispatchPolicy::latency(),
         };
-        Self { policy, clock, services: arc_swap::ArcSwap::default() }
+        Self {
+            policy,
+            clock,
+            services: arc_swap::ArcSwap::default(),
+            leaving: arc_swap::ArcSwap::default(),
+        }
     }
 
     /// Returns the policy in force.
@@ -47,6 +54,17 @@
         self.services.load().get(pool).map(sync::Arc::clone)
     }
 
+    /// Gives the servers that the platform calls leaving no new work.
+    pub fn set_leaving(&self, leaving: collections::HashSet<net::SocketAddr>) {
+        if **self.leaving.load() == leaving {
+            return;
+        }
+        for service in self.services.load().values() {
+            service.set_leaving(&leaving);
+        }
+        self.leaving.store(sync::Arc::new(leaving));
+    }
+
     /// Takes over the pools of a snapshot; called before it is in force.
     pub fn set_pools(&self, tables: &snapshot::TableSnapshot) {
         let known = self.services.load();
@@ -57,6 +75,7 @@
                 sync::Arc::new(service::ServiceControl::new(self.policy, self.clock))
             });
             service.set_servers(pool);
+            service.set_leaving(&self.leaving.load());
             services.insert(pool.name.clone(), service);
         }
         self.services.store(sync::Arc::new(services));
