Planned stop: wait out the departure's spread, finish all, exit codes

Cause: a stopping instance closed after the look-up's time to live, while others still named it; its own look-ups named it for one more refresh; the longest wait was 60 s where routes may take 600 s; the admin port closed before the open requests had ended. A "ready" instance answered look-ups with 503 until its steering table was built, and never built it when the tables had been applied before the follower started.

Ruled out: a fixed wait.

Change: the wait is 2 s and 30 ms a member, then the time to live; a leaving instance leaves itself out of its answers at once; the setting stop.max_wait_ms (default 600 s) bounds the wait for open requests; the admin port ends last; readiness needs the look-up table; the steering follower starts from nothing; port 0 is logged as the port that was given.

--- a/crates/coordination/membership/src/lib.rs
+++ b/crates/coordination/membership/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`settings`]: periods and bounds.
 //! - [`record`]: one instance as kept by the keeper.
 //! - [`roster`]: all records, and which update wins.
+//! - [`farewell`]: how long a leaving instance waits.
 //! - [`gossip`]: updates that wait to be passed on.
 //! - [`probe`]: probes that wait for an answer.
 //! - [`keeper`]: the decisions.
@@ -21,6 +22,7 @@
 
 pub mod dump;
 mod exchange;
+pub mod farewell;
 pub mod gossip;
 pub mod keeper;
 pub mod member;
--- /dev/null
+++ b/crates/marjoramwing/tests/cli_serve/process.rs
@@ -0,0 +1,147 @@
+//! The real binary as a process, with a platform in the test.
+
+use std::fs;
+use std::io::BufRead;
+use std::net;
+use std::path;
+use std::process;
+use std::time;
+
+use marjoramwing_objects::object;
+use marjoramwing_standins::platform;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_marjoramwing");
+/// Ends a test that waits for what never comes.
+const GIVE_UP: time::Duration = time::Duration::from_secs(60);
+const POLL: time::Duration = time::Duration::from_millis(5);
+
+/// Writes a settings file that listens on free ports.
+pub(crate) fn write_settings(name: &str, store: net::SocketAddr, more: &str) -> path::PathBuf {
+    let directory = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::create_dir_all(&directory).unwrap();
+    let file = directory.join("instance.toml");
+    let text = format!(
+        r#"
+        [instance]
+        name = "west-a-1"
+        site = "west-a"
+        region = "west"
+        failure_domain = "west-a"
+        [listen]
+        callers = "127.0.0.1:0"
+        peers = "127.0.0.1:0"
+        admin = "127.0.0.1:0"
+        [store]
+        address = "{store}"
+        [secrets]
+        peer_env = "PEER"
+        admin_env = "ADMIN"
+        {more}
+        "#
+    );
+    fs::write(&file, text).unwrap();
+    file
+}
+
+/// Makes the command that runs an instance.
+pub(crate) fn serve_command(settings: &path::Path) -> process::Command {
+    let mut command = process::Command::new(BINARY);
+    command.args(["serve", "-c"]).arg(settings).env_clear();
+    command.env("PEER", "peer-secret-of-tests").env("ADMIN", "admin-secret-of-tests");
+    command.stdout(process::Stdio::null()).stderr(process::Stdio::piped());
+    command
+}
+
+/// Serves a platform with one route to one backend server.
+pub(crate) async fn start_platform(backend: net::SocketAddr) -> net::SocketAddr {
+    let server = platform::PlatformServer::default();
+    let pools = format!(
+        r#"{{"pools": [{{"name": "main", "servers":
+        [{{"address": "{backend}", "failure_domain": "west-a", "slots": 9}}]}}]}}"#
+    );
+    let steering = r#"{"sites": [{"name": "west-a", "region": "west", "failure_domain": "west-a"}],
+        "lookup_ttl_ms": 3000}"#;
+    let tables = object::ObjectKind::Tables;
+    server.put(tables, "pools", pools.into());
+    server.put(tables, "steering", steering.into());
+    server.put(tables, "teams", r#"{"teams": []}"#.into());
+    server.put(tables, "keys", r#"{"keys": []}"#.into());
+    let routes = r#"{"routes": [{"name": "all", "path": "/", "pools": ["main"], "access": "open",
+        "deadline_ms": 60000}]}"#;
+    server.put(tables, "routes", routes.into());
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move { axum::serve(listener, server.router()).await });
+    address
+}
+
+/// A running instance.
+pub(crate) struct InstanceProcess {
+    child: process::Child,
+    log: std::sync::Arc<std::sync::Mutex<Vec<serde_json::Value>>>,
+    pub(crate) callers: net::SocketAddr,
+    pub(crate) admin: net::SocketAddr,
+}
+
+impl InstanceProcess {
+    /// Starts an instance and waits until it listens.
+    pub(crate) async fn start(settings: &path::Path) -> Self {
+        let mut child = serve_command(settings).spawn().unwrap();
+        let log = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+        let lines = std::io::BufReader::new(child.stderr.take().unwrap()).lines();
+        let gathered = std::sync::Arc::clone(&log);
+        std::thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                if let Ok(event) = serde_json::from_str(&line) {
+                    gathered.lock().unwrap().push(event);
+                }
+            }
+        });
+        let nowhere = "127.0.0.1:0".parse().unwrap();
+        let mut instance = Self { child, log, callers: nowhere, admin: nowhere };
+        let started = instance.wait_for_event(1001).await;
+        let address = |role: &str| started[role].as_str().unwrap().parse().unwrap();
+        (instance.callers, instance.admin) = (address("callers"), address("admin"));
+        instance
+    }
+
+    /// Waits until the log has an event, and returns its fields.
+    pub(crate) async fn wait_for_event(&self, number: u16) -> serde_json::Value {
+        let find = || {
+            let log = self.log.lock().unwrap();
+            let mut fields = log.iter().map(|event| &event["fields"]);
+            fields.find(|fields| fields["event"] == number).cloned()
+        };
+        wait_until(&format!("event {number}"), async || find()).await
+    }
+
+    /// Sends SIGTERM.
+    pub(crate) fn terminate(&self) {
+        let kill = format!("kill -TERM {}", self.child.id());
+        assert!(process::Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    }
+
+    /// Waits for the process to end and returns its exit code.
+    pub(crate) async fn wait_for_exit(&mut self) -> i32 {
+        wait_until("exit", async || self.child.try_wait().unwrap()).await.code().unwrap()
+    }
+}
+
+impl Drop for InstanceProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Polls until a value is there.
+pub(crate) async fn wait_until<T>(what: &str, mut poll: impl AsyncFnMut() -> Option<T>) -> T {
+    let deadline = time::Instant::now() + GIVE_UP;
+    loop {
+        if let Some(value) = poll().await {
+            return value;
+        }
+        assert!(time::Instant::now() < deadline, "{what} did not come");
+        tokio::time::sleep(POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/marjoramwing/tests/cli_serve/start.rs
@@ -0,0 +1,64 @@
+//! Settings that cannot be met stop the start with a message that names them.
+
+use std::fs;
+use std::net;
+use std::path;
+
+use crate::process;
+
+/// Where no platform needs to be.
+fn nowhere() -> net::SocketAddr {
+    "127.0.0.1:1".parse().unwrap()
+}
+
+/// Runs an instance that cannot start and returns its exit code and message.
+fn fail_to_start(settings: &path::Path, unset: &str) -> (i32, String) {
+    let output = process::serve_command(settings).env_remove(unset).output().unwrap();
+    (output.status.code().unwrap(), String::from_utf8(output.stderr).unwrap())
+}
+
+#[test]
+fn all_ports_in_use_are_told_at_once() {
+    let taken = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let other = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let settings = process::write_settings("ports", nowhere(), "");
+    let text = fs::read_to_string(&settings).unwrap();
+    let text = text.replacen("127.0.0.1:0", &taken.local_addr().unwrap().to_string(), 1);
+    let text = text.replacen("127.0.0.1:0", &other.local_addr().unwrap().to_string(), 1);
+    fs::write(&settings, text).unwrap();
+    let (code, message) = fail_to_start(&settings, "");
+    assert_eq!(code, 1);
+    for member in ["listen.callers", "listen.peers"] {
+        assert!(message.contains(&format!("{member}: cannot listen on")), "{message}");
+    }
+    assert!(!message.contains("listen.admin"), "{message}");
+    assert!(message.contains("free the port or change the setting"), "{message}");
+}
+
+#[test]
+fn absent_secret_is_told() {
+    let settings = process::write_settings("secret", nowhere(), "");
+    let (code, message) = fail_to_start(&settings, "PEER");
+    assert_eq!(code, 1);
+    assert!(message.contains("secrets.peer_env: the environment variable `PEER` is not set"));
+}
+
+#[test]
+fn unreadable_secret_and_wrong_number_are_told_at_once() {
+    let more = "[callers]\nmax_connections = 0";
+    let settings = process::write_settings("numbers", nowhere(), more);
+    let text = fs::read_to_string(&settings).unwrap();
+    fs::write(&settings, text.replace("admin_env = \"ADMIN\"", "admin_file = \"no/such\""))
+        .unwrap();
+    let (code, message) = fail_to_start(&settings, "");
+    assert_eq!(code, 1);
+    assert!(message.contains("secrets.admin_file: the secret file no/such"), "{message}");
+    assert!(message.contains("callers.max_connections: 0 is out of range"), "{message}");
+}
+
+#[test]
+fn unreadable_settings_are_told() {
+    let (code, message) = fail_to_start(path::Path::new("no/such.toml"), "");
+    assert_eq!(code, 1);
+    assert!(message.contains("no/such.toml: cannot be read"), "{message}");
+}
--- /dev/null
+++ b/crates/marjoramwing/tests/cli_serve/stop.rs
@@ -0,0 +1,193 @@
+//! A planned stop of the real binary under open requests.
+
+use std::net;
+use std::sync;
+
+use http_body_util::BodyExt;
+use marjoramwing_standins::control;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+
+use crate::process;
+
+/// A backend server that answers once its gate is open, half of the body before.
+#[derive(Clone)]
+struct GatedBackend {
+    gate: sync::Arc<tokio::sync::Semaphore>,
+    arrived: sync::Arc<tokio::sync::Semaphore>,
+}
+
+impl GatedBackend {
+    async fn start() -> (Self, net::SocketAddr) {
+        let gate = sync::Arc::new(tokio::sync::Semaphore::new(0));
+        let arrived = sync::Arc::new(tokio::sync::Semaphore::new(0));
+        let backend = Self { gate, arrived };
+        let router = axum::Router::new()
+            .route("/quick", axum::routing::any(async || "quick"))
+            .route("/late", axum::routing::any(answer_late))
+            .route("/half", axum::routing::any(answer_half))
+            .with_state(backend.clone());
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        (backend, address)
+    }
+
+    async fn wait_for_requests(&self, count: u32) {
+        self.arrived.acquire_many(count).await.unwrap().forget();
+    }
+
+    fn open(&self) {
+        self.gate.add_permits(100);
+    }
+}
+
+async fn answer_late(
+    axum::extract::State(backend): axum::extract::State<GatedBackend>,
+    body: String,
+) -> String {
+    backend.arrived.add_permits(1);
+    backend.gate.acquire().await.unwrap().forget();
+    format!("late {body}")
+}
+
+async fn answer_half(
+    axum::extract::State(backend): axum::extract::State<GatedBackend>,
+) -> axum::body::Body {
+    backend.arrived.add_permits(1);
+    let rest = async move {
+        backend.gate.acquire().await.unwrap().forget();
+        Ok(bytes::Bytes::from("second half"))
+    };
+    let first = futures_util::stream::iter([Ok::<_, std::io::Error>("first half, ".into())]);
+    let rest = futures_util::stream::once(rest);
+    axum::body::Body::from_stream(futures_util::StreamExt::chain(first, rest))
+}
+
+/// A caller's connection.
+struct Caller(tokio::net::TcpStream);
+
+impl Caller {
+    async fn send(address: net::SocketAddr, text: &str) -> Self {
+        let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        Self(stream)
+    }
+
+    async fn read_until(&mut self, end: &str) -> String {
+        let mut text = String::new();
+        while !text.contains(end) {
+            let mut bytes = [0; 1024];
+            let length = self.0.read(&mut bytes).await.unwrap();
+            assert!(length > 0, "closed after: {text}");
+            text.push_str(&String::from_utf8_lossy(&bytes[..length]));
+        }
+        text
+    }
+}
+
+const LATE: &str = "GET /late HTTP/1.1\r\nHost: a\r\n\r\n";
+const HALF: &str = "GET /half HTTP/1.1\r\nHost: a\r\n\r\n";
+const QUICK: &str = "GET /quick HTTP/1.1\r\nHost: a\r\n\r\n";
+const UPLOAD: &str = "POST /late HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\n";
+
+async fn start_instance(name: &str) -> (GatedBackend, process::InstanceProcess) {
+    let (backend, address) = GatedBackend::start().await;
+    let platform = process::start_platform(address).await;
+    let settings = process::write_settings(name, platform, "");
+    let instance = process::InstanceProcess::start(&settings).await;
+    wait_for_readiness(&instance, true).await;
+    (backend, instance)
+}
+
+/// Sends a request on an HTTP/2 connection of its own and returns the whole body.
+async fn send_by_http2(callers: net::SocketAddr) -> String {
+    let stream = tokio::net::TcpStream::connect(callers).await.unwrap();
+    let executor = hyper_util::rt::TokioExecutor::new();
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let handshake = hyper::client::conn::http2::handshake(executor, io).await;
+    let (mut sender, connection) = handshake.unwrap();
+    tokio::spawn(connection);
+    let request = http::Request::get("http://a/late").body(axum::body::Body::empty()).unwrap();
+    let answer = sender.send_request(request).await.unwrap();
+    let body = answer.into_body().collect().await.unwrap().to_bytes();
+    String::from_utf8(body.to_vec()).unwrap()
+}
+
+/// Asks for the instances to use and returns the whole answer.
+async fn look_up(callers: net::SocketAddr) -> String {
+    let lookup =
+        "GET /.well-known/marjoramwing/lookup HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    let mut caller = Caller::send(callers, lookup).await;
+    let mut answer = String::new();
+    caller.0.read_to_string(&mut answer).await.unwrap();
+    answer
+}
+
+async fn wait_for_readiness(instance: &process::InstanceProcess, expected: bool) {
+    let http = control::make_client();
+    let poll = async || (control::is_ready(&http, instance.admin).await == expected).then_some(());
+    process::wait_until("readiness", poll).await;
+}
+
+#[tokio::test]
+async fn planned_stop_finishes_every_request() {
+    let (backend, mut instance) = start_instance("stop-planned").await;
+    let mut idle = Caller::send(instance.callers, QUICK).await;
+    idle.read_until("quick").await;
+    let mut late = Caller::send(instance.callers, LATE).await;
+    let mut half = Caller::send(instance.callers, HALF).await;
+    half.read_until("first half, ").await;
+    backend.wait_for_requests(2).await;
+    let mut upload = Caller::send(instance.callers, UPLOAD).await;
+    upload.0.write_all(b"one, ").await.unwrap();
+    let multiplexed = tokio::spawn(send_by_http2(instance.callers));
+    backend.wait_for_requests(1).await;
+    let own = instance.callers.to_string();
+    let names_itself = async || look_up(instance.callers).await.contains(&own).then_some(());
+    process::wait_until("own name in a look-up", names_itself).await;
+
+    instance.terminate();
+    instance.wait_for_event(1002).await;
+    wait_for_readiness(&instance, false).await;
+
+    // Callers with a cached look-up answer still get through, on old and new connections.
+    idle.0.write_all(QUICK.as_bytes()).await.unwrap();
+    let answer = idle.read_until("quick").await;
+    assert!(answer.to_ascii_lowercase().contains("connection: close"), "{answer}");
+    let mut cached = Caller::send(instance.callers, QUICK).await;
+    cached.read_until("quick").await;
+    let left = look_up(instance.callers).await;
+    assert!(!left.contains(&own), "{left}");
+
+    // After them the port is closed, while the open requests go on.
+    let callers = instance.callers;
+    process::wait_until("closed port", async || {
+        tokio::net::TcpStream::connect(callers).await.is_err().then_some(())
+    })
+    .await;
+    upload.0.write_all(b"two").await.unwrap();
+    backend.wait_for_requests(1).await;
+    backend.open();
+    late.read_until("\r\n\r\nlate ").await;
+    half.read_until("second half").await;
+    upload.read_until("late one, two").await;
+    assert_eq!(multiplexed.await.unwrap(), "late ");
+    assert_eq!(instance.wait_for_exit().await, 0);
+    instance.wait_for_event(1003).await;
+}
+
+#[tokio::test]
+async fn second_signal_cuts_what_the_first_would_finish() {
+    let (backend, mut instance) = start_instance("stop-forced").await;
+    let mut late = Caller::send(instance.callers, LATE).await;
+    backend.wait_for_requests(1).await;
+    instance.terminate();
+    instance.wait_for_event(1002).await;
+    instance.terminate();
+    assert_eq!(instance.wait_for_exit().await, 7);
+    instance.wait_for_event(1004).await;
+    let mut rest = Vec::new();
+    let _ = late.0.read_to_end(&mut rest).await;
+    assert!(rest.is_empty(), "{}", String::from_utf8_lossy(&rest));
+}
--- a/crates/protocol/settings/src/catalogue.rs
+++ b/crates/protocol/settings/src/catalogue.rs
@@ -92,6 +92,8 @@
     CALLERS_MAX_CONNECTIONS = "callers.max_connections", "connections", "10000",
         Some((1, 1_000_000)),
         "Connections of callers at once; one more is told 503, not run.";
+    STOP_MAX_WAIT_MS = "stop.max_wait_ms", "milliseconds", "600000", Some((1_000, 3_600_000)),
+        "Longest wait of a planned stop for open requests, after cached look-up answers ran out.";
     OBJECTIVE_WEIGH = "objective.weigh", "`fairness` or `latency`", "fairness", None,
         "What the deployment weighs more: the worst-served team and wrongful refusals, or latency and headroom.";
 }
--- a/crates/protocol/settings/src/document.rs
+++ b/crates/protocol/settings/src/document.rs
@@ -22,6 +22,9 @@
     /// Limits of the caller port.
     #[serde(default)]
     pub callers: CallersDocument,
+    /// How a planned stop goes.
+    #[serde(default)]
+    pub stop: StopDocument,
     /// What the deployment weighs more.
     #[serde(default)]
     pub objective: ObjectiveDocument,
@@ -107,6 +110,20 @@
     }
 }
 
+/// The `[stop]` table.
+#[derives::document]
+#[serde(default, deny_unknown_fields)]
+pub struct StopDocument {
+    /// Longest wait for open requests, in milliseconds.
+    pub max_wait_ms: u64,
+}
+
+impl Default for StopDocument {
+    fn default() -> Self {
+        Self { max_wait_ms: 600_000 }
+    }
+}
+
 /// The `[objective]` table.
 #[derives::document]
 #[derive(Default)]
--- a/crates/protocol/settings/src/settings.rs
+++ b/crates/protocol/settings/src/settings.rs
@@ -29,6 +29,8 @@
     pub admin_secret: secret::SharedSecret,
     /// Limits of the caller port.
     pub callers: CallerLimits,
+    /// How a planned stop goes.
+    pub stop: StopLimits,
     /// What the deployment weighs more.
     pub objective: DeploymentObjective,
 }
@@ -79,6 +81,13 @@
     pub max_connections: usize,
 }
 
+/// How a planned stop goes.
+#[derives::value]
+pub struct StopLimits {
+    /// Longest wait for open requests.
+    pub max_wait: time::Duration,
+}
+
 /// What a deployment weighs more.
 #[derives::value]
 pub enum DeploymentObjective {
@@ -126,6 +135,8 @@
         let peer_secret = check_secret(&mut faults, &peer_source(&raw.secrets));
         let admin_secret = check_secret(&mut faults, &admin_source(&raw.secrets));
         let callers = check_callers(&mut faults, &raw.callers);
+        let max_wait = catalogue::STOP_MAX_WAIT_MS.check(raw.stop.max_wait_ms);
+        let max_wait = faults.check("stop.max_wait_ms", max_wait);
         let objective = match raw.objective.weigh {
             document::WeighDocument::Fairness => DeploymentObjective::Fairness,
             document::WeighDocument::Latency => DeploymentObjective::Latency,
@@ -138,6 +149,7 @@
                 peer_secret: peer_secret?,
                 admin_secret: admin_secret?,
                 callers: callers?,
+                stop: StopLimits { max_wait: time::Duration::from_millis(max_wait?) },
                 objective,
             })
         })();
--- a/crates/transport/node/src/callers/lookup.rs
+++ b/crates/transport/node/src/callers/lookup.rs
@@ -77,7 +77,10 @@
     let Some(table) = shared.steering.table() else {
         return refuse(answer::RefusalKind::NotReady);
     };
+    // The table is a step behind, so a leaving instance leaves itself out here.
+    let own = shared.is_leaving().then_some(shared.settings.listen.callers);
     let members = context.members.iter().map(|index| table.member(*index));
+    let members = members.filter(|member| Some(member.callers) != own);
     let instances = members.map(|member| LookupInstance {
         address: member.callers,
         region: sync::Arc::clone(&member.region),
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -7,6 +7,7 @@
 use marjoramwing_derives as derives;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
+use marjoramwing_membership::farewell;
 use marjoramwing_membership::keeper;
 use marjoramwing_settings::settings;
 use marjoramwing_store_client::client;
@@ -25,8 +26,6 @@
 use crate::shared;
 use crate::steering;
 
-/// Longest wait for open requests at a planned stop.
-const MAX_STOP_WAIT: time::Duration = time::Duration::from_secs(60);
 /// Time given to the last messages to peers before the process ends.
 const FAREWELL_WAIT: time::Duration = time::Duration::from_millis(200);
 
@@ -74,19 +73,18 @@
 /// # Errors
 ///
 /// Returns every port that cannot be had, or that signals cannot be received.
-pub async fn run_instance(settings: settings::InstanceSettings) -> Result<StopOutcome, StartError> {
-    let listen = settings.listen;
-    let callers = bind("callers", listen.callers).await;
-    let peers = bind("peers", listen.peers).await;
-    let admin = bind("admin", listen.admin).await;
-    let (callers, peers, admin) = match (callers, peers, admin) {
-        (Ok(callers), Ok(peers), Ok(admin)) => (callers, peers, admin),
-        (callers, peers, admin) => {
-            let faults = [callers.err(), peers.err(), admin.err()];
-            return Err(StartError::Listen(faults.into_iter().flatten().collect()));
-        }
-    };
+pub async fn run_instance(
+    mut settings: settings::InstanceSettings,
+) -> Result<StopOutcome, StartError> {
+    let (callers, peers, admin) = bind_all(settings.listen).await?;
     let mut signals = StopSignals::new()?;
+    // A port 0 of the settings becomes the port that was given.
+    let listen = settings::ListenAddresses {
+        callers: callers.local_addr().unwrap_or(settings.listen.callers),
+        peers: peers.local_addr().unwrap_or(settings.listen.peers),
+        admin: admin.local_addr().unwrap_or(settings.listen.admin),
+    };
+    settings.listen = listen;
     let shared = sync::Arc::new(shared::SharedTables::new(settings));
     emit!(catalogue::INSTANCE_STARTED, instance = %shared.settings.identity.name,
         callers = %listen.callers, peers = %listen.peers, admin = %listen.admin);
@@ -96,7 +94,8 @@
     let membership = start_control(&shared, &mesh, received);
     tokio::spawn(mesh.accept_links(peers));
     tokio::spawn(steering::run_steering(sync::Arc::clone(&shared)));
-    tokio::spawn(admin::serve_admin(sync::Arc::clone(&shared), admin, stop.clone()));
+    let ended = cancellation::CancellationToken::new();
+    tokio::spawn(admin::serve_admin(sync::Arc::clone(&shared), admin, ended.clone()));
     let serving = server::serve_callers(sync::Arc::clone(&shared), callers, stop.clone());
     let serving = tokio::spawn(serving);
     signals.wait().await;
@@ -110,6 +109,7 @@
             StopOutcome::Cut
         }
     };
+    ended.cancel();
     if membership.send(keeper::MembershipEvent::Stop).await.is_ok() {
         tokio::time::sleep(FAREWELL_WAIT).await;
     }
@@ -141,9 +141,10 @@
     stop: &cancellation::CancellationToken,
 ) -> StopOutcome {
     let cached_lookups = shared.tables.load().snapshot.lookup_ttl;
-    tokio::time::sleep(cached_lookups).await;
+    let spread = farewell::leave_spread(shared.members.load().members.len());
+    tokio::time::sleep(spread + cached_lookups).await;
     stop.cancel();
-    match tokio::time::timeout(MAX_STOP_WAIT, serving).await {
+    match tokio::time::timeout(shared.settings.stop.max_wait, serving).await {
         Ok(_) => {
             emit!(catalogue::STOP_FINISHED);
             StopOutcome::Finished
@@ -155,6 +156,22 @@
     }
 }
 
+type ThreeListeners = (tokio::net::TcpListener, tokio::net::TcpListener, tokio::net::TcpListener);
+
+/// Listens for callers, peers and operators, or tells every address that cannot be had.
+async fn bind_all(listen: settings::ListenAddresses) -> Result<ThreeListeners, StartError> {
+    let callers = bind("callers", listen.callers).await;
+    let peers = bind("peers", listen.peers).await;
+    let admin = bind("admin", listen.admin).await;
+    match (callers, peers, admin) {
+        (Ok(callers), Ok(peers), Ok(admin)) => Ok((callers, peers, admin)),
+        (callers, peers, admin) => {
+            let faults = [callers.err(), peers.err(), admin.err()];
+            Err(StartError::Listen(faults.into_iter().flatten().collect()))
+        }
+    }
+}
+
 async fn bind(
     role: &'static str,
     address: net::SocketAddr,
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -55,14 +55,10 @@
     /// Makes the tables of an instance that knows no configuration yet.
     #[must_use]
     pub fn new(settings: settings::InstanceSettings) -> Self {
-        let empty = configuration::AppliedTables {
-            versions: snapshot::TableVersions::default(),
-            snapshot: sync::Arc::new(snapshot::TableSnapshot::default()),
-        };
         Self {
             settings,
             incarnation: incarnation::Incarnation::from_u64(rand::random()),
-            tables: arc_swap::ArcSwap::from_pointee(empty),
+            tables: arc_swap::ArcSwap::from_pointee(Self::no_tables()),
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
             member_changes: watch::Sender::default(),
             connections: pool::ConnectionPool::default(),
@@ -77,6 +73,15 @@
         }
     }
 
+    /// Returns the tables of an instance that knows no configuration yet.
+    #[must_use]
+    pub fn no_tables() -> configuration::AppliedTables {
+        configuration::AppliedTables {
+            versions: snapshot::TableVersions::default(),
+            snapshot: sync::Arc::new(snapshot::TableSnapshot::default()),
+        }
+    }
+
     /// Returns the time on the process's clock.
     #[must_use]
     pub fn now(&self) -> time::Timestamp {
@@ -141,10 +146,12 @@
         self.leaving.load(atomic::Ordering::Acquire)
     }
 
-    /// Tells whether the instance has tables and takes requests.
+    /// Tells whether the instance has tables, answers look-ups and takes requests.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.tables.load().versions.routes > 0
+        !self.is_leaving()
+            && self.tables.load().versions.routes > 0
+            && self.steering.table().is_some()
     }
 
     fn record_versions(&self, versions: &snapshot::TableVersions) {
--- a/crates/transport/node/src/steering.rs
+++ b/crates/transport/node/src/steering.rs
@@ -120,8 +120,10 @@
 
 impl SteeringFollower {
     fn new(shared: sync::Arc<shared::SharedTables>) -> Self {
-        let tables = shared.tables.load_full();
-        let members = shared.members.load_full();
+        // Starts from nothing, so that the first refresh builds from what is in force by then.
+        let empty = shared::SharedTables::no_tables();
+        let tables = sync::Arc::new(empty);
+        let members = sync::Arc::new(view::MemberView::default());
         let blocks = table::build_blocks(&tables.snapshot);
         Self { shared, planner: planner::ShiftPlanner::default(), tables, members, blocks }
     }
--- a/crates/transport/node/tests/ports/admin.rs
+++ b/crates/transport/node/tests/ports/admin.rs
@@ -1,6 +1,7 @@
 //! The admin port answers operators only, in bounded size and without keys.
 
 use std::sync;
+use std::time;
 
 use axum::body;
 use marjoramwing_membership::member;
@@ -8,6 +9,7 @@
 use marjoramwing_node::admin;
 use marjoramwing_node::dump;
 use marjoramwing_node::shared;
+use marjoramwing_node::steering;
 use marjoramwing_tables::credential;
 use tower::ServiceExt;
 
@@ -71,6 +73,13 @@
     assert_eq!(early.status, 503);
     assert!(early.text.contains("no tables yet; check that the object API answers"));
     harness::apply_tables(&shared, "127.0.0.1:1".parse().unwrap());
+    let unsteered = ask(&shared, http::Method::GET, "/readyz", "").await;
+    assert_eq!(unsteered.status, 503, "look-ups are not answered yet");
+    let steering = tokio::spawn(steering::run_steering(sync::Arc::clone(&shared)));
+    while shared.steering.table().is_none() {
+        tokio::time::sleep(time::Duration::from_millis(1)).await;
+    }
+    steering.abort();
     assert_eq!(ask(&shared, http::Method::GET, "/readyz", "").await.status, 200);
     shared.leave();
     let late = ask(&shared, http::Method::GET, "/readyz", "").await;
--- a/crates/transport/node/tests/ports/limits.rs
+++ b/crates/transport/node/tests/ports/limits.rs
@@ -102,7 +102,7 @@
     assert_eq!(port.record.only().target, "/kept");
     drop(first);
     while port.shared.metrics.caller_connections.get() > 0 {
-        tokio::task::yield_now().await;
+        tokio::time::sleep(time::Duration::from_millis(1)).await;
     }
     port.check_serves().await;
 }
