--- a/crates/coordination/membership/src/dump.rs
+++ b/crates/coordination/membership/src/dump.rs
@@ -7,6 +7,9 @@
 
 use crate::record;
 
+/// Absent runs that a dump shows.
+pub const MAX_ABSENT: usize = 100;
+
 /// What the keeper knows and does.
 #[derive(Debug, Clone, serde::Serialize)]
 pub struct MembershipDump {
@@ -18,7 +21,9 @@
     pub queued_updates: usize,
     /// Listed addresses of which none of the present members is known.
     pub unanswered_contacts: usize,
-    /// Runs that are suspected, dead or gone.
+    /// Number of runs that are suspected, dead or gone.
+    pub absent_count: usize,
+    /// The first of them.
     pub absent: Vec<AbsentMember>,
 }
 
--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -1,6 +1,8 @@
 //! The messages between instances.
 
+use crate::configuration;
 use crate::membership;
+use crate::report;
 
 /// Version of the protocol that this program speaks.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -9,7 +11,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// What the frame carries.
-    #[prost(oneof = "Body", tags = "1, 2, 3")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 7")]
     pub body: Option<Body>,
 }
 
@@ -25,6 +27,12 @@
     /// About the members.
     #[prost(message, tag = "3")]
     Membership(membership::Membership),
+    /// About the configuration.
+    #[prost(message, tag = "4")]
+    Configuration(configuration::Configuration),
+    /// About traffic between regions.
+    #[prost(message, tag = "7")]
+    Report(report::Report),
 }
 
 /// Introduces an end of a link.
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -24,7 +24,7 @@
 use crate::peers::carrier;
 use crate::peers::mesh;
 use crate::shared;
-use crate::steering;
+use crate::steering::driver as steering_driver;
 
 /// Time given to the last messages to peers before the process ends.
 const FAREWELL_WAIT: time::Duration = time::Duration::from_millis(200);
@@ -93,7 +93,6 @@
     let mesh = mesh::PeerMesh::new(sync::Arc::clone(&shared), sender);
     let membership = start_control(&shared, &mesh, received);
     tokio::spawn(mesh.accept_links(peers));
-    tokio::spawn(steering::run_steering(sync::Arc::clone(&shared)));
     let ended = cancellation::CancellationToken::new();
     tokio::spawn(admin::serve_admin(sync::Arc::clone(&shared), admin, ended.clone()));
     let serving = server::serve_callers(sync::Arc::clone(&shared), callers, stop.clone());
@@ -123,14 +122,24 @@
 ) -> mpsc::Sender<keeper::MembershipEvent> {
     let store = shared.settings.store;
     let client = client::StoreClient::new(store.address, store.timeout);
-    let follower =
-        configuration::ConfigurationFollower::new(sync::Arc::clone(shared), client.clone());
-    tokio::spawn(follower.run());
     let (sender, events) = mpsc::channel(membership::EVENT_QUEUE);
     let driver = membership::MembershipDriver::new(sync::Arc::clone(shared), mesh.clone(), events);
     tokio::spawn(driver.run());
-    tokio::spawn(listing::follow_listing(sync::Arc::clone(shared), client, sender.clone()));
-    let routes = inbox::InboxRoutes { membership: sender.clone() };
+    tokio::spawn(listing::follow_listing(sync::Arc::clone(shared), client.clone(), sender.clone()));
+    let (answers, events) = mpsc::channel(configuration::EVENT_QUEUE);
+    let driver = configuration::ConfigurationDriver::new(
+        sync::Arc::clone(shared),
+        mesh.clone(),
+        client.clone(),
+        answers.clone(),
+        events,
+    );
+    tokio::spawn(driver.run());
+    let (reports, report_events) = mpsc::channel(steering_driver::EVENT_QUEUE);
+    let steering =
+        steering_driver::SteeringDriver::new(sync::Arc::clone(shared), mesh.clone(), report_events);
+    tokio::spawn(steering.run());
+    let routes = inbox::InboxRoutes { membership: sender.clone(), configuration: answers, reports };
     tokio::spawn(inbox::route_envelopes(received, routes));
     sender
 }
--- a/crates/transport/node/tests/ports/admin.rs
+++ b/crates/transport/node/tests/ports/admin.rs
@@ -4,13 +4,16 @@
 use std::time;
 
 use axum::body;
+use marjoramwing_configuration::trust;
 use marjoramwing_membership::member;
 use marjoramwing_membership::view;
 use marjoramwing_node::admin;
 use marjoramwing_node::dump;
+use marjoramwing_node::peers::mesh;
 use marjoramwing_node::shared;
-use marjoramwing_node::steering;
+use marjoramwing_node::steering::driver;
 use marjoramwing_tables::credential;
+use tokio::sync::mpsc;
 use tower::ServiceExt;
 
 use crate::harness;
@@ -65,6 +68,18 @@
     team_key => (&format!("Bearer {}", harness::KEY), 401);
 }
 
+/// Runs steering until the look-up table is there.
+async fn build_steering(shared: &sync::Arc<shared::SharedTables>) {
+    let mesh = mesh::PeerMesh::new(sync::Arc::clone(shared), mpsc::channel(1).0);
+    let (_reports, events) = mpsc::channel(1);
+    let driver = driver::SteeringDriver::new(sync::Arc::clone(shared), mesh, events);
+    let running = tokio::spawn(driver.run());
+    while shared.steering.table().is_none() {
+        tokio::time::sleep(time::Duration::from_millis(1)).await;
+    }
+    running.abort();
+}
+
 #[tokio::test]
 async fn health_needs_no_secret() {
     let shared = make_shared();
@@ -73,13 +88,12 @@
     assert_eq!(early.status, 503);
     assert!(early.text.contains("no tables yet; check that the object API answers"));
     harness::apply_tables(&shared, "127.0.0.1:1".parse().unwrap());
+    let unconfirmed = ask(&shared, http::Method::GET, "/readyz", "").await;
+    assert_eq!(unconfirmed.status, 503);
+    shared.set_key_trust(trust::KeyTrust::Fresh);
     let unsteered = ask(&shared, http::Method::GET, "/readyz", "").await;
     assert_eq!(unsteered.status, 503, "look-ups are not answered yet");
-    let steering = tokio::spawn(steering::run_steering(sync::Arc::clone(&shared)));
-    while shared.steering.table().is_none() {
-        tokio::time::sleep(time::Duration::from_millis(1)).await;
-    }
-    steering.abort();
+    build_steering(&shared).await;
     assert_eq!(ask(&shared, http::Method::GET, "/readyz", "").await.status, 200);
     shared.leave();
     let late = ask(&shared, http::Method::GET, "/readyz", "").await;
--- a/crates/transport/node/tests/ports/harness.rs
+++ b/crates/transport/node/tests/ports/harness.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use marjoramwing_configuration::candidate;
-use marjoramwing_configuration::configuration;
+use marjoramwing_configuration::selector;
 use marjoramwing_node::callers::server;
 use marjoramwing_node::shared;
 use marjoramwing_settings::settings;
@@ -179,13 +179,11 @@
         ),
         (candidate::TableObject::Steering, r#"{"sites": []}"#.to_owned()),
     ];
-    let objects = texts
-        .map(|(table, text)| candidate::CandidateObject::parse(table, 1, text.into()).unwrap());
-    let mut keeper = configuration::ConfigurationKeeper::default();
-    match keeper.accept_all(objects) {
-        configuration::AcceptOutcome::Applied(applied) => shared.apply(applied),
-        other => panic!("{other:?}"),
+    let mut selector = selector::VersionSelector::default();
+    for (table, text) in texts {
+        selector.offer(table, 1, text.into());
     }
+    shared.apply(selector.select().expect("the tables are good"));
 }
 
 async fn start_backend(record: RequestRecord) -> net::SocketAddr {
