--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -57,14 +57,10 @@
     /// Makes the tables of an instance that knows no configuration yet.
     #[must_use]
     pub fn new(settings: settings::InstanceSettings) -> Self {
-        let empty = configuration::AppliedTables {
-            versions: snapshot::TableVersions::default(),
-            snapshot: sync::Arc::new(snapshot::TableSnapshot::default()),
-        };
         let clock = clock::MonotonicClock::start();
         Self {
             incarnation: incarnation::Incarnation::from_u64(rand::random()),
-            tables: arc_swap::ArcSwap::from_pointee(empty),
+            tables: arc_swap::ArcSwap::from_pointee(Self::no_tables()),
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
             dispatch: dispatch::DispatchControl::new(settings.objective, clock),
             settings,
@@ -80,6 +76,15 @@
         }
     }
 
+    /// Returns the tables of an instance that knows no configuration yet.
+    #[must_use]
+    pub fn no_tables() -> configuration::AppliedTables {
+        configuration::AppliedTables {
+            versions: snapshot::TableVersions::default(),
+            snapshot: sync::Arc::new(snapshot::TableSnapshot::default()),
+        }
+    }
+
     /// Returns the time on the process's clock.
     #[must_use]
     pub fn now(&self) -> time::Timestamp {
@@ -160,14 +165,17 @@
         self.leaving.load(atomic::Ordering::Acquire)
     }
 
-    /// Tells whether the instance has tables and takes requests.
+    /// Tells whether the instance has tables, answers look-ups and takes requests.
     ///
     /// It has once all objects were read and the keys were believed; an
     /// instance that is cut off later still serves open routes.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let was_confirmed = self.was_confirmed.load(atomic::Ordering::Acquire);
-        !self.is_leaving() && was_confirmed && self.tables.load().versions.routes > 0
+        !self.is_leaving()
+            && was_confirmed
+            && self.tables.load().versions.routes > 0
+            && self.steering.table().is_some()
     }
 
     fn record_versions(&self, versions: &snapshot::TableVersions) {
--- a/crates/transport/node/src/steering/driver.rs
+++ b/crates/transport/node/src/steering/driver.rs
@@ -53,7 +53,7 @@
             identity.region.text(),
             shared.incarnation,
         );
-        let tables = shared.tables.load_full();
+        let tables = sync::Arc::new(shared::SharedTables::no_tables());
         let members = sync::Arc::default();
         let blocks = table::build_blocks(&tables.snapshot);
         let planner = planner::ShiftPlanner::default();
