--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -1,6 +1,7 @@
 //! Where a request goes, when, and what may be said of its outcome.
 //!
 //! - [`budget`]: retries as a share of live traffic.
+//! - [`claim`]: claims of idempotency keys.
 //! - [`exchange`]: how far the attempts came, and what may follow.
 //! - [`gate`]: the last moment before the first byte.
 //! - [`health`]: ejection and slow start.
@@ -11,6 +12,7 @@
 //! - [`service`]: the dispatch of one service.
 
 pub mod budget;
+pub mod claim;
 pub mod exchange;
 pub mod gate;
 pub mod health;
--- a/crates/coordination/dispatch/src/mechanism.rs
+++ b/crates/coordination/dispatch/src/mechanism.rs
@@ -21,6 +21,10 @@
     PushOut,
     /// Requests that cannot meet their deadline are shed.
     DeadlineShedding,
+    /// A claim is written only at the version that was read.
+    ClaimCondition,
+    /// A claim whose write was not answered is read back.
+    ClaimReadBack,
     /// Retries are a share of live traffic.
     RetryBudget,
 }
--- /dev/null
+++ b/crates/coordination/dispatch/tests/claim.rs
@@ -0,0 +1,233 @@
+//! A key is claimed once over all instances, whatever the store's answers do.
+
+use std::collections;
+
+use marjoramwing_dispatch::claim;
+use marjoramwing_dispatch::mechanism;
+use marjoramwing_entity::incarnation;
+use marjoramwing_objects::object;
+use marjoramwing_objects::operation;
+use marjoramwing_testing::cases;
+use rand::RngExt;
+use rand::SeedableRng;
+
+use claim::ClaimVerdict::{Claimed, Repeat, StoreDown};
+use mechanism::DisabledMechanism::{self, ClaimCondition, ClaimReadBack, Nothing};
+
+const INSTANCES: usize = 3;
+
+/// The store, with writes that are under way although their answer was lost.
+#[derive(Default)]
+struct FakeStore {
+    objects: collections::HashMap<object::ObjectName, operation::StoredObject>,
+    late: Vec<operation::ConditionalWrite>,
+    operations: u32,
+}
+
+impl FakeStore {
+    fn run(&mut self, operation: &operation::StoreOperation) -> operation::StoreAnswer {
+        self.operations += 1;
+        match operation {
+            operation::StoreOperation::Read(name) => match self.objects.get(name) {
+                Some(stored) => operation::StoreAnswer::Found(stored.clone()),
+                None => operation::StoreAnswer::Missing,
+            },
+            operation::StoreOperation::Write(write) => self.write(write),
+        }
+    }
+
+    fn write(&mut self, write: &operation::ConditionalWrite) -> operation::StoreAnswer {
+        let current = self.objects.get(&write.name).map(|stored| stored.version);
+        if current != write.expected {
+            return operation::StoreAnswer::Conflict(current);
+        }
+        let version = object::ObjectVersion(current.map_or(1, |version| version.0 + 1));
+        let stored = operation::StoredObject { version, value: write.value.clone() };
+        self.objects.insert(write.name.clone(), stored);
+        operation::StoreAnswer::Written(version)
+    }
+
+    /// Loses the answer: the write has effect at once, later or never.
+    fn run_lossy(
+        &mut self,
+        operation: &operation::StoreOperation,
+        rng: &mut rand_pcg::Pcg64,
+    ) -> operation::StoreAnswer {
+        match (operation, rng.random_range(0..3)) {
+            (operation::StoreOperation::Write(write), 0) => self.late.push(write.clone()),
+            (_, 1) => drop(self.run(operation)),
+            _ => {}
+        }
+        operation::StoreAnswer::Unknown
+    }
+}
+
+struct ClaimTrial {
+    store: FakeStore,
+    keepers: Vec<claim::ClaimKeeper>,
+    flying: Vec<(usize, claim::ShardOperation)>,
+    keys: collections::HashMap<claim::ClaimNumber, u64>,
+    verdicts: Vec<(u64, claim::ClaimVerdict)>,
+}
+
+impl ClaimTrial {
+    fn new(disabled: DisabledMechanism) -> Self {
+        let keeper = |instance: usize| {
+            claim::ClaimKeeper::new(incarnation::Incarnation::from_u64(instance as u64), disabled)
+        };
+        Self {
+            store: FakeStore::default(),
+            keepers: (0..INSTANCES).map(keeper).collect(),
+            flying: Vec::new(),
+            keys: collections::HashMap::new(),
+            verdicts: Vec::new(),
+        }
+    }
+
+    fn claim(&mut self, instance: usize, key: u64) {
+        let id = claim::ClaimId::new("team", "route", &key.to_string());
+        let (number, turn) = self.keepers[instance].claim(id);
+        self.keys.insert(number, key);
+        self.take(instance, turn);
+    }
+
+    fn take(&mut self, instance: usize, turn: claim::ClaimTurn) {
+        self.flying.extend(turn.operation.map(|operation| (instance, operation)));
+        let keys = &self.keys;
+        self.verdicts.extend(turn.settled.iter().map(|claim| (keys[&claim.number], claim.verdict)));
+    }
+
+    fn step(&mut self, loss: f64, rng: &mut rand_pcg::Pcg64) {
+        if !self.store.late.is_empty() && rng.random_bool(0.3) {
+            let write = self.store.late.remove(0);
+            self.store.write(&write);
+        }
+        if self.flying.is_empty() {
+            return;
+        }
+        let (instance, flying) = self.flying.swap_remove(rng.random_range(0..self.flying.len()));
+        let answer = if rng.random_bool(loss) {
+            self.store.run_lossy(&flying.operation, rng)
+        } else {
+            self.store.run(&flying.operation)
+        };
+        let turn = self.keepers[instance].record_answer(flying.shard, &answer);
+        self.take(instance, turn);
+    }
+
+    fn count(&self, verdict: claim::ClaimVerdict) -> usize {
+        self.verdicts.iter().filter(|(_, other)| *other == verdict).count()
+    }
+}
+
+/// Each of 40 keys is asked for about ten times, at random instances.
+fn run(disabled: DisabledMechanism, loss: f64, seed: u64) -> ClaimTrial {
+    let mut rng = rand_pcg::Pcg64::seed_from_u64(seed);
+    let mut trial = ClaimTrial::new(disabled);
+    for _ in 0..400 {
+        trial.claim(rng.random_range(0..INSTANCES), rng.random_range(0..40));
+        for _ in 0..rng.random_range(0..4) {
+            trial.step(loss, &mut rng);
+        }
+    }
+    while !trial.flying.is_empty() {
+        trial.step(loss, &mut rng);
+    }
+    assert_eq!(trial.verdicts.len(), 400, "every claim is settled");
+    trial
+}
+
+fn find_doubled(disabled: DisabledMechanism, loss: f64) -> usize {
+    let doubled = (0..200).map(|seed| {
+        let mut claimed = collections::HashSet::new();
+        let trial = run(disabled, loss, seed);
+        let all = trial.verdicts.iter().filter(|(_, verdict)| *verdict == Claimed);
+        all.filter(|(key, _)| !claimed.insert(*key)).count()
+    });
+    doubled.sum()
+}
+
+fn check_once(disabled: DisabledMechanism, loss: f64, holds: bool) {
+    assert_eq!(find_doubled(disabled, loss) == 0, holds);
+}
+
+cases! { check_once:
+    repeats_run_once => (Nothing, 0.0, true);
+    repeats_run_once_while_answers_are_lost => (Nothing, 0.3, true);
+    without_condition_repeats_run_twice => (ClaimCondition, 0.0, false);
+}
+
+/// Lost answers of writes alone refuse nobody, since they are read back.
+fn check_refusals(disabled: DisabledMechanism, holds: bool) {
+    let mut trial = ClaimTrial::new(disabled);
+    trial.claim(0, 1);
+    let (_, read) = trial.flying.remove(0);
+    let answer = trial.store.run(&read.operation);
+    let turn = trial.keepers[0].record_answer(read.shard, &answer);
+    let write = turn.operation.unwrap();
+    trial.store.run(&write.operation);
+    let turn = trial.keepers[0].record_answer(write.shard, &operation::StoreAnswer::Unknown);
+    trial.take(0, turn);
+    while !trial.flying.is_empty() {
+        trial.step(0.0, &mut rand_pcg::Pcg64::seed_from_u64(1));
+    }
+    assert_eq!(trial.count(Claimed) == 1, holds);
+}
+
+cases! { check_refusals:
+    lost_answer_is_read_back => (Nothing, true);
+    without_reading_back_it_refuses => (ClaimReadBack, false);
+}
+
+#[test]
+fn store_outage_refuses_and_a_later_repeat_runs() {
+    let mut trial = ClaimTrial::new(Nothing);
+    trial.claim(0, 1);
+    let (_, read) = trial.flying.remove(0);
+    let turn = trial.keepers[0].record_answer(read.shard, &operation::StoreAnswer::Rejected);
+    assert_eq!(turn.operation, None, "an outage is not hammered");
+    trial.take(0, turn);
+    assert_eq!(trial.verdicts, [(1, StoreDown)]);
+    trial.claim(0, 1);
+    while !trial.flying.is_empty() {
+        trial.step(0.0, &mut rand_pcg::Pcg64::seed_from_u64(1));
+    }
+    assert_eq!(trial.verdicts[1..], [(1, Claimed)]);
+}
+
+#[test]
+fn released_key_can_be_claimed_elsewhere() {
+    let mut trial = ClaimTrial::new(Nothing);
+    let mut rng = rand_pcg::Pcg64::seed_from_u64(1);
+    let id = claim::ClaimId::new("team", "route", "1");
+    let (number, turn) = trial.keepers[0].claim(id);
+    trial.keys.insert(number, 1);
+    trial.take(0, turn);
+    while !trial.flying.is_empty() {
+        trial.step(0.0, &mut rng);
+    }
+    let turn = trial.keepers[0].release(id, number);
+    trial.take(0, turn);
+    while !trial.flying.is_empty() {
+        trial.step(0.0, &mut rng);
+    }
+    trial.claim(1, 1);
+    while !trial.flying.is_empty() {
+        trial.step(0.0, &mut rng);
+    }
+    assert_eq!((trial.count(Claimed), trial.count(Repeat)), (2, 0));
+}
+
+/// 1,000 claims that arrive while 64 reads and writes are under way.
+#[test]
+fn claims_are_grouped_into_few_writes() {
+    let mut trial = ClaimTrial::new(Nothing);
+    for key in 0..1_000 {
+        trial.claim(0, key);
+    }
+    while !trial.flying.is_empty() {
+        trial.step(0.0, &mut rand_pcg::Pcg64::seed_from_u64(1));
+    }
+    assert_eq!(trial.count(Claimed), 1_000);
+    assert!(trial.store.operations <= 2 * 64, "{} calls", trial.store.operations);
+}
--- a/crates/transport/node/src/callers/answer.rs
+++ b/crates/transport/node/src/callers/answer.rs
@@ -63,6 +63,16 @@
     /// The instance holds as many bodies as it may.
     #[display("this instance holds as many request bodies as it may; send again later")]
     BodiesFull,
+    /// Another request has used the idempotency key.
+    #[display(
+        "a request with this Idempotency-Key was taken before; check whether it took effect, and send another one with a new key"
+    )]
+    KeyRepeated,
+    /// The store that keeps idempotency keys does not answer.
+    #[display(
+        "idempotency keys cannot be checked now; send again later, or with a new key if this one is refused"
+    )]
+    ClaimsDown,
     /// The instance is not ready.
     #[display("this instance has no tables yet; use another one from the look-up")]
     NotReady,
@@ -133,6 +143,12 @@
         Self { kind, outcome: exchange::RequestOutcome::NotRun }
     }
 
+    /// Tells whether the request is known not to have run.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        self.outcome == exchange::RequestOutcome::NotRun
+    }
+
     /// Returns the status of the answer.
     #[must_use]
     pub const fn status(&self) -> http::StatusCode {
@@ -146,12 +162,14 @@
             RefusalKind::KeyMissing | RefusalKind::KeyRefused => http::StatusCode::UNAUTHORIZED,
             RefusalKind::OverLimit { .. } => http::StatusCode::TOO_MANY_REQUESTS,
             RefusalKind::BodyTooLarge(_) => http::StatusCode::PAYLOAD_TOO_LARGE,
+            RefusalKind::KeyRepeated => http::StatusCode::CONFLICT,
             RefusalKind::LengthRequired(_) => http::StatusCode::LENGTH_REQUIRED,
             RefusalKind::NotReady
             | RefusalKind::KeysUnconfirmed
             | RefusalKind::ShiftCapped
             | RefusalKind::NoServer
             | RefusalKind::QueueFull
+            | RefusalKind::ClaimsDown
             | RefusalKind::BodiesFull
             | RefusalKind::DeadlineUnsent => http::StatusCode::SERVICE_UNAVAILABLE,
             RefusalKind::BrokenOff | RefusalKind::AnswerUnbounded => http::StatusCode::BAD_GATEWAY,
@@ -168,6 +186,8 @@
             RefusalKind::Unsupported(_) => "unsupported",
             RefusalKind::BodyPaused => "body_paused",
             RefusalKind::BodyBroken => "body_broken",
+            RefusalKind::KeyRepeated => "key_repeated",
+            RefusalKind::ClaimsDown => "claims_down",
             RefusalKind::NoRoute => "no_route",
             RefusalKind::KeyMissing => "key_missing",
             RefusalKind::KeyRefused => "key_refused",
@@ -195,6 +215,7 @@
             | RefusalKind::ShiftCapped
             | RefusalKind::NoServer
             | RefusalKind::QueueFull
+            | RefusalKind::ClaimsDown
             | RefusalKind::BodiesFull
             | RefusalKind::DeadlineUnsent => Some(time::Duration::from_secs(1)),
             _ => None,
--- a/crates/transport/node/src/callers/mod.rs
+++ b/crates/transport/node/src/callers/mod.rs
@@ -3,6 +3,7 @@
 //! - [`answer`]: answers that the instance gives itself.
 //! - [`attempts`]: the attempts at one request.
 //! - [`body`]: the body of a request, with a bound on its pauses.
+//! - [`claims`]: claims of idempotency keys.
 //! - [`credential`]: the key that comes with a request.
 //! - [`guard`]: checks of a request before it is routed.
 //! - [`headers`]: headers that must not pass through.
@@ -16,6 +17,7 @@
 pub mod answer;
 pub mod attempts;
 pub mod body;
+pub mod claims;
 pub mod credential;
 pub mod guard;
 pub mod headers;
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -6,6 +6,7 @@
 
 use axum::extract;
 use axum::response::IntoResponse;
+use marjoramwing_dispatch::claim;
 use marjoramwing_entity::time;
 use marjoramwing_ledger::ledger;
 use marjoramwing_ledger::limit;
@@ -19,6 +20,7 @@
 use crate::backends::service;
 use crate::callers::answer;
 use crate::callers::attempts;
+use crate::callers::claims;
 use crate::callers::credential;
 use crate::callers::headers;
 use crate::callers::request;
@@ -134,7 +136,15 @@
             deadline: self.deadline,
             send_before: self.send_before(),
         };
-        let open = attempts::run_attempts(context).await?;
+        let claim = self.claim(&request, context.team).await?;
+        let result = attempts::run_attempts(context).await;
+        let not_run = |refusal: &answer::Refusal| refusal.is_not_run();
+        if let Some(claim) = claim
+            && result.as_ref().is_err_and(not_run)
+        {
+            claim.release();
+        }
+        let open = result?;
         let watch = sender.map(|sender| sender.watch);
         Ok(pass_on(open, watch, sync::Arc::clone(self.shared)))
     }
@@ -144,6 +154,23 @@
         time::Timestamp::NEVER
     }
 
+    /// Claims the idempotency key of a request that must not run twice.
+    async fn claim(
+        &self,
+        request: &request::PreparedRequest,
+        team: &str,
+    ) -> Result<Option<claims::HeldClaim>, answer::Refusal> {
+        if self.route.is_idempotent(request.method().as_str()) {
+            return Ok(None);
+        }
+        let Some(key) = claims::find_key(request.headers())? else { return Ok(None) };
+        let id = claim::ClaimId::new(team, self.route.name.as_str(), key);
+        let left = self.deadline.since(self.shared.now());
+        let down = answer::Refusal::not_run(answer::RefusalKind::ClaimsDown);
+        let claim = tokio::time::timeout(left, self.shared.dispatch.claims.claim(id)).await;
+        claim.unwrap_or(Err(down)).map(Some)
+    }
+
     /// Finds the services of the route's pools, in order of preference.
     fn find_services(&self) -> Result<Vec<sync::Arc<service::ServiceControl>>, answer::Refusal> {
         let pools = self.route.pools.iter().map(|key| &self.tables.pools[*key].name);
--- a/crates/transport/node/src/callers/request.rs
+++ b/crates/transport/node/src/callers/request.rs
@@ -65,6 +65,12 @@
         &self.method
     }
 
+    /// Returns the headers that backend servers see.
+    #[must_use]
+    pub const fn headers(&self) -> &http::HeaderMap {
+        &self.headers
+    }
+
     /// Builds the request of one attempt.
     #[must_use]
     pub fn build(&self, time_left: time::Duration) -> http::Request<replay::RequestBody> {
--- a/crates/transport/node/src/dispatch.rs
+++ b/crates/transport/node/src/dispatch.rs
@@ -4,11 +4,14 @@
 use std::sync;
 
 use marjoramwing_dispatch::policy;
+use marjoramwing_entity::incarnation;
 use marjoramwing_settings::settings;
+use marjoramwing_store_client::client;
 use marjoramwing_tables::name;
 use marjoramwing_tables::snapshot;
 
 use crate::backends::service;
+use crate::callers::claims;
 use crate::clock;
 
 /// Dispatch of all services.
@@ -20,6 +23,8 @@
     policy: policy::DispatchPolicy,
     clock: clock::MonotonicClock,
     services: arc_swap::ArcSwap<ServiceTable>,
+    /// Claims of idempotency keys.
+    pub claims: sync::Arc<claims::ClaimControl>,
 }
 
 type ServiceTable = collections::HashMap<name::PoolName, sync::Arc<service::ServiceControl>>;
@@ -27,12 +32,18 @@
 impl DispatchControl {
     /// Makes a dispatch without services.
     #[must_use]
-    pub fn new(objective: settings::DeploymentObjective, clock: clock::MonotonicClock) -> Self {
-        let policy = match objective {
+    pub fn new(
+        settings: &settings::InstanceSettings,
+        incarnation: incarnation::Incarnation,
+        clock: clock::MonotonicClock,
+    ) -> Self {
+        let policy = match settings.objective {
             settings::DeploymentObjective::Fairness => policy::DispatchPolicy::fairness(),
             settings::DeploymentObjective::Latency => policy::DispatchPolicy::latency(),
         };
-        Self { policy, clock, services: arc_swap::ArcSwap::default() }
+        let client = client::StoreClient::new(settings.store.address, settings.store.timeout);
+        let claims = sync::Arc::new(claims::ClaimControl::new(incarnation, client));
+        Self { policy, clock, services: arc_swap::ArcSwap::default(), claims }
     }
 
     /// Returns the policy in force.
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -62,11 +62,12 @@
             snapshot: sync::Arc::new(snapshot::TableSnapshot::default()),
         };
         let clock = clock::MonotonicClock::start();
+        let incarnation = incarnation::Incarnation::from_u64(rand::random());
         Self {
-            incarnation: incarnation::Incarnation::from_u64(rand::random()),
+            incarnation,
             tables: arc_swap::ArcSwap::from_pointee(empty),
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
-            dispatch: dispatch::DispatchControl::new(settings.objective, clock),
+            dispatch: dispatch::DispatchControl::new(&settings, incarnation, clock),
             settings,
             member_changes: watch::Sender::default(),
             steering: steering::SteeringControl::default(),
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod bodies;
+mod claims;
 mod credentials;
 mod exchange;
 mod service;
