Admit under one ledger of limits: a holder, loans, a lease with an heir

Change: one holder for each limit, named by a conditional write; asks of one message for all that wait; loans towards demand told by counters that only grow; granted tokens count against the burst until they cannot be spent; a lease kept by the store or an heir's promise, taken over by a conditional write. The even split stays as baseline.rs. Shown to bite: bound::*_is_needed and bound::*_are_needed switch off one mechanism each and see the bound fail, as does availability::conditional_writes_are_needed_for_one_winner.

--- a/crates/coordination/ledger/src/ledger.rs
+++ b/crates/coordination/ledger/src/ledger.rs
@@ -1,64 +1,325 @@
-//! Admission of requests under the limits that this instance knows.
+//! Admission of requests under limits, and the handling of events.
+//!
+//! Invariant: over all instances, in every window of time, no more is admitted
+//! under a limit than its burst and its rate times the window's length. The
+//! modules of shares, buckets, loans and leases each carry a part of it.
 
 use std::collections;
 use std::time as duration;
 
-use marjoramwing_derives as derives;
+use marjoramwing_entity::incarnation;
 use marjoramwing_entity::time;
+use marjoramwing_objects::object;
+use marjoramwing_objects::operation;
 use marjoramwing_tables::team;
 
+use crate::action;
+use crate::asking;
 use crate::bucket;
+use crate::demand;
+use crate::directory;
+use crate::lease;
+use crate::lending;
 use crate::limit;
+use crate::mechanism;
+use crate::share;
+use crate::takeover;
 
-/// What admission says of one request.
-#[derives::value]
-pub enum AdmitOutcome {
-    /// The request may run.
-    Admitted,
-    /// The limit is used up; a token is expected after the delay.
-    Refused {
-        /// Time until a token is expected.
-        retry_after: duration::Duration,
-    },
-}
+/// Time between two ticks that the ledger expects.
+pub const TICK_PERIOD: duration::Duration = duration::Duration::from_millis(50);
+/// Time that a refused request waits when nothing better is known.
+const DEFAULT_RETRY: duration::Duration = duration::Duration::from_secs(1);
+/// Unanswered asks in a row after which a holder is suspected.
+const SUSPECT_AFTER: u32 = 3;
 
-/// Admits requests under limits.
-#[derive(Debug, Default)]
+/// Admits requests under limits that hold over all instances.
+#[derive(Debug)]
 pub struct ShareLedger {
-    buckets: collections::HashMap<limit::LimitId, LimitBucket>,
+    pub(crate) own: action::LedgerMember,
+    pub(crate) limits: collections::BTreeMap<limit::LimitId, LimitState>,
+    pub(crate) active: collections::BTreeSet<limit::LimitId>,
+    pub(crate) members: collections::BTreeMap<incarnation::Incarnation, action::LedgerMember>,
+    pub(crate) directory: directory::HolderDirectory,
+    pub(crate) lease: lease::LeaseKeeper,
+    pub(crate) takeover: takeover::TakeoverKeeper,
+    pub(crate) mechanisms: mechanism::MechanismSet,
+    pub(crate) is_leaving: bool,
+    next_number: u64,
 }
 
+/// One limit, as this instance takes part in it.
 #[derive(Debug)]
-struct LimitBucket {
-    limit: team::RateLimit,
-    bucket: bucket::TokenBucket,
+pub(crate) struct LimitState {
+    pub(crate) limit: team::RateLimit,
+    pub(crate) is_configured: bool,
+    pub(crate) held: Option<lending::HeldLimit>,
+    pub(crate) held_epoch: u64,
+    pub(crate) borrowed: asking::BorrowedLimit,
+    pub(crate) demand: demand::DemandMeter,
 }
 
 impl ShareLedger {
-    /// Sets the limit of an id; an unchanged limit keeps its tokens.
-    pub fn set_limit(
+    /// Makes the ledger of one run of an instance.
+    #[must_use]
+    pub fn new(own: action::LedgerMember, mechanisms: mechanism::MechanismSet) -> Self {
+        let incarnation = own.incarnation;
+        Self {
+            own,
+            limits: collections::BTreeMap::new(),
+            active: collections::BTreeSet::new(),
+            members: collections::BTreeMap::new(),
+            directory: directory::HolderDirectory::new(),
+            lease: lease::LeaseKeeper::new(incarnation),
+            takeover: takeover::TakeoverKeeper::new(incarnation, mechanisms),
+            mechanisms,
+            is_leaving: false,
+            next_number: 0,
+        }
+    }
+
+    /// Sets a limit; an edit gives no tokens.
+    pub fn set_limit(&mut self, id: limit::LimitId, limit: team::RateLimit, now: time::Timestamp) {
+        self.directory.prepare(id);
+        let state = self.limits.entry(id).or_insert_with(|| LimitState::new(limit));
+        state.is_configured = true;
+        if state.limit != limit {
+            let keeps_tokens = self.mechanisms.is_on(mechanism::LedgerMechanism::KeepTokens);
+            state.edit(limit, keeps_tokens, now);
+        }
+        // The store may have given the limit to this instance before it was set.
+        self.adopt_held(now, &mut Vec::new());
+    }
+
+    /// Removes a limit; its shares stay as they are, in case it comes back.
+    pub fn remove_limit(&mut self, id: limit::LimitId) {
+        if let Some(state) = self.limits.get_mut(&id) {
+            state.is_configured = false;
+        }
+    }
+
+    /// Iterates over the limits that are set.
+    pub fn limit_ids(&self) -> impl Iterator<Item = limit::LimitId> + '_ {
+        self.limits.iter().filter(|(_, state)| state.is_configured).map(|(id, _)| *id)
+    }
+
+    /// Admits or refuses one request, or asks a holder.
+    pub fn admit(
         &mut self,
         id: limit::LimitId,
-        limit: team::RateLimit,
-        fraction: f64,
         now: time::Timestamp,
+        actions: &mut Vec<action::LedgerAction>,
+    ) -> action::AdmitOutcome {
+        self.spend(id, 1, now, actions)
+    }
+
+    /// Spends an amount of a limit, all of it or nothing.
+    pub fn spend(
+        &mut self,
+        id: limit::LimitId,
+        amount: u32,
+        now: time::Timestamp,
+        actions: &mut Vec<action::LedgerAction>,
+    ) -> action::AdmitOutcome {
+        let holds_lease = self.holds_lease(now);
+        let Some(state) = self.limits.get_mut(&id).filter(|state| state.is_configured) else {
+            return action::AdmitOutcome::Admitted { valid_until: time::Timestamp::NEVER };
+        };
+        state.demand.add(amount, now);
+        if let Some(held) = state.held.as_mut().filter(|_| holds_lease) {
+            return spend_held(held, amount, self.lease.valid_until(), now);
+        }
+        if let Some(valid_until) = state.borrowed.take(amount, self.mechanisms, now) {
+            return action::AdmitOutcome::Admitted { valid_until };
+        }
+        if amount > state.limit.burst
+            || !self.mechanisms.is_on(mechanism::LedgerMechanism::AskHolder)
+        {
+            return action::AdmitOutcome::Refused { retry_after: DEFAULT_RETRY };
+        }
+        let stops = self.mechanisms.is_on(mechanism::LedgerMechanism::StopAsking);
+        if let Some(retry_after) = state.borrowed.empty_for(now).filter(|_| stops) {
+            return action::AdmitOutcome::Refused { retry_after };
+        }
+        self.wait(id, amount, now, actions)
+    }
+
+    /// Handles an event.
+    pub fn handle(
+        &mut self,
+        event: action::LedgerEvent,
+        now: time::Timestamp,
+        actions: &mut Vec<action::LedgerAction>,
     ) {
-        let bucket = bucket::TokenBucket::new(limit, fraction, now);
-        let known = self.buckets.entry(id).or_insert(LimitBucket { limit, bucket });
-        if known.limit != limit {
-            *known = LimitBucket { limit, bucket };
+        match event {
+            action::LedgerEvent::Tick => self.tick(now, actions),
+            action::LedgerEvent::MemberUp(member) => self.note_up(member),
+            action::LedgerEvent::MemberDown(member) | action::LedgerEvent::MemberLeft(member) => {
+                self.note_down(member, now);
+            }
+            action::LedgerEvent::Received { from, message } => {
+                self.receive(from, message, now, actions);
+            }
+            action::LedgerEvent::Stored { name, answer } => {
+                self.take_stored(&name, &answer, now, actions);
+            }
+            action::LedgerEvent::Leave => self.is_leaving = true,
         }
     }
 
-    /// Admits or refuses one request.
-    pub fn admit(&mut self, id: limit::LimitId, now: time::Timestamp) -> AdmitOutcome {
-        let Some(known) = self.buckets.get_mut(&id) else {
-            return AdmitOutcome::Admitted;
-        };
-        if known.bucket.take(now) {
-            return AdmitOutcome::Admitted;
+    /// Returns the time until which a holder's lease allows spending.
+    #[must_use]
+    pub const fn lease_valid_until(&self) -> time::Timestamp {
+        self.lease.valid_until()
+    }
+
+    /// Tells whether everything was handed over, so that the process may exit.
+    #[must_use]
+    pub fn has_left(&self) -> bool {
+        self.is_leaving && self.lease.is_released()
+    }
+
+    pub(crate) fn holds_lease(&self, now: time::Timestamp) -> bool {
+        let checks = self.mechanisms.is_on(mechanism::LedgerMechanism::CheckLease);
+        now < self.lease.valid_until() || !checks
+    }
+
+    pub(crate) const fn take_number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    fn wait(
+        &mut self,
+        id: limit::LimitId,
+        amount: u32,
+        now: time::Timestamp,
+        actions: &mut Vec<action::LedgerAction>,
+    ) -> action::AdmitOutcome {
+        let ticket = action::RequestTicket(self.take_number());
+        if let Some(state) = self.limits.get_mut(&id) {
+            state.borrowed.wait(ticket, amount, now);
+        }
+        self.active.insert(id);
+        self.ask(id, now, actions);
+        action::AdmitOutcome::Ask { ticket }
+    }
+
+    fn tick(&mut self, now: time::Timestamp, actions: &mut Vec<action::LedgerAction>) {
+        let heir = self.choose_heir();
+        self.leave_if_drained(now);
+        self.lease.step(heir, now, actions);
+        self.takeover.step(now, actions);
+        let active: Vec<_> = self.active.iter().copied().collect();
+        for id in active {
+            self.tick_limit(id, now, actions);
+        }
+        self.step_directory(now, actions);
+    }
+
+    fn tick_limit(
+        &mut self,
+        id: limit::LimitId,
+        now: time::Timestamp,
+        actions: &mut Vec<action::LedgerAction>,
+    ) {
+        let Some(state) = self.limits.get_mut(&id) else { return };
+        let demand = state.demand.per_second(now);
+        let borrowed = &mut state.borrowed;
+        borrowed.expire(now, actions);
+        borrowed.expire_loan(self.mechanisms, now);
+        if self.is_leaving {
+            borrowed.lower(share::ShareUnits::NONE, now);
+        }
+        if let Some(held) = &mut state.held {
+            held.reclaim(now);
+        }
+        let unanswered = borrowed.expire_ask(now);
+        let is_silent = borrowed.unanswered >= SUSPECT_AFTER;
+        let asks = borrowed.asked.is_none()
+            && (borrowed.has_waiting() || borrowed.needs_renewal(demand, now));
+        if state.is_idle() {
+            self.active.remove(&id);
+        }
+        if let Some(holder) = unanswered {
+            self.directory.doubt(id);
+            if is_silent || !self.members.contains_key(&holder) {
+                self.takeover.suspect(holder, now);
+            }
+        }
+        if asks {
+            self.ask(id, now, actions);
+        }
+    }
+
+    fn note_up(&mut self, member: action::LedgerMember) {
+        self.takeover.clear(member.incarnation);
+        self.members.insert(member.incarnation, member);
+    }
+
+    fn note_down(&mut self, member: incarnation::Incarnation, now: time::Timestamp) {
+        self.members.remove(&member);
+        let holds = self.directory.held_by(member).next().is_some();
+        if holds || self.takeover.has_promised(member) {
+            self.takeover.suspect(member, now);
+        }
+    }
+
+    fn take_stored(
+        &mut self,
+        name: &object::ObjectName,
+        answer: &operation::StoreAnswer,
+        now: time::Timestamp,
+        actions: &mut Vec<action::LedgerAction>,
+    ) {
+        if self.directory.take_answer(name, answer, now) {
+            self.adopt_held(now, actions);
+        } else if let Some(holder) = lease::lease_of_name(name) {
+            self.take_lease_answer(holder, answer, now);
         }
-        let retry_after = duration::Duration::from_secs_f64(1.0 / known.limit.rate);
-        AdmitOutcome::Refused { retry_after }
+        self.step_directory(now, actions);
+        self.ask_waiting(now, actions);
+    }
+}
+
+impl LimitState {
+    fn new(limit: team::RateLimit) -> Self {
+        Self {
+            limit,
+            is_configured: true,
+            held: None,
+            held_epoch: 0,
+            borrowed: asking::BorrowedLimit::default(),
+            demand: demand::DemandMeter::default(),
+        }
+    }
+
+    /// Tells whether nothing of the limit needs a tick.
+    pub(crate) fn is_idle(&self) -> bool {
+        let has_loans = self.held.as_ref().is_some_and(|held| held.loan_count() > 0);
+        self.borrowed.is_idle() && !has_loans
+    }
+
+    fn edit(&mut self, limit: team::RateLimit, keeps_tokens: bool, now: time::Timestamp) {
+        self.limit = limit;
+        let held = self.held.as_mut().map(|held| &mut held.bucket);
+        let loan = self.borrowed.loan.as_mut().map(|loan| &mut loan.bucket);
+        for bucket in held.into_iter().chain(loan) {
+            bucket.set_limit(limit, now);
+            if !keeps_tokens {
+                *bucket = bucket::TokenBucket::full(limit, bucket.units(), now);
+            }
+        }
+    }
+}
+
+fn spend_held(
+    held: &mut lending::HeldLimit,
+    amount: u32,
+    valid_until: time::Timestamp,
+    now: time::Timestamp,
+) -> action::AdmitOutcome {
+    if held.bucket.take(amount, now) {
+        return action::AdmitOutcome::Admitted { valid_until };
     }
+    action::AdmitOutcome::Refused { retry_after: held.bucket.time_until(amount) }
 }
--- a/crates/coordination/ledger/src/limit.rs
+++ b/crates/coordination/ledger/src/limit.rs
@@ -1,5 +1,6 @@
 //! Names of limits that all instances agree on.
 
+use std::fmt;
 use std::hash;
 
 use marjoramwing_derives as derives;
@@ -9,17 +10,51 @@
 #[derives::value]
 pub struct LimitId(u64);
 
+/// What a limit bounds.
+#[derives::value]
+#[derive(derive_more::Display)]
+pub enum LimitKind {
+    /// A team's requests.
+    #[display("team")]
+    Team,
+    /// A route's requests over all teams.
+    #[display("route")]
+    Route,
+    /// Clients moved between sites by a shift.
+    #[display("shift")]
+    Shift,
+    /// Requests that a region may be sent beyond its present load.
+    #[display("headroom")]
+    Headroom,
+    /// Bytes over a link between regions.
+    #[display("link")]
+    Link,
+    /// Starts of requests at a pool's slots.
+    #[display("slots")]
+    Slots,
+}
+
 impl LimitId {
     /// Returns the limit of a team's rate and burst.
     #[must_use]
     pub fn of_team(team: &name::TeamName) -> Self {
-        Self::of_text("team", team.as_str())
+        Self::of_text(LimitKind::Team, team.as_str())
     }
 
     /// Returns the limit of a route over all teams.
     #[must_use]
     pub fn of_route(route: &name::RouteName) -> Self {
-        Self::of_text("route", route.as_str())
+        Self::of_text(LimitKind::Route, route.as_str())
+    }
+
+    /// Returns the limit of a kind and a name.
+    #[must_use]
+    pub fn of_text(kind: LimitKind, name: &str) -> Self {
+        let mut hasher = fnv::FnvHasher::default();
+        hash::Hasher::write(&mut hasher, kind.to_string().as_bytes());
+        hash::Hasher::write(&mut hasher, b"/");
+        hash::Hasher::write(&mut hasher, name.as_bytes());
+        Self(hash::Hasher::finish(&hasher))
     }
 
     /// Makes a limit from its number.
@@ -34,11 +69,15 @@
         self.0
     }
 
-    fn of_text(kind: &str, name: &str) -> Self {
-        let mut hasher = fnv::FnvHasher::default();
-        hash::Hasher::write(&mut hasher, kind.as_bytes());
-        hash::Hasher::write(&mut hasher, b"/");
-        hash::Hasher::write(&mut hasher, name.as_bytes());
-        Self(hash::Hasher::finish(&hasher))
+    /// Reads the textual form of a limit.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        u64::from_str_radix(text, 16).ok().map(Self)
+    }
+}
+
+impl fmt::Display for LimitId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
     }
 }
--- /dev/null
+++ b/crates/coordination/ledger/tests/fleet/availability.rs
@@ -0,0 +1,172 @@
+//! Requests within the rate are hardly refused, whatever fails.
+
+use std::time::Duration;
+
+use crate::spec::{Counts, ScheduleSpec};
+use crate::support::Schedule;
+use marjoramwing_tables::team::RateLimit;
+
+const START: Duration = Duration::from_secs(30);
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn start(rate: f64, burst: u32, load: f64, seed: u64) -> Schedule {
+    let mut schedule = Schedule::new(ScheduleSpec { seed, ..ScheduleSpec::new(rate, burst, load) });
+    schedule.run(START);
+    schedule
+}
+
+fn check_share(schedule: &Schedule, counts: Counts, least_percent: u64) {
+    schedule.check();
+    let seed = schedule.spec.seed;
+    assert!(counts.admitted * 100 >= counts.ideal * least_percent, "seed {seed}: {counts:?}");
+}
+
+#[test]
+fn an_outage_of_an_hour_changes_nothing() {
+    let mut schedule = start(20.0, 10, 0.7, 1);
+    schedule.is_store_down = true;
+    let counts = schedule.run(MINUTE * 60);
+    check_share(&schedule, counts, 99);
+}
+
+#[test]
+fn an_instance_started_in_an_outage_finds_the_holder() {
+    let mut schedule = start(20.0, 10, 0.7, 1);
+    schedule.is_store_down = true;
+    let started = schedule.start_node("c");
+    let holder = schedule.holder();
+    let heir = schedule.heir(holder);
+    for index in (0..started).filter(|index| ![holder, heir].contains(index)) {
+        schedule.kill(index);
+    }
+    schedule.shunned = Some(holder);
+    schedule.run(MINUTE / 60);
+    let counts = schedule.run(MINUTE / 6);
+    check_share(&schedule, counts, 95);
+}
+
+/// Returns the most holders at any time of a start under load.
+fn most_holders(seed: u64, ignores_versions: bool) -> usize {
+    let spec = ScheduleSpec { seed, skew: 0.0, ..ScheduleSpec::new(500.0, 50, 1.0) };
+    let mut schedule = Schedule::new(spec);
+    schedule.loses_answers = seed.is_multiple_of(2);
+    schedule.store.ignores_versions = ignores_versions;
+    let counts = (0..200).map(|_| {
+        schedule.run(MINUTE / 600);
+        schedule.holders().len()
+    });
+    counts.max().unwrap_or_default()
+}
+
+#[test]
+fn racing_claims_have_one_winner() {
+    for seed in 0..50 {
+        assert_eq!(most_holders(seed, false), 1, "seed {seed}");
+    }
+}
+
+#[test]
+fn conditional_writes_are_needed_for_one_winner() {
+    assert!((0..50).any(|seed| most_holders(seed, true) > 1));
+}
+
+#[test]
+fn an_heir_takes_over_within_half_a_minute() {
+    for seed in 0..5 {
+        let mut schedule = start(20.0, 10, 0.7, seed);
+        let holder = schedule.holder();
+        schedule.kill(holder);
+        schedule.run(MINUTE / 2);
+        let counts = schedule.run(MINUTE);
+        check_share(&schedule, counts, 98);
+    }
+}
+
+#[test]
+fn a_planned_replacement_of_all_refuses_little() {
+    for seed in 0..5 {
+        let mut schedule = start(200.0, 50, 0.7, seed);
+        let before = schedule.counts;
+        for index in 0..7 {
+            let region = schedule.nodes[index].region;
+            schedule.start_node(region);
+            schedule.run(MINUTE / 12);
+            schedule.leave(index);
+            schedule.run(MINUTE / 4);
+            schedule.finish_leave(index);
+        }
+        let after = schedule.counts;
+        let counts = Counts {
+            admitted: after.admitted - before.admitted,
+            ideal: after.ideal - before.ideal,
+            ..after
+        };
+        check_share(&schedule, counts, 95);
+    }
+}
+
+#[test]
+fn deleted_leases_free_the_limits_of_a_fleet_that_died() {
+    let mut schedule = start(20.0, 10, 0.7, 1);
+    for index in 0..7 {
+        schedule.kill(index);
+        let region = schedule.nodes[index].region;
+        schedule.start_node(region);
+    }
+    schedule.run(MINUTE);
+    assert_eq!(schedule.holders(), [] as [usize; 0]);
+    schedule.store.delete_leases();
+    schedule.run(MINUTE * 2);
+    let counts = schedule.run(MINUTE);
+    check_share(&schedule, counts, 98);
+}
+
+#[test]
+fn the_other_regions_go_on_in_a_region_cut() {
+    let mut schedule = start(20.0, 10, 0.7, 1);
+    let holder = schedule.nodes[schedule.holder()].region;
+    schedule.cut = Some(if holder == "c" { "b" } else { "c" });
+    schedule.run(MINUTE / 2);
+    let counts = schedule.run(MINUTE * 10);
+    check_share(&schedule, counts, 60);
+}
+
+#[test]
+fn any_mix_of_troubles_keeps_the_bound() {
+    for seed in 0..20 {
+        let spec = ScheduleSpec { seed, faults: 0.02, ..ScheduleSpec::new(50.0, 20, 2.0) };
+        let mut schedule = Schedule::new(spec);
+        let larger = RateLimit::new(60.0, 25).unwrap();
+        schedule.bound = larger;
+        schedule.run(START);
+        for _ in 0..40 {
+            trouble(&mut schedule, larger);
+            let seconds = schedule.draw(20) as u64;
+            schedule.run(Duration::from_secs(seconds));
+            schedule.check();
+        }
+    }
+}
+
+fn trouble(schedule: &mut Schedule, larger: RateLimit) {
+    let index = schedule.draw(schedule.nodes.len());
+    let length = Duration::from_secs(schedule.draw(40) as u64);
+    match schedule.draw(10) {
+        0 if schedule.nodes[index].is_alive => {
+            let region = schedule.nodes[index].region;
+            schedule.kill(index);
+            schedule.start_node(region);
+        }
+        1 | 2 => schedule.pause(index, length),
+        3 => schedule.is_store_down = !schedule.is_store_down,
+        4 => schedule.loses_answers = !schedule.loses_answers,
+        5 => schedule.cut = ["a", "b", "c"].get(schedule.draw(6)).copied(),
+        6 => schedule.store_cut = Some(index),
+        7 => schedule.store_cut = None,
+        8 => schedule.suspect(index, length),
+        _ => {
+            let limit = if schedule.draw(2) == 0 { larger } else { schedule.spec.limit };
+            schedule.edit(index, limit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/ledger/tests/fleet/main.rs
@@ -0,0 +1,8 @@
+//! Seeded schedules over seven ledgers under virtual time.
+
+mod availability;
+mod bound;
+mod measurement;
+mod spec;
+mod store;
+mod support;
--- /dev/null
+++ b/crates/coordination/ledger/tests/fleet/spec.rs
@@ -0,0 +1,39 @@
+//! What a schedule does and what it counted.
+
+use marjoramwing_ledger::mechanism::MechanismSet;
+use marjoramwing_tables::team::RateLimit;
+
+/// What the network and the traffic do.
+#[derive(Clone, Copy)]
+pub(crate) struct ScheduleSpec {
+    pub(crate) seed: u64,
+    pub(crate) limit: RateLimit,
+    /// Arrivals per second, as a part of the rate.
+    pub(crate) load: f64,
+    /// Part of the arrivals that one instance gets, which changes every 20 s.
+    pub(crate) skew: f64,
+    /// Part of the messages that are lost, and that are repeated.
+    pub(crate) faults: f64,
+    pub(crate) mechanisms: MechanismSet,
+}
+
+impl ScheduleSpec {
+    pub(crate) fn new(rate: f64, burst: u32, load: f64) -> Self {
+        let limit = RateLimit::new(rate, burst).unwrap();
+        Self { seed: 1, limit, load, skew: 0.7, faults: 0.0, mechanisms: MechanismSet::default() }
+    }
+}
+
+/// Counts of one schedule.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Counts {
+    pub(crate) requests: u64,
+    pub(crate) admitted: u64,
+    pub(crate) ideal: u64,
+    pub(crate) wrongful: u64,
+    /// Admitted by an even split, and refused by it but not by one bucket.
+    pub(crate) even_admitted: u64,
+    pub(crate) even_wrongful: u64,
+    pub(crate) messages: u64,
+    pub(crate) store_calls: u64,
+}
--- /dev/null
+++ b/crates/coordination/ledger/tests/fleet/support.rs
@@ -0,0 +1,374 @@
+//! A seeded schedule over a few ledgers, under virtual time.
+//!
+//! The network loses, repeats and reorders messages; the store has outages and
+//! loses answers; instances die, pause and are cut off. All admissions are
+//! checked against the bound on every window.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use marjoramwing_entity::incarnation::Incarnation;
+use marjoramwing_entity::time::Timestamp;
+use marjoramwing_ledger::action::{
+    AdmitOutcome, LedgerAction, LedgerEvent, LedgerMember, RequestTicket, TicketOutcome,
+};
+use marjoramwing_ledger::baseline::EvenSplit;
+use marjoramwing_ledger::bucket::TokenBucket;
+use marjoramwing_ledger::ledger::{ShareLedger, TICK_PERIOD};
+use marjoramwing_ledger::limit::{LimitId, LimitKind};
+use marjoramwing_ledger::share::ShareUnits;
+use marjoramwing_objects::operation::{StoreAnswer, StoreOperation};
+use marjoramwing_tables::team::RateLimit;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::spec::{Counts, ScheduleSpec};
+use crate::store::FakeStore;
+
+const REGIONS: [&str; 7] = ["a", "a", "a", "b", "b", "c", "c"];
+const STORE_DELAY: Duration = Duration::from_millis(3);
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+const DOWN_DELAY: Duration = Duration::from_secs(2);
+
+enum Delivery {
+    Event(usize, LedgerEvent),
+    Store(usize, StoreOperation),
+    Arrival,
+    Tick(usize),
+}
+
+pub(crate) struct Node {
+    pub(crate) ledger: ShareLedger,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) region: &'static str,
+    pub(crate) is_alive: bool,
+    pub(crate) paused_until: Timestamp,
+    open: BTreeMap<RequestTicket, bool>,
+    even: EvenSplit,
+}
+
+pub(crate) struct Schedule {
+    pub(crate) spec: ScheduleSpec,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) now: Timestamp,
+    pub(crate) counts: Counts,
+    pub(crate) is_store_down: bool,
+    pub(crate) loses_answers: bool,
+    pub(crate) cut: Option<&'static str>,
+    /// Instance that alone cannot reach the store.
+    pub(crate) store_cut: Option<usize>,
+    /// Instance that callers do not use.
+    pub(crate) shunned: Option<usize>,
+    pub(crate) id: LimitId,
+    /// Limit that the windows are checked against.
+    pub(crate) bound: RateLimit,
+    /// Tokens admitted beyond the bound of the worst window.
+    pub(crate) excess: f64,
+    level: f64,
+    leveled_at: Timestamp,
+    ideal: TokenBucket,
+    pub(crate) store: FakeStore,
+    queue: BTreeMap<(Timestamp, u64), Delivery>,
+    sequence: u64,
+    rng: Pcg64,
+}
+
+impl Schedule {
+    pub(crate) fn new(spec: ScheduleSpec) -> Self {
+        let id = LimitId::of_text(LimitKind::Team, "team");
+        let mut schedule = Self {
+            spec,
+            nodes: Vec::new(),
+            now: Timestamp::ZERO,
+            counts: Counts::default(),
+            is_store_down: false,
+            loses_answers: false,
+            cut: None,
+            store_cut: None,
+            shunned: None,
+            id,
+            bound: spec.limit,
+            excess: 0.0,
+            level: 0.0,
+            leveled_at: Timestamp::ZERO,
+            ideal: TokenBucket::full(spec.limit, ShareUnits::WHOLE, Timestamp::ZERO),
+            store: FakeStore::default(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            rng: Pcg64::seed_from_u64(spec.seed),
+        };
+        for region in REGIONS {
+            schedule.start_node(region);
+        }
+        schedule.push(Duration::from_secs(1), Delivery::Arrival);
+        schedule
+    }
+
+    pub(crate) fn start_node(&mut self, region: &'static str) -> usize {
+        let index = self.nodes.len();
+        let incarnation = Incarnation::from_u64(100 + index as u64);
+        let mut ledger = ShareLedger::new(member(index, region), self.spec.mechanisms);
+        ledger.set_limit(self.id, self.spec.limit, self.now);
+        for (other, node) in self.nodes.iter().enumerate().filter(|(_, node)| node.is_alive) {
+            let up = LedgerEvent::MemberUp(member(other, node.region));
+            ledger.handle(up, self.now, &mut Vec::new());
+        }
+        self.tell_all(&LedgerEvent::MemberUp(member(index, region)), Duration::from_millis(100));
+        self.push(Duration::from_millis(index as u64 % 50), Delivery::Tick(index));
+        let paused_until = Timestamp::ZERO;
+        let open = BTreeMap::new();
+        let mut even = EvenSplit::default();
+        even.set_limit(self.id, self.spec.limit, REGIONS.len() as u32, self.now);
+        self.nodes.push(Node {
+            ledger,
+            incarnation,
+            region,
+            is_alive: true,
+            paused_until,
+            open,
+            even,
+        });
+        index
+    }
+
+    pub(crate) fn kill(&mut self, index: usize) {
+        self.nodes[index].is_alive = false;
+        self.tell_all(&LedgerEvent::MemberDown(self.nodes[index].incarnation), DOWN_DELAY);
+    }
+
+    /// Pauses an instance; the others take it for dead.
+    pub(crate) fn pause(&mut self, index: usize, length: Duration) {
+        self.nodes[index].paused_until = self.now + length;
+        self.suspect(index, length);
+    }
+
+    /// Has the others take an instance for dead for a time.
+    pub(crate) fn suspect(&mut self, index: usize, length: Duration) {
+        self.tell_all(&LedgerEvent::MemberDown(self.nodes[index].incarnation), DOWN_DELAY);
+        let member = member(index, self.nodes[index].region);
+        self.tell_all(&LedgerEvent::MemberUp(member), length + DOWN_DELAY);
+    }
+
+    /// Begins an instance's planned stop.
+    pub(crate) fn leave(&mut self, index: usize) {
+        self.handle(index, LedgerEvent::Leave);
+    }
+
+    /// Ends an instance that has finished its planned stop.
+    pub(crate) fn finish_leave(&mut self, index: usize) {
+        assert!(self.nodes[index].ledger.has_left(), "seed {}", self.spec.seed);
+        self.nodes[index].is_alive = false;
+        self.tell_all(&LedgerEvent::MemberLeft(self.nodes[index].incarnation), Duration::ZERO);
+    }
+
+    pub(crate) fn edit(&mut self, index: usize, limit: RateLimit) {
+        let now = self.now;
+        self.nodes[index].ledger.set_limit(self.id, limit, now);
+    }
+
+    /// Returns the indices of the instances that hold the limit now.
+    pub(crate) fn holders(&self) -> Vec<usize> {
+        let holds = |node: &Node| {
+            let dump = node.ledger.dump(self.now);
+            let is_valid = node.is_alive && !dump.lease_left.is_zero();
+            is_valid && dump.shares.iter().any(|share| share.held > 0.0)
+        };
+        (0..self.nodes.len()).filter(|index| holds(&self.nodes[*index])).collect()
+    }
+
+    /// Returns the index of the instance that holds the limit now.
+    pub(crate) fn holder(&self) -> usize {
+        *self.holders().first().expect("an instance holds the limit")
+    }
+
+    /// Returns a number below `bound` from the schedule's seed.
+    pub(crate) fn draw(&mut self, bound: usize) -> usize {
+        self.rng.random_range(0..bound)
+    }
+
+    /// Returns the index of an instance's heir.
+    pub(crate) fn heir(&self, index: usize) -> usize {
+        let heir = self.nodes[index].ledger.dump(self.now).heir.expect("a holder has an heir");
+        let is_heir = |node: &Node| node.incarnation.to_string() == heir;
+        self.nodes.iter().position(is_heir).expect("the heir is an instance")
+    }
+
+    pub(crate) fn run(&mut self, length: Duration) -> Counts {
+        let before = self.counts;
+        let end = self.now + length;
+        while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= end) {
+            let ((at, _), delivery) = entry.remove_entry();
+            self.now = at;
+            self.deliver(delivery);
+        }
+        self.now = end;
+        let after = self.counts;
+        Counts {
+            requests: after.requests - before.requests,
+            admitted: after.admitted - before.admitted,
+            ideal: after.ideal - before.ideal,
+            wrongful: after.wrongful - before.wrongful,
+            even_admitted: after.even_admitted - before.even_admitted,
+            even_wrongful: after.even_wrongful - before.even_wrongful,
+            messages: after.messages - before.messages,
+            store_calls: after.store_calls - before.store_calls,
+        }
+    }
+
+    /// Fails unless no window was exceeded.
+    pub(crate) fn check(&self) {
+        assert!(self.excess <= 1e-6, "seed {}: {:.3} tokens too many", self.spec.seed, self.excess);
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Arrival => self.arrive(),
+            Delivery::Store(index, operation) => self.operate(index, &operation),
+            Delivery::Event(index, event) => {
+                if self.is_running(index, |paused| Delivery::Event(paused, event.clone())) {
+                    self.handle(index, event);
+                }
+            }
+            Delivery::Tick(index) => {
+                if self.is_running(index, Delivery::Tick) {
+                    self.handle(index, LedgerEvent::Tick);
+                    self.push(TICK_PERIOD, Delivery::Tick(index));
+                }
+            }
+        }
+    }
+
+    fn is_running(&mut self, index: usize, again: impl FnOnce(usize) -> Delivery) -> bool {
+        let paused_until = self.nodes[index].paused_until;
+        if self.nodes[index].is_alive && self.now < paused_until {
+            self.push(paused_until.since(self.now), again(index));
+            return false;
+        }
+        self.nodes[index].is_alive
+    }
+
+    fn handle(&mut self, index: usize, event: LedgerEvent) {
+        let mut actions = Vec::new();
+        self.nodes[index].ledger.handle(event, self.now, &mut actions);
+        self.carry_out(index, actions);
+    }
+
+    fn arrive(&mut self) {
+        let per_second = self.spec.limit.rate * self.spec.load;
+        let wait = -(1.0 - self.rng.random::<f64>()).ln() / per_second;
+        self.push(Duration::from_secs_f64(wait), Delivery::Arrival);
+        let used = |index: &usize| self.nodes[*index].is_alive && self.shunned != Some(*index);
+        let alive: Vec<usize> = (0..self.nodes.len()).filter(used).collect();
+        let favourite = (self.now.as_micros() / 20_000_000) as usize * 3 % alive.len();
+        let is_skewed = self.rng.random::<f64>() < self.spec.skew;
+        let choice = if is_skewed { favourite } else { self.rng.random_range(0..alive.len()) };
+        self.request(alive[choice]);
+    }
+
+    fn request(&mut self, index: usize) {
+        if self.now < self.nodes[index].paused_until {
+            return;
+        }
+        self.counts.requests += 1;
+        let is_ideal = self.ideal.take(1, self.now);
+        self.counts.ideal += u64::from(is_ideal);
+        let is_even = self.nodes[index].even.admit(self.id, self.now);
+        self.counts.even_admitted += u64::from(is_even);
+        self.counts.even_wrongful += u64::from(is_ideal && !is_even);
+        let mut actions = Vec::new();
+        match self.nodes[index].ledger.admit(self.id, self.now, &mut actions) {
+            AdmitOutcome::Admitted { .. } => self.count_admitted(),
+            AdmitOutcome::Refused { .. } => self.counts.wrongful += u64::from(is_ideal),
+            AdmitOutcome::Ask { ticket } => {
+                self.nodes[index].open.insert(ticket, is_ideal);
+            }
+        }
+        self.carry_out(index, actions);
+    }
+
+    fn count_admitted(&mut self) {
+        self.counts.admitted += 1;
+        let elapsed = self.now.since(self.leveled_at).as_secs_f64();
+        self.level = (self.level - elapsed * self.bound.rate).max(0.0) + 1.0;
+        self.leveled_at = self.now;
+        self.excess = self.excess.max(self.level - f64::from(self.bound.burst));
+    }
+
+    fn carry_out(&mut self, index: usize, actions: Vec<LedgerAction>) {
+        for action in actions {
+            match action {
+                LedgerAction::Send { to, message } => {
+                    let from = self.nodes[index].incarnation;
+                    self.counts.messages += 1;
+                    self.send(index, to, LedgerEvent::Received { from, message });
+                }
+                LedgerAction::Store(operation) => {
+                    self.counts.store_calls += 1;
+                    self.push(STORE_DELAY, Delivery::Store(index, operation));
+                }
+                LedgerAction::Settle { ticket, outcome } => self.settle(index, ticket, outcome),
+            }
+        }
+    }
+
+    fn settle(&mut self, index: usize, ticket: RequestTicket, outcome: TicketOutcome) {
+        let is_ideal = self.nodes[index].open.remove(&ticket).expect("a ticket is settled once");
+        match outcome {
+            TicketOutcome::Admitted { .. } => self.count_admitted(),
+            TicketOutcome::Refused { .. } => self.counts.wrongful += u64::from(is_ideal),
+        }
+    }
+
+    fn send(&mut self, index: usize, to: Incarnation, event: LedgerEvent) {
+        let Some(target) = self.nodes.iter().position(|node| node.incarnation == to) else {
+            return;
+        };
+        let is_far = self.nodes[index].region != self.nodes[target].region;
+        let is_cut = self.cut.is_some_and(|cut| {
+            is_far && (self.nodes[index].region == cut || self.nodes[target].region == cut)
+        });
+        if is_cut || self.rng.random::<f64>() < self.spec.faults {
+            return;
+        }
+        let delay = Duration::from_millis(if is_far { 35 } else { 1 });
+        if self.rng.random::<f64>() < self.spec.faults {
+            self.push(delay * 4, Delivery::Event(target, event.clone()));
+        }
+        let late = self.rng.random::<f64>() < self.spec.faults;
+        let late = Duration::from_millis(if late { self.rng.random_range(0..1_000) } else { 0 });
+        self.push(delay + late, Delivery::Event(target, event));
+    }
+
+    fn operate(&mut self, index: usize, operation: &StoreOperation) {
+        let name = operation.object().clone();
+        let is_cut = self.cut.is_some_and(|cut| cut == self.nodes[index].region && cut != "a");
+        if self.is_store_down || is_cut || self.store_cut == Some(index) {
+            let event = LedgerEvent::Stored { name, answer: StoreAnswer::Unknown };
+            return self.push(STORE_TIMEOUT, Delivery::Event(index, event));
+        }
+        let mut answer = self.store.answer(operation);
+        if self.loses_answers && self.rng.random::<f64>() < 0.5 {
+            answer = StoreAnswer::Unknown;
+        }
+        self.push(STORE_DELAY, Delivery::Event(index, LedgerEvent::Stored { name, answer }));
+    }
+
+    fn tell_all(&mut self, event: &LedgerEvent, delay: Duration) {
+        for index in 0..self.nodes.len() {
+            self.push(delay, Delivery::Event(index, event.clone()));
+        }
+    }
+
+    fn push(&mut self, delay: Duration, delivery: Delivery) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay, self.sequence), delivery);
+    }
+}
+
+fn member(index: usize, region: &str) -> LedgerMember {
+    LedgerMember {
+        incarnation: Incarnation::from_u64(100 + index as u64),
+        region: region.into(),
+        failure_domain: format!("{region}-{}", index % 2).into(),
+    }
+}
--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -6,8 +6,10 @@
 //!
 //! - [`frame`]: the codec of frames.
 //! - [`handshake`]: proof of the deployment's secret.
+//! - [`ledger`]: the messages of the ledger of limits.
 //! - [`message`]: the messages.
 
 pub mod frame;
 pub mod handshake;
+pub mod ledger;
 pub mod message;
--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -1,5 +1,7 @@
 //! The messages between instances.
 
+use crate::ledger;
+
 /// Version of the protocol that this program speaks.
 pub const PROTOCOL_VERSION: u32 = 1;
 
@@ -7,7 +9,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// What the frame carries.
-    #[prost(oneof = "Body", tags = "1, 2")]
+    #[prost(oneof = "Body", tags = "1, 2, 5")]
     pub body: Option<Body>,
 }
 
@@ -20,6 +22,9 @@
     /// Second message of each end.
     #[prost(message, tag = "2")]
     Proof(Proof),
+    /// A message of the ledger of limits.
+    #[prost(message, tag = "5")]
+    Ledger(ledger::LedgerEnvelope),
 }
 
 /// Introduces an end of a link.
--- a/crates/transport/node/src/admin.rs
+++ b/crates/transport/node/src/admin.rs
@@ -7,6 +7,7 @@
 use axum::extract;
 use axum::middleware;
 use axum::response::IntoResponse;
+use marjoramwing_ledger::dump;
 use marjoramwing_membership::member;
 use marjoramwing_tables::snapshot;
 use subtle::ConstantTimeEq;
@@ -77,6 +78,7 @@
     teams: usize,
     keys: usize,
     members: Vec<member::Member>,
+    ledger: dump::LedgerDump,
 }
 
 async fn dump_state(extract::State(shared): SharedState) -> axum::response::Response {
@@ -91,6 +93,7 @@
         teams: tables.snapshot.teams.len(),
         keys: tables.snapshot.credential_count(),
         members: shared.members.load().members.clone(),
+        ledger: shared.admission.dump(shared.now()),
     };
     axum::Json(dump).into_response()
 }
--- /dev/null
+++ b/crates/transport/node/src/admission/control.rs
@@ -0,0 +1,157 @@
+//! The ledger and the requests that wait for it.
+//!
+//! In the common case a request's admission takes one lock and no message. The
+//! lock is never held across an await.
+
+use std::collections;
+use std::sync;
+use std::time as duration;
+
+use marjoramwing_entity::incarnation;
+use marjoramwing_entity::time;
+use marjoramwing_ledger::action;
+use marjoramwing_ledger::dump;
+use marjoramwing_ledger::ledger;
+use marjoramwing_ledger::limit;
+use marjoramwing_ledger::mechanism;
+use marjoramwing_settings::settings;
+use marjoramwing_tables::snapshot;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+/// Time after which a request may come again when the ledger has ended.
+const ENDED_RETRY: duration::Duration = duration::Duration::from_secs(1);
+
+/// Admits requests and keeps the ledger of limits.
+#[derive(Debug)]
+pub struct AdmissionControl {
+    state: sync::Mutex<AdmissionState>,
+    outbox: mpsc::UnboundedSender<action::LedgerAction>,
+    carried: sync::Mutex<Option<ActionReceiver>>,
+}
+
+/// Actions that wait to be carried out.
+///
+/// Their number is bounded by the ledger: one open ask for each limit and one
+/// open operation for each object.
+pub type ActionReceiver = mpsc::UnboundedReceiver<action::LedgerAction>;
+
+#[derive(Debug)]
+struct AdmissionState {
+    ledger: ledger::ShareLedger,
+    waiting: collections::HashMap<action::RequestTicket, oneshot::Sender<action::TicketOutcome>>,
+}
+
+impl AdmissionControl {
+    /// Makes the admission of one run of an instance.
+    #[must_use]
+    pub fn new(
+        settings: &settings::InstanceSettings,
+        incarnation: incarnation::Incarnation,
+    ) -> Self {
+        let own = action::LedgerMember {
+            incarnation,
+            region: settings.identity.region.as_str().into(),
+            failure_domain: settings.identity.failure_domain.as_str().into(),
+        };
+        let ledger = ledger::ShareLedger::new(own, mechanism::MechanismSet::default());
+        let state = AdmissionState { ledger, waiting: collections::HashMap::new() };
+        let (outbox, carried) = mpsc::unbounded_channel();
+        Self { state: sync::Mutex::new(state), outbox, carried: sync::Mutex::new(Some(carried)) }
+    }
+
+    /// Sets the limits of a snapshot.
+    pub fn set_limits(&self, tables: &snapshot::TableSnapshot, now: time::Timestamp) {
+        let teams = tables.teams.values();
+        let teams = teams.map(|team| (limit::LimitId::of_team(&team.name), team.limit));
+        let routes = tables.routes.values().filter_map(|route| {
+            let id = limit::LimitId::of_route(&route.name);
+            route.limit.map(|limit| (id, limit))
+        });
+        let limits: collections::BTreeMap<_, _> = teams.chain(routes).collect();
+        let ledger = &mut self.lock().ledger;
+        let known: Vec<_> = ledger.limit_ids().collect();
+        for id in known.into_iter().filter(|id| !limits.contains_key(id)) {
+            ledger.remove_limit(id);
+        }
+        for (id, limit) in limits {
+            ledger.set_limit(id, limit, now);
+        }
+    }
+
+    /// Admits or refuses one request.
+    pub async fn admit(&self, id: limit::LimitId, now: time::Timestamp) -> action::TicketOutcome {
+        let settled = match self.begin(id, now) {
+            Ok(outcome) => return outcome,
+            Err(settled) => settled,
+        };
+        let ended = action::TicketOutcome::Refused { retry_after: ENDED_RETRY };
+        settled.await.unwrap_or(ended)
+    }
+
+    /// Handles an event and sends on what the ledger asks for.
+    pub fn handle(&self, event: action::LedgerEvent, now: time::Timestamp) {
+        let mut actions = Vec::new();
+        let mut state = self.lock();
+        state.ledger.handle(event, now, &mut actions);
+        self.carry(&mut state, actions);
+    }
+
+    /// Returns the actions to carry out, once.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a task panicked while it held the receiver.
+    pub fn take_actions(&self) -> Option<ActionReceiver> {
+        self.carried.lock().expect("no task panics while it holds the receiver").take()
+    }
+
+    /// Tells whether a planned stop has handed over everything.
+    pub fn has_left(&self) -> bool {
+        self.lock().ledger.has_left()
+    }
+
+    /// Writes the ledger's state.
+    pub fn dump(&self, now: time::Timestamp) -> dump::LedgerDump {
+        self.lock().ledger.dump(now)
+    }
+
+    fn begin(
+        &self,
+        id: limit::LimitId,
+        now: time::Timestamp,
+    ) -> Result<action::TicketOutcome, oneshot::Receiver<action::TicketOutcome>> {
+        let mut actions = Vec::new();
+        let mut state = self.lock();
+        let ticket = match state.ledger.admit(id, now, &mut actions) {
+            action::AdmitOutcome::Admitted { valid_until } => {
+                return Ok(action::TicketOutcome::Admitted { valid_until });
+            }
+            action::AdmitOutcome::Refused { retry_after } => {
+                return Ok(action::TicketOutcome::Refused { retry_after });
+            }
+            action::AdmitOutcome::Ask { ticket } => ticket,
+        };
+        let (sender, settled) = oneshot::channel();
+        state.waiting.insert(ticket, sender);
+        self.carry(&mut state, actions);
+        Err(settled)
+    }
+
+    fn carry(&self, state: &mut AdmissionState, actions: Vec<action::LedgerAction>) {
+        for action in actions {
+            if let action::LedgerAction::Settle { ticket, outcome } = action {
+                // A request whose caller has gone is no longer waited for.
+                let waiting = state.waiting.remove(&ticket);
+                let _ = waiting.map(|sender| sender.send(outcome));
+            } else {
+                // The receiver is gone only when the process ends.
+                let _ = self.outbox.send(action);
+            }
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, AdmissionState> {
+        self.state.lock().expect("no task panics while it holds the ledger")
+    }
+}
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -10,7 +10,7 @@
 use marjoramwing_dispatch::exchange;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
-use marjoramwing_ledger::ledger;
+use marjoramwing_ledger::action;
 use marjoramwing_ledger::limit;
 use marjoramwing_tables::credential as tables_credential;
 use marjoramwing_tables::pool as tables_pool;
@@ -283,11 +283,11 @@
 
 fn refuse_over_limit(
     limit: &'static str,
-    outcome: ledger::AdmitOutcome,
+    outcome: action::TicketOutcome,
 ) -> Result<(), answer::Refusal> {
     match outcome {
-        ledger::AdmitOutcome::Admitted => Ok(()),
-        ledger::AdmitOutcome::Refused { retry_after } => {
+        action::TicketOutcome::Admitted { .. } => Ok(()),
+        action::TicketOutcome::Refused { retry_after } => {
             let retry_after = retry_after.max(time::Duration::from_millis(1));
             let kind = answer::RefusalKind::OverLimit { limit, retry_after };
             Err(answer::Refusal::not_run(kind))
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -6,6 +6,7 @@
 
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
+use marjoramwing_ledger::action;
 use marjoramwing_settings::settings;
 use marjoramwing_store_client::client;
 use tokio::signal::unix;
@@ -13,6 +14,7 @@
 use tokio_util::sync as cancellation;
 
 use crate::admin;
+use crate::admission::carrier;
 use crate::callers::server;
 use crate::control;
 use crate::inbox;
@@ -22,6 +24,10 @@
 /// Longest wait for open requests at a planned stop.
 const MAX_STOP_WAIT: time::Duration = time::Duration::from_secs(60);
 
+/// Longest wait for the hand-over of limits; without it an heir takes over.
+const MAX_HANDOVER_WAIT: time::Duration = time::Duration::from_secs(5);
+const HANDOVER_POLL: time::Duration = time::Duration::from_millis(20);
+
 /// Why an instance could not start.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
 pub enum StartError {
@@ -61,17 +67,22 @@
         client::StoreClient::new(shared.settings.store.address, shared.settings.store.timeout);
     let follower = control::ConfigurationFollower::new(sync::Arc::clone(&shared), client.clone());
     tokio::spawn(follower.run());
-    tokio::spawn(control::follow_listing(sync::Arc::clone(&shared), client));
+    tokio::spawn(control::follow_listing(sync::Arc::clone(&shared), client.clone()));
     let (sender, received) = mpsc::channel(mesh::INBOX_QUEUE);
     let mesh = mesh::PeerMesh::new(sync::Arc::clone(&shared), sender);
+    let carrier = carrier::ActionCarrier::new(sync::Arc::clone(&shared), mesh.clone(), client);
+    if let Some(actions) = shared.admission.take_actions() {
+        tokio::spawn(carrier.clone().run(actions));
+    }
     tokio::spawn(mesh.accept_links(peers));
-    tokio::spawn(inbox::route_envelopes(received));
+    tokio::spawn(inbox::route_envelopes(received, carrier));
     tokio::spawn(admin::serve_admin(sync::Arc::clone(&shared), admin, stop.clone()));
     let serving = server::serve_callers(sync::Arc::clone(&shared), callers, stop.clone());
     let serving = tokio::spawn(serving);
     signals.wait().await;
     emit!(catalogue::STOP_BEGAN, open = shared.metrics.open_requests.get());
     shared.leave();
+    shared.admission.handle(action::LedgerEvent::Leave, shared.now());
     tokio::select! {
         () = finish_requests(&shared, serving, &stop) => {}
         () = signals.wait() => emit!(catalogue::STOP_FORCED),
@@ -87,7 +98,9 @@
     let cached_lookups = shared.tables.load().snapshot.lookup_ttl;
     tokio::time::sleep(cached_lookups).await;
     stop.cancel();
-    match tokio::time::timeout(MAX_STOP_WAIT, serving).await {
+    let finished = tokio::time::timeout(MAX_STOP_WAIT, serving).await;
+    let _ = tokio::time::timeout(MAX_HANDOVER_WAIT, hand_over(shared)).await;
+    match finished {
         Ok(_) => emit!(catalogue::STOP_FINISHED),
         Err(_) => {
             emit!(catalogue::STOP_TIMED_OUT, open = shared.metrics.open_requests.get());
@@ -95,6 +108,13 @@
     }
 }
 
+/// Waits until the limits held here are free for another holder.
+async fn hand_over(shared: &shared::SharedTables) {
+    while !shared.admission.has_left() {
+        tokio::time::sleep(HANDOVER_POLL).await;
+    }
+}
+
 async fn bind(
     role: &'static str,
     address: net::SocketAddr,
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -15,7 +15,7 @@
 use marjoramwing_settings::settings;
 use marjoramwing_tables::snapshot;
 
-use crate::admission;
+use crate::admission::control;
 use crate::backends::pool;
 use crate::clock;
 use crate::metrics;
@@ -34,7 +34,7 @@
     /// Connections to backend servers.
     pub connections: pool::ConnectionPool,
     /// Admission of requests under limits.
-    pub admission: admission::AdmissionControl,
+    pub admission: control::AdmissionControl,
     /// Metrics of the instance.
     pub metrics: metrics::InstanceMetrics,
     clock: clock::MonotonicClock,
@@ -51,15 +51,16 @@
             versions: snapshot::TableVersions::default(),
             snapshot: sync::Arc::new(snapshot::TableSnapshot::default()),
         };
+        let incarnation = incarnation::Incarnation::from_u64(rand::random());
         Self {
+            admission: control::AdmissionControl::new(&settings, incarnation),
             settings,
-            incarnation: incarnation::Incarnation::from_u64(rand::random()),
+            incarnation,
             tables: arc_swap::ArcSwap::from_pointee(empty),
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
             connections: pool::ConnectionPool::default(),
             metrics: metrics::InstanceMetrics::new(),
             clock: clock::MonotonicClock::start(),
-            admission: admission::AdmissionControl::default(),
             picker: sync::Mutex::default(),
             leaving: atomic::AtomicBool::new(false),
             seed: atomic::AtomicUsize::new(0),
@@ -88,8 +89,7 @@
 
     /// Puts a set of tables in force.
     pub fn apply(&self, applied: configuration::AppliedTables) {
-        let live_count = self.members.load().live_count();
-        self.admission.set_limits(&applied.snapshot, live_count, self.now());
+        self.admission.set_limits(&applied.snapshot, self.now());
         self.record_versions(&applied.versions);
         self.tables.store(sync::Arc::new(applied));
     }
