--- a/crates/coordination/ledger/src/asking.rs
+++ b/crates/coordination/ledger/src/asking.rs
@@ -21,6 +21,8 @@
 
 /// Longest wait for a holder's answer.
 pub const ASK_WAIT: duration::Duration = duration::Duration::from_millis(250);
+/// Time within which a request that a holder admitted must be sent.
+const SEND_WAIT: duration::Duration = duration::Duration::from_secs(10);
 /// Time after which a request that got no answer may come again.
 const NO_ANSWER_RETRY: duration::Duration = duration::Duration::from_millis(500);
 /// Requests that wait for one limit's holder.
@@ -290,7 +292,7 @@
         granted: u32,
         actions: &mut Vec<action::LedgerAction>,
     ) {
-        let valid_until = sent.sent_at + ASK_WAIT;
+        let valid_until = sent.sent_at + SEND_WAIT;
         let mut left = granted;
         while let Some(oldest) = self.waiting.front() {
             if oldest.amount > left {
--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -6,10 +6,14 @@
 //!
 //! - [`frame`]: the codec of frames.
 //! - [`handshake`]: proof of the deployment's secret.
-//! - [`ledger`]: the messages of the ledger of limits.
-//! - [`message`]: the messages.
+//! - [`ledger`]: messages of the ledger of limits.
+//! - [`membership`]: messages about the members.
+//! - [`message`]: the envelope and the handshake's messages.
+//! - [`report`]: messages about traffic between regions.
 
 pub mod frame;
 pub mod handshake;
 pub mod ledger;
+pub mod membership;
 pub mod message;
+pub mod report;
--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -1,6 +1,8 @@
 //! The messages between instances.
 
 use crate::ledger;
+use crate::membership;
+use crate::report;
 
 /// Version of the protocol that this program speaks.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -9,7 +11,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// What the frame carries.
-    #[prost(oneof = "Body", tags = "1, 2, 5")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 5, 7")]
     pub body: Option<Body>,
 }
 
@@ -22,9 +24,15 @@
     /// Second message of each end.
     #[prost(message, tag = "2")]
     Proof(Proof),
-    /// A message of the ledger of limits.
+    /// About the members.
+    #[prost(message, tag = "3")]
+    Membership(membership::Membership),
+    /// About limits.
     #[prost(message, tag = "5")]
     Ledger(ledger::LedgerEnvelope),
+    /// About traffic between regions.
+    #[prost(message, tag = "7")]
+    Report(report::Report),
 }
 
 /// Introduces an end of a link.
@@ -56,6 +64,12 @@
 }
 
 impl Envelope {
+    /// Makes an envelope without a body, which only shows that the link works.
+    #[must_use]
+    pub const fn heartbeat() -> Self {
+        Self { body: None }
+    }
+
     /// Wraps a body.
     #[must_use]
     pub const fn new(body: Body) -> Self {
--- a/crates/transport/node/src/admin.rs
+++ b/crates/transport/node/src/admin.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync as cancellation;
 
 use crate::shared;
+use crate::steering;
 
 type SharedState = extract::State<sync::Arc<shared::SharedTables>>;
 
@@ -78,6 +79,7 @@
     teams: usize,
     keys: usize,
     members: Vec<member::Member>,
+    regions: Vec<steering::RegionDump>,
     ledger: dump::LedgerDump,
 }
 
@@ -93,6 +95,7 @@
         teams: tables.snapshot.teams.len(),
         keys: tables.snapshot.credential_count(),
         members: shared.members.load().members.clone(),
+        regions: shared.steering.dump(),
         ledger: shared.admission.dump(shared.now()),
     };
     axum::Json(dump).into_response()
--- a/crates/transport/node/src/admission/control.rs
+++ b/crates/transport/node/src/admission/control.rs
@@ -19,6 +19,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+/// Longest wait for the ledger.
+const MAX_WAIT: duration::Duration = duration::Duration::from_secs(1);
 /// Time after which a request may come again when the ledger has ended.
 const ENDED_RETRY: duration::Duration = duration::Duration::from_secs(1);
 
@@ -85,8 +87,10 @@
             Ok(outcome) => return outcome,
             Err(settled) => settled,
         };
+        // The ledger settles each ticket sooner unless its task has ended.
+        let settled = tokio::time::timeout(MAX_WAIT, settled).await;
         let ended = action::TicketOutcome::Refused { retry_after: ENDED_RETRY };
-        settled.await.unwrap_or(ended)
+        settled.ok().and_then(Result::ok).unwrap_or(ended)
     }
 
     /// Handles an event and sends on what the ledger asks for.
--- a/crates/transport/node/src/admission/carrier.rs
+++ b/crates/transport/node/src/admission/driver.rs
@@ -15,51 +15,51 @@
 use crate::peers::mesh;
 use crate::shared;
 
-/// Carries out the ledger's actions and tells it the time.
+/// Carries out the ledger's actions and tells it of time, members and messages.
 #[derive(Debug, Clone)]
-pub struct ActionCarrier {
+pub struct LedgerDriver {
     shared: sync::Arc<shared::SharedTables>,
     mesh: mesh::PeerMesh,
     client: client::StoreClient,
-    peers: sync::Arc<members::PeerDirectory>,
 }
 
-impl ActionCarrier {
-    /// Makes a carrier.
+impl LedgerDriver {
+    /// Makes a driver.
     #[must_use]
-    pub fn new(
+    pub const fn new(
         shared: sync::Arc<shared::SharedTables>,
         mesh: mesh::PeerMesh,
         client: client::StoreClient,
     ) -> Self {
-        Self { shared, mesh, client, peers: sync::Arc::default() }
+        Self { shared, mesh, client }
     }
 
     /// Carries out actions until the process ends.
     pub async fn run(self, mut actions: control::ActionReceiver) {
         let mut ticks = tokio::time::interval(ledger::TICK_PERIOD);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
-        let mut refreshes = tokio::time::interval(members::REFRESH_PERIOD);
+        let mut watch = members::MemberWatch::new(self.shared.incarnation);
+        let mut view = sync::Arc::default();
         loop {
             tokio::select! {
                 action = actions.recv() => {
                     let Some(action) = action else { return };
                     self.carry(action);
                 }
-                _ = ticks.tick() => self.handle(action::LedgerEvent::Tick),
-                _ = refreshes.tick() => self.refresh_members(),
+                _ = ticks.tick() => {
+                    let current = self.shared.members.load_full();
+                    if !sync::Arc::ptr_eq(&current, &view) {
+                        watch.compare(&current).into_iter().for_each(|event| self.handle(event));
+                        view = current;
+                    }
+                    self.handle(action::LedgerEvent::Tick);
+                }
             }
         }
     }
 
-    /// Takes in a peer's message.
-    pub fn receive(
-        &self,
-        from: incarnation::Incarnation,
-        address: Option<std::net::SocketAddr>,
-        envelope: wire::LedgerEnvelope,
-    ) {
-        self.peers.learn(from, address);
+    /// Takes in a peer's message; one that cannot be read is dropped.
+    pub fn receive(&self, from: incarnation::Incarnation, envelope: wire::LedgerEnvelope) {
         let Ok(message) = envelope.try_into() else { return };
         self.handle(action::LedgerEvent::Received { from, message });
     }
@@ -67,9 +67,9 @@
     fn carry(&self, action: action::LedgerAction) {
         match action {
             action::LedgerAction::Send { to, message } => {
-                if let Some(address) = self.peers.address(to) {
+                if let Some(member) = self.shared.members.load().by_incarnation(to) {
                     let envelope = wire::LedgerEnvelope::from(&message);
-                    self.mesh.send(address, message::Body::Ledger(envelope));
+                    self.mesh.send(member.peers, message::Body::Ledger(envelope));
                 }
             }
             action::LedgerAction::Store(operation) => self.operate(operation),
@@ -79,30 +79,14 @@
     }
 
     fn operate(&self, operation: operation::StoreOperation) {
-        let carrier = self.clone();
+        let driver = self.clone();
         tokio::spawn(async move {
-            let answer = carrier.client.run(&operation).await;
+            let answer = driver.client.run(&operation).await;
             let name = operation.object().clone();
-            carrier.handle(action::LedgerEvent::Stored { name, answer });
+            driver.handle(action::LedgerEvent::Stored { name, answer });
         });
     }
 
-    fn refresh_members(&self) {
-        let view = self.shared.members.load_full();
-        let own = self.shared.settings.identity.name.as_str();
-        let others = view.members.iter().filter(|member| *member.name != *own);
-        let changes = self.peers.refresh(others);
-        for event in changes.events {
-            self.handle(event);
-        }
-        for address in changes.unknown {
-            // An empty question makes both ends known to each other.
-            let find = marjoramwing_ledger::message::LedgerMessage::Find(Vec::new());
-            let envelope = wire::LedgerEnvelope::from(&find);
-            self.mesh.send(address, message::Body::Ledger(envelope));
-        }
-    }
-
     fn handle(&self, event: action::LedgerEvent) {
         self.shared.admission.handle(event, self.shared.now());
     }
--- a/crates/transport/node/src/admission/members.rs
+++ b/crates/transport/node/src/admission/members.rs
@@ -1,96 +1,58 @@
-//! Tells the ledger which instances are there, and where.
+//! Tells the ledger which instances are there.
 
 use std::collections;
-use std::net;
 use std::sync;
-use std::time;
 
 use marjoramwing_entity::incarnation;
 use marjoramwing_ledger::action;
 use marjoramwing_membership::member;
+use marjoramwing_membership::view;
 
-/// Time between two comparisons with the view of the members.
-pub const REFRESH_PERIOD: time::Duration = time::Duration::from_millis(500);
-
-/// Knows the address of each incarnation that was heard from.
-#[derive(Debug, Default)]
-pub struct PeerDirectory {
-    peers: sync::Mutex<PeerTable>,
-}
-
-#[derive(Debug, Default)]
-struct PeerTable {
-    heard: collections::HashMap<net::SocketAddr, incarnation::Incarnation>,
-    addresses: collections::HashMap<incarnation::Incarnation, net::SocketAddr>,
+/// Compares each view of the members with what the ledger was told.
+#[derive(Debug)]
+pub struct MemberWatch {
+    own: incarnation::Incarnation,
     told: collections::BTreeMap<incarnation::Incarnation, member::MemberState>,
 }
 
-/// What changed among the members.
-#[derive(Debug, Default)]
-pub struct MemberChanges {
-    /// Events for the ledger.
-    pub events: Vec<action::LedgerEvent>,
-    /// Peers whose incarnation is not known yet.
-    pub unknown: Vec<net::SocketAddr>,
-}
-
-impl PeerDirectory {
-    /// Learns an incarnation's address from a message of its own.
-    pub fn learn(&self, from: incarnation::Incarnation, address: Option<net::SocketAddr>) {
-        let Some(address) = address else { return };
-        let mut peers = self.lock();
-        peers.heard.insert(address, from);
-        peers.addresses.insert(from, address);
-    }
-
-    /// Returns the peer address of an incarnation.
-    pub fn address(&self, of: incarnation::Incarnation) -> Option<net::SocketAddr> {
-        self.lock().addresses.get(&of).copied()
+impl MemberWatch {
+    /// Makes a watch of which the ledger was told nothing.
+    #[must_use]
+    pub const fn new(own: incarnation::Incarnation) -> Self {
+        Self { own, told: collections::BTreeMap::new() }
     }
 
-    /// Compares the members with those that the ledger was told of.
-    pub fn refresh<'a>(&self, members: impl Iterator<Item = &'a member::Member>) -> MemberChanges {
-        let mut peers = self.lock();
-        let mut changes = MemberChanges::default();
+    /// Returns what the ledger is to be told of a view.
+    pub fn compare(&mut self, view: &view::MemberView) -> Vec<action::LedgerEvent> {
+        let mut events = Vec::new();
         let mut present = collections::BTreeMap::new();
-        for member in members {
-            let heard = peers.heard.get(&member.peers).copied();
-            let Some(incarnation) = member.incarnation.or(heard) else {
-                changes.unknown.push(member.peers);
-                continue;
-            };
-            peers.addresses.insert(incarnation, member.peers);
-            if member.state == member::MemberState::Suspect {
+        for member in &view.members {
+            let is_there = view.is_live(member) || member.state == member::MemberState::Leaving;
+            let Some(incarnation) = member.incarnation.filter(|_| is_there) else { continue };
+            if incarnation == self.own {
                 continue;
             }
-            if !peers.told.contains_key(&incarnation) {
-                changes.events.push(action::LedgerEvent::MemberUp(describe(member, incarnation)));
+            if !self.told.contains_key(&incarnation) {
+                events.push(action::LedgerEvent::MemberUp(describe(member, incarnation)));
             }
             present.insert(incarnation, member.state);
         }
-        peers.end_absent(&present, &mut changes.events);
-        peers.told = present;
-        changes
-    }
-
-    fn lock(&self) -> sync::MutexGuard<'_, PeerTable> {
-        self.peers.lock().expect("no task panics while it holds the peers")
+        let absent = self.told.iter().filter(|(told, _)| !present.contains_key(told));
+        events.extend(absent.map(|(told, state)| end_member(*told, *state)));
+        self.told = present;
+        events
     }
 }
 
-impl PeerTable {
-    fn end_absent(
-        &self,
-        present: &collections::BTreeMap<incarnation::Incarnation, member::MemberState>,
-        events: &mut Vec<action::LedgerEvent>,
-    ) {
-        let absent = self.told.iter().filter(|(told, _)| !present.contains_key(told));
-        events.extend(absent.map(|(told, state)| match state {
-            member::MemberState::Leaving => action::LedgerEvent::MemberLeft(*told),
-            member::MemberState::Live | member::MemberState::Suspect => {
-                action::LedgerEvent::MemberDown(*told)
-            }
-        }));
+fn end_member(
+    incarnation: incarnation::Incarnation,
+    state: member::MemberState,
+) -> action::LedgerEvent {
+    match state {
+        member::MemberState::Leaving => action::LedgerEvent::MemberLeft(incarnation),
+        member::MemberState::Live | member::MemberState::Suspect => {
+            action::LedgerEvent::MemberDown(incarnation)
+        }
     }
 }
 
--- a/crates/transport/node/src/lib.rs
+++ b/crates/transport/node/src/lib.rs
@@ -5,12 +5,13 @@
 //! - [`backends`]: connections to backend servers.
 //! - [`callers`]: the caller port, look-up and the path of a request.
 //! - [`clock`]: the monotonic clock.
-//! - [`control`]: tasks that follow the store and the list of instances.
+//! - [`control`]: tasks around the decisions on membership and configuration.
 //! - [`inbox`]: hands received envelopes to those who wait for them.
 //! - [`metrics`]: counters and gauges.
 //! - [`peers`]: links to other instances.
 //! - [`runtime`]: start and planned stop.
 //! - [`shared`]: tables that all tasks share, and their lock order.
+//! - [`steering`]: steering of callers between regions.
 
 pub mod admin;
 pub mod admission;
@@ -23,3 +24,4 @@
 pub mod peers;
 pub mod runtime;
 pub mod shared;
+pub mod steering;
--- a/crates/transport/node/src/metrics.rs
+++ b/crates/transport/node/src/metrics.rs
@@ -16,12 +16,20 @@
     pub open_requests: prometheus::IntGauge,
     /// Callers' connections open now.
     pub caller_connections: prometheus::IntGauge,
+    /// Callers' connections refused since too many were open.
+    pub refused_connections: prometheus::IntCounter,
     /// Version in force of each table object.
     pub table_versions: prometheus::IntGaugeVec,
     /// Sets of table objects refused.
     pub refused_objects: prometheus::IntCounter,
     /// Frames carried between instances.
     pub peer_frames: prometheus::IntCounterVec,
+    /// Bytes of the frames carried between instances.
+    pub peer_bytes: prometheus::IntCounterVec,
+    /// Envelopes lost since a queue was full.
+    pub peer_lost: prometheus::IntCounter,
+    /// Links to other instances open now.
+    pub peer_links: prometheus::IntGauge,
 }
 
 impl InstanceMetrics {
@@ -48,6 +56,10 @@
                 &registry,
                 gauge("caller_connections", "Connections of callers open now."),
             ),
+            refused_connections: register(
+                &registry,
+                counter("caller_connections_refused_total", "Connections over the bound."),
+            ),
             table_versions: register(
                 &registry,
                 gauges("table_version", "Version in force of a table object.", &["object"]),
@@ -60,6 +72,18 @@
                 &registry,
                 counters("peer_frames_total", "Frames between instances.", &["direction"]),
             ),
+            peer_bytes: register(
+                &registry,
+                counters("peer_bytes_total", "Bytes between instances.", &["direction"]),
+            ),
+            peer_lost: register(
+                &registry,
+                counter("peer_lost_total", "Envelopes lost since a queue was full."),
+            ),
+            peer_links: register(
+                &registry,
+                gauge("peer_links", "Links to other instances open now."),
+            ),
             registry,
         }
     }
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -14,11 +14,14 @@
 use marjoramwing_membership::view;
 use marjoramwing_settings::settings;
 use marjoramwing_tables::snapshot;
+use tokio::sync::watch;
 
 use crate::admission::control;
 use crate::backends::pool;
+use crate::callers::request;
 use crate::clock;
 use crate::metrics;
+use crate::steering;
 
 /// The shared tables of one instance.
 #[derive(Debug)]
@@ -31,10 +34,15 @@
     pub tables: arc_swap::ArcSwap<configuration::AppliedTables>,
     /// Members as seen here.
     pub members: arc_swap::ArcSwap<view::MemberView>,
+    member_changes: watch::Sender<sync::Arc<view::MemberView>>,
     /// Connections to backend servers.
     pub connections: pool::ConnectionPool,
+    /// Memory for request bodies.
+    pub body_memory: request::BodyMemory,
     /// Admission of requests under limits.
     pub admission: control::AdmissionControl,
+    /// Steering of callers.
+    pub steering: steering::SteeringControl,
     /// Metrics of the instance.
     pub metrics: metrics::InstanceMetrics,
     clock: clock::MonotonicClock,
@@ -58,7 +66,10 @@
             incarnation,
             tables: arc_swap::ArcSwap::from_pointee(empty),
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
+            member_changes: watch::Sender::default(),
             connections: pool::ConnectionPool::default(),
+            steering: steering::SteeringControl::default(),
+            body_memory: request::BodyMemory::default(),
             metrics: metrics::InstanceMetrics::new(),
             clock: clock::MonotonicClock::start(),
             picker: sync::Mutex::default(),
@@ -73,6 +84,12 @@
         self.clock.now()
     }
 
+    /// Returns the process's clock.
+    #[must_use]
+    pub const fn clock(&self) -> clock::MonotonicClock {
+        self.clock
+    }
+
     /// Locks the picker of backend servers.
     ///
     /// # Panics
@@ -94,6 +111,19 @@
         self.tables.store(sync::Arc::new(applied));
     }
 
+    /// Publishes a changed view of the members.
+    pub fn publish_members(&self, view: view::MemberView) {
+        let view = sync::Arc::new(view);
+        self.members.store(sync::Arc::clone(&view));
+        self.member_changes.send_replace(view);
+    }
+
+    /// Subscribes to changes of the members.
+    #[must_use]
+    pub fn watch_members(&self) -> watch::Receiver<sync::Arc<view::MemberView>> {
+        self.member_changes.subscribe()
+    }
+
     /// Marks the instance as leaving.
     pub fn leave(&self) {
         self.leaving.store(true, atomic::Ordering::Release);
--- /dev/null
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -0,0 +1,10 @@
+//! A request's outcome: once, whole and true, over real sockets.
+
+mod backend;
+mod bodies;
+mod credentials;
+mod exchange;
+#[path = "../support/ledger.rs"]
+mod ledger;
+mod stream;
+mod support;
