--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`configuration`]: messages about the configuration.
 //! - [`frame`]: the codec of frames.
 //! - [`handshake`]: proof of the deployment's secret.
+//! - [`ledger`]: messages of the ledger of limits.
 //! - [`membership`]: messages about the members.
 //! - [`message`]: the envelope and the handshake's messages.
 //! - [`report`]: messages about traffic between regions.
@@ -14,6 +15,7 @@
 pub mod configuration;
 pub mod frame;
 pub mod handshake;
+pub mod ledger;
 pub mod membership;
 pub mod message;
 pub mod report;
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -8,7 +8,7 @@
 use axum::response::IntoResponse;
 use marjoramwing_dispatch::claim;
 use marjoramwing_entity::time;
-use marjoramwing_ledger::ledger;
+use marjoramwing_ledger::action;
 use marjoramwing_ledger::limit;
 use marjoramwing_tables::credential as tables_credential;
 use marjoramwing_tables::route;
@@ -126,7 +126,7 @@
         exposure::check_exposure(self.tables, &request)?;
         let team = sender.as_ref().map(|sender| sender.team);
         self.check_body(request.headers())?;
-        self.admit(team).await?;
+        let send_before = self.admit(team).await?;
         let services = self.find_services()?;
         let request = self.prepare(request, team, &services[0].body_memory).await?;
         let context = attempts::AttemptContext {
@@ -136,7 +136,7 @@
             route: self.route,
             request: &request,
             deadline: self.deadline,
-            send_before: self.send_before(),
+            send_before,
         };
         let claim = self.claim(&request, context.team).await?;
         let result = attempts::run_attempts(context).await;
@@ -151,11 +151,6 @@
         Ok(pass_on(open, watch, sync::Arc::clone(self.shared)))
     }
 
-    /// Returns the time up to which the instance may start work under its limits.
-    fn send_before(&self) -> time::Timestamp {
-        time::Timestamp::NEVER
-    }
-
     /// Claims the idempotency key of a request that must not run twice.
     async fn claim(
         &self,
@@ -212,17 +207,21 @@
         Ok(())
     }
 
-    async fn admit(&self, team: Option<team::TeamKey>) -> Result<(), answer::Refusal> {
+    /// Returns the time before which the request's first byte must be sent.
+    async fn admit(&self, team: Option<team::TeamKey>) -> Result<time::Timestamp, answer::Refusal> {
         let admission = &self.shared.admission;
+        let mut send_before = time::Timestamp::NEVER;
         if self.route.limit.is_some() {
             let id = limit::LimitId::of_route(&self.route.name);
-            refuse_over_limit("route's", admission.admit(id, self.shared.now()).await)?;
+            let outcome = admission.admit(id, self.shared.now()).await;
+            send_before = send_before.min(refuse_over_limit("route's", outcome)?);
         }
         if let Some(team) = team {
             let id = limit::LimitId::of_team(&self.tables.teams[team].name);
-            refuse_over_limit("team's", admission.admit(id, self.shared.now()).await)?;
+            let outcome = admission.admit(id, self.shared.now()).await;
+            send_before = send_before.min(refuse_over_limit("team's", outcome)?);
         }
-        Ok(())
+        Ok(send_before)
     }
 
     async fn prepare(
@@ -241,11 +240,11 @@
 
 fn refuse_over_limit(
     limit: &'static str,
-    outcome: ledger::AdmitOutcome,
-) -> Result<(), answer::Refusal> {
+    outcome: action::TicketOutcome,
+) -> Result<time::Timestamp, answer::Refusal> {
     match outcome {
-        ledger::AdmitOutcome::Admitted => Ok(()),
-        ledger::AdmitOutcome::Refused { retry_after } => {
+        action::TicketOutcome::Admitted { valid_until } => Ok(valid_until),
+        action::TicketOutcome::Refused { retry_after } => {
             let retry_after = retry_after.max(duration::Duration::from_millis(1));
             let kind = answer::RefusalKind::OverLimit { limit, retry_after };
             Err(answer::Refusal::not_run(kind))
--- a/crates/transport/node/src/dump.rs
+++ b/crates/transport/node/src/dump.rs
@@ -33,12 +33,15 @@
     /// Decisions on membership, configuration and keys.
     #[display("control")]
     Control,
+    /// Shares of limits, leases and loans.
+    #[display("ledger")]
+    Ledger,
 }
 
 impl DumpSection {
     /// All sections.
-    pub const ALL: [Self; 5] =
-        [Self::Instance, Self::Tables, Self::Members, Self::Regions, Self::Control];
+    pub const ALL: [Self; 6] =
+        [Self::Instance, Self::Tables, Self::Members, Self::Regions, Self::Control, Self::Ledger];
 
     /// Returns the section of a name.
     #[must_use]
@@ -59,6 +62,7 @@
                 to_json(&BoundedRows::<steering::RegionDump>::new(&shared.steering.dump()))
             }
             Self::Control => to_json(&shared.control.dump()),
+            Self::Ledger => to_json(&shared.admission.dump(shared.now())),
         }
     }
 }
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -5,6 +5,8 @@
 mod claims;
 mod credentials;
 mod exchange;
+#[path = "../support/ledger.rs"]
+mod ledger;
 mod service;
 mod stream;
 mod support;
--- a/crates/transport/node/tests/ports/main.rs
+++ b/crates/transport/node/tests/ports/main.rs
@@ -3,6 +3,8 @@
 mod admin;
 mod harness;
 mod headers;
+#[path = "../support/ledger.rs"]
+mod ledger;
 mod limits;
 mod metrics;
 mod smuggling;
