--- a/crates/coordination/dispatch/src/health.rs
+++ b/crates/coordination/dispatch/src/health.rs
@@ -59,7 +59,8 @@
     #[must_use]
     pub fn record_failure(&mut self) -> bool {
         self.failures += 1;
-        self.failures >= MAX_FAILURES
+        // One that fails again after its ejection is not given three more.
+        self.failures >= MAX_FAILURES || self.ejections > 0
     }
 
     /// Ejects the server; it starts slowly afterwards.
--- a/crates/coordination/dispatch/tests/service.rs
+++ b/crates/coordination/dispatch/tests/service.rs
@@ -136,6 +136,23 @@
     without_bound_the_whole_pool_is_ejected => (DisabledMechanism::EjectionBound, false);
 }
 
+#[test]
+fn server_that_fails_again_is_ejected_at_once_and_for_longer() {
+    let mut picker = picker::BackendPicker::new(policy::ChoiceRule::SoonestAnswer, Nothing);
+    picker.set_servers(&make_pool(&[1, 2, 3], &[], 3), time::Timestamp::ZERO);
+    let fail = |picker: &mut picker::BackendPicker, at_ms| {
+        picker.begin(address(1));
+        picker.finish(address(1), report(Failed), time::Timestamp::from_millis(at_ms));
+    };
+    (0..3).for_each(|_| fail(&mut picker, 1));
+    let ejected = |picker: &picker::BackendPicker, at_ms| {
+        picker.ejected_count(time::Timestamp::from_millis(at_ms)) == 1
+    };
+    assert!(ejected(&picker, 1_000) && !ejected(&picker, 1_001));
+    fail(&mut picker, 1_001);
+    assert!(ejected(&picker, 3_000) && !ejected(&picker, 3_001));
+}
+
 /// Retries over ten thousand requests that all fail.
 fn check_retries(disabled: DisabledMechanism, holds: bool) {
     const REQUESTS: u32 = 10_000;
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -337,6 +337,10 @@
         };
         let response = match sent {
             None => return self.abandon(&gate, guard),
+            Some(Ok(response)) if is_late(&response) => {
+                guard.note(picker::ReportedResult::Failed, None);
+                return AttemptResult::Failed(gate.reached());
+            }
             Some(Ok(response)) if !marks.contradict(response.headers()) => response,
             Some(sent) => {
                 let unsent = sent.as_ref().is_err_and(|state| state.is_not_run());
@@ -392,6 +396,11 @@
 /// Header with which a backend server says that it did not run a request.
 const SHED_HEADER: &str = "marjoramwing-shed";
 
+/// Tells whether a backend server gave up at the deadline that it was told.
+fn is_late<B>(response: &http::Response<B>) -> bool {
+    response.status() == http::StatusCode::GATEWAY_TIMEOUT
+}
+
 fn head_event<B>(response: &http::Response<B>) -> exchange::AttemptEvent {
     let unavailable = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
     if unavailable && response.headers().contains_key(SHED_HEADER) {
--- a/crates/transport/node/tests/outcome/exchange.rs
+++ b/crates/transport/node/tests/outcome/exchange.rs
@@ -77,6 +77,8 @@
     get_cut_in_answer_body => ("GET", Step::CutBody, &CUT);
     get_cut_between_chunks => ("GET", Step::CutChunk, &CUT);
     get_unanswered_goes_elsewhere => ("GET", Step::Silent, &served(2));
+    post_given_up_by_the_server => ("POST", Step::Late, &refused(502, "unknown", 1));
+    get_given_up_by_the_server_goes_elsewhere => ("GET", Step::Late, &served(2));
     get_silent_in_answer_body => ("GET", Step::SilentBody, &CUT);
     get_answered_for_another_goes_elsewhere => ("GET", Step::Crossed, &served(2));
 }
