Callers of a load come from the addresses of their blocks

Cause: instances take a caller's home region from its TCP peer address.

Ruled out: trusting a header that names the client. Any caller could then choose its own region and its cap.

--- a/crates/standins/src/control.rs
+++ b/crates/standins/src/control.rs
@@ -54,8 +54,15 @@
 /// Makes a client that never repeats a request by itself.
 #[must_use]
 pub fn make_client() -> HttpClient {
+    make_client_from(None)
+}
+
+/// Makes the same client with all its connections coming from one address.
+#[must_use]
+pub fn make_client_from(source: Option<net::IpAddr>) -> HttpClient {
     let mut connector = legacy::connect::HttpConnector::new();
     connector.set_nodelay(true);
+    connector.set_local_address(source);
     legacy::Client::builder(rt::TokioExecutor::new())
         .retry_canceled_requests(false)
         .build(connector)
--- a/crates/standins/src/profile.rs
+++ b/crates/standins/src/profile.rs
@@ -57,7 +57,7 @@
     /// Key of the team; none for open routes.
     #[serde(default)]
     pub key: Option<String>,
-    /// Address that the look-up is told.
+    /// Address that connections come from and that the look-up is told.
     pub client: net::IpAddr,
     /// Requests per second.
     pub rate: f64,
--- a/crates/standins/src/run.rs
+++ b/crates/standins/src/run.rs
@@ -56,10 +56,11 @@
     let records = sync::Arc::new(sync::Mutex::new(Vec::new()));
     let started = tokio::time::Instant::now();
     let mut callers = tokio::task::JoinSet::new();
-    for team in 0..profile.teams.len() {
+    for (team, load) in profile.teams.iter().enumerate() {
+        let http = control::make_client_from(Some(load.client));
         let lookup = lookup::LookupCache::new(http.clone(), profile.instances.clone());
         let caller = caller::TeamCaller {
-            http: http.clone(),
+            http,
             profile: sync::Arc::clone(&profile),
             target: sync::Arc::clone(&target),
             lookup: sync::Arc::new(lookup),
