--- /dev/null
+++ b/crates/marjoramwing/tests/process_edits.rs
@@ -0,0 +1,79 @@
+//! Operators edit tables while traffic goes on.
+
+use std::process;
+
+use marjoramwing_objects::object;
+use marjoramwing_standins::attempt;
+use marjoramwing_standins::fleet;
+use marjoramwing_standins::platform;
+use marjoramwing_standins::report;
+use marjoramwing_standins::traffic;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_marjoramwing");
+const TEAMS: [&str; 2] = ["alpha", "beta"];
+const CALLERS: usize = 2;
+const OPERATORS: usize = 6;
+/// Exit code of an edit that another edit overtook.
+const CONFLICT: i32 = 3;
+
+fn assert_all_served(report: &report::LoadReport) {
+    let sent: u64 = report.whole.results.values().sum();
+    assert_eq!(report.count(attempt::CallResult::Served), sent, "{report}");
+    assert_eq!((report.lost, report.doubled), (0, 0), "{report}");
+}
+
+/// Runs the operator's command that sets a route and returns its exit code.
+async fn set_route(store: std::net::SocketAddr, name: String) -> i32 {
+    let row = serde_json::json!({"name": name, "path": format!("/{name}"), "pools": ["reads"]});
+    let edit = move || {
+        let mut command = process::Command::new(BINARY);
+        command.args(["route", "set", "-f", "-", "--store", &store.to_string()]);
+        command.stdin(process::Stdio::piped()).stdout(process::Stdio::null());
+        let mut child = command.spawn().unwrap();
+        serde_json::to_writer(child.stdin.take().unwrap(), &row).unwrap();
+        child.wait().unwrap().code().unwrap()
+    };
+    tokio::task::spawn_blocking(edit).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators_lose_no_accepted_edit() {
+    let fleet = fleet::TestFleet::start(BINARY, 3).await;
+    let traffic = traffic::TestTraffic::start(&fleet, &TEAMS, CALLERS);
+    traffic.wait_served(&TEAMS, 20).await;
+    let store = fleet.platform_port.address;
+    let mut operators = tokio::task::JoinSet::new();
+    for operator in 0..OPERATORS {
+        operators.spawn(async move {
+            loop {
+                let code = set_route(store, format!("edit-{operator}")).await;
+                if code != CONFLICT {
+                    return code;
+                }
+            }
+        });
+    }
+    let codes = operators.join_all().await;
+    assert_eq!(codes, [0; OPERATORS]);
+    for operator in 0..OPERATORS {
+        fleet.wait_status(&format!("/edit-{operator}"), "alpha", 200).await;
+    }
+    traffic.wait_served(&TEAMS, 20).await;
+    assert_all_served(&traffic.finish(&fleet).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn edit_whose_answer_is_lost_is_in_force_once() {
+    let fleet = fleet::TestFleet::start(BINARY, 2).await;
+    let traffic = traffic::TestTraffic::start(&fleet, &TEAMS, CALLERS);
+    traffic.wait_served(&TEAMS, 20).await;
+    let lossy = platform::PlatformFaults { lose_answers: true, ..Default::default() };
+    fleet.platform.set_faults(lossy);
+    let code = set_route(fleet.platform_port.address, "edited".to_owned()).await;
+    assert_eq!(code, 0);
+    fleet.wait_status("/edited", "alpha", 200).await;
+    let mut counts = fleet.platform.counts();
+    let writes = counts.of_kind(&object::ObjectKind::Tables.to_string()).write_calls();
+    assert_eq!(writes, 1, "the edit was written more than once");
+    assert_all_served(&traffic.finish(&fleet).await);
+}
--- a/crates/marjoramwing/tests/process_faults.rs
+++ b/crates/marjoramwing/tests/process_faults.rs
@@ -1,5 +1,7 @@
 //! Instances that die or pause, and backend servers whose answers go wrong.
 
+use std::slice;
+
 use marjoramwing_standins::attempt;
 use marjoramwing_standins::behaviour;
 use marjoramwing_standins::fleet;
@@ -58,26 +60,27 @@
     assert_all_served(&traffic.finish(&fleet).await);
 }
 
-/// Runs traffic past one faulty server of each pool and reports on it.
+/// Runs traffic past the most used server of each pool, now faulty, and reports on it.
 async fn run_past_fault(fault: behaviour::AnswerFault) -> report::LoadReport {
     let fleet = fleet::TestFleet::start(BINARY, 2).await;
     let traffic = traffic::TestTraffic::start(&fleet, &TEAMS, CALLERS);
     traffic.wait_served(&TEAMS, 20).await;
-    for pool in [&fleet.reads, &fleet.writes] {
-        fleet::change_behaviour(&pool[..1], |behaviour| {
+    let faulty = [&fleet.reads, &fleet.writes].map(|pool| find_most_used(pool));
+    for served in faulty {
+        fleet::change_behaviour(slice::from_ref(served), |behaviour| {
             behaviour.fault = fault;
             behaviour.delay_ms = 60_000;
         });
     }
-    let before: u32 = faulty_runs(&fleet);
-    fleet::wait_until("a faulty server was used", async || faulty_runs(&fleet) > before).await;
+    let runs = || faulty.map(|served| served.server.activity().runs).iter().sum::<u32>();
+    let before = runs();
+    fleet::wait_until("a faulty server was used", async || runs() > before).await;
     traffic.wait_served(&TEAMS, 200).await;
     traffic.finish(&fleet).await
 }
 
-fn faulty_runs(fleet: &fleet::TestFleet) -> u32 {
-    let pools = [&fleet.reads, &fleet.writes];
-    pools.iter().map(|pool| pool[0].server.activity().runs).sum()
+fn find_most_used(pool: &[fleet::ServedBackend]) -> &fleet::ServedBackend {
+    pool.iter().max_by_key(|served| served.server.activity().runs).expect("a pool has servers")
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -94,6 +97,14 @@
     assert_eq!(report.whole.foreign, 0, "{report}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn crossed_answer_reaches_no_caller() {
+    let report = run_past_fault(behaviour::AnswerFault::Crossed).await;
+    assert_true_outcomes(&report);
+    assert_eq!(report.whole.foreign, 0, "{report}");
+    assert_eq!(report.lost, 0, "{report}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_server_leaves_an_unknown_outcome() {
     let report = run_past_fault(behaviour::AnswerFault::Silent).await;
--- a/crates/marjoramwing/tests/process_keys.rs
+++ b/crates/marjoramwing/tests/process_keys.rs
@@ -126,3 +126,16 @@
     }
     assert!(!fleet.instances[0].log().contains("demo-only-"), "a key was logged");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_is_passed_on_without_a_look_for_keys() {
+    let fleet = fleet::TestFleet::start(BINARY, 1).await;
+    let key = example::team_key("beta");
+    let request = http::Request::post(format!("http://{}/writes", fleet.instances[0].callers))
+        .header("authorization", format!("Bearer {key}"))
+        .body(axum::body::Body::from(format!("key={key}")))
+        .unwrap();
+    let status = fleet.http.request(request).await.unwrap().status();
+    let seen = fleet.record.counts().leaked_keys;
+    assert_eq!((status, seen.body, seen.total()), (http::StatusCode::OK, 1, 1));
+}
--- /dev/null
+++ b/crates/marjoramwing/tests/process_regions.rs
@@ -0,0 +1,43 @@
+//! A region is drained by the steering table while callers use look-ups.
+
+use marjoramwing_standins::attempt;
+use marjoramwing_standins::example;
+use marjoramwing_standins::fleet;
+use marjoramwing_standins::lookup;
+use marjoramwing_standins::traffic;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_marjoramwing");
+const HOME: &str = "east";
+const OTHER: &str = "west";
+const TEAMS: [&str; 2] = ["alpha", "beta"];
+const CALLERS: usize = 2;
+
+/// Waits until the look-ups of every instance name this instance first.
+async fn wait_first(fleet: &fleet::TestFleet, first: usize) {
+    for asked in &fleet.instances {
+        fleet::wait_until("look-ups name the instance first", async || {
+            let cache = lookup::LookupCache::new(fleet.http.clone(), vec![asked.callers]);
+            let found = cache.find(&traffic::team_load(TEAMS[0]), 0).await;
+            found.first() == Some(&fleet.instances[first].callers)
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_region_sends_its_callers_to_another() {
+    let fleet = fleet::TestFleet::start_between(BINARY, HOME, OTHER).await;
+    wait_first(&fleet, 0).await;
+    let traffic = traffic::TestTraffic::start(&fleet, &TEAMS, CALLERS);
+    traffic.wait_served(&TEAMS, 50).await;
+    fleet.put_table("steering", &example::steering_between(HOME, OTHER, true));
+    wait_first(&fleet, 1).await;
+    traffic.wait_served(&TEAMS, 50).await;
+    fleet.put_table("steering", &example::steering_between(HOME, OTHER, false));
+    wait_first(&fleet, 0).await;
+    traffic.wait_served(&TEAMS, 50).await;
+    let report = traffic.finish(&fleet).await;
+    let sent: u64 = report.whole.results.values().sum();
+    assert_eq!(report.count(attempt::CallResult::Served), sent, "{report}");
+    assert_eq!((report.lost, report.doubled), (0, 0), "{report}");
+}
--- a/crates/standins/src/example.rs
+++ b/crates/standins/src/example.rs
@@ -13,6 +13,8 @@
 pub const LOOKUP_TTL_MS: u64 = 200;
 /// Longest time of a request, in milliseconds.
 pub const DEADLINE_MS: u64 = 4_000;
+/// Region of instances that are to be in no other.
+pub const REGION: &str = "east";
 /// Slots of each backend server.
 pub const SLOTS: u32 = 16;
 
@@ -74,13 +76,10 @@
     draining: &[net::SocketAddr],
 ) -> serde_json::Value {
     let server = |address: &net::SocketAddr| {
-        let mut row = serde_json::json!({
+        let row = serde_json::json!({
             "address": address.to_string(), "failure_domain": "east-a", "slots": SLOTS,
         });
-        if draining.contains(address) {
-            row["draining"] = true.into();
-        }
-        row
+        if draining.contains(address) { with_draining(row) } else { row }
     };
     let pool = |name, servers: &[net::SocketAddr]| {
         let servers: Vec<_> = servers.iter().map(server).collect();
@@ -98,10 +97,36 @@
     })
 }
 
+/// Returns a `steering` table by which the clients of one region may use another.
+///
+/// All clients of process tests are at home in the first region.
+#[must_use]
+pub fn steering_between(home: &str, other: &str, draining: bool) -> serde_json::Value {
+    let site = |region: &str, draining: bool| {
+        let name = format!("{region}-a");
+        let row = serde_json::json!({"name": name, "region": region, "failure_domain": name});
+        if draining { with_draining(row) } else { row }
+    };
+    serde_json::json!({
+        "sites": [site(home, draining), site(other, false)],
+        "blocks": [{"prefix": "127.0.0.0/8", "site": format!("{home}-a")}],
+        "headrooms": [{"region": other, "rate": 100_000.0, "burst": 100_000}],
+        "shifts": [{"from": home, "to": other, "rate": 100_000.0, "burst": 100_000}],
+        "instance_rate": 200_000.0,
+        "lookup_ttl_ms": LOOKUP_TTL_MS,
+    })
+}
+
+fn with_draining(mut row: serde_json::Value) -> serde_json::Value {
+    row["draining"] = true.into();
+    row
+}
+
 /// Returns the settings of one instance.
 #[must_use]
 pub fn settings(
     name: &str,
+    region: &str,
     callers: net::SocketAddr,
     peers: net::SocketAddr,
     admin: net::SocketAddr,
@@ -110,9 +135,9 @@
     format!(
         r#"[instance]
 name = "{name}"
-site = "east-a"
-region = "east"
-failure_domain = "east-a"
+site = "{region}-a"
+region = "{region}"
+failure_domain = "{region}-a"
 
 [listen]
 callers = "{callers}"
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -83,6 +83,33 @@
     ///
     /// Panics if something cannot be started.
     pub async fn start(binary: &str, instances: usize) -> Self {
+        let mut fleet = Self::prepare(binary).await;
+        for index in 0..instances {
+            fleet.add_instance(&format!("instance-{index}"));
+        }
+        fleet.start_all().await;
+        let all: Vec<_> = (0..instances).collect();
+        fleet.wait_lookup(&all, &all).await;
+        fleet
+    }
+
+    /// Starts one instance in each of these regions and waits until all are ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics if something cannot be started.
+    pub async fn start_between(binary: &str, home: &str, other: &str) -> Self {
+        let mut fleet = Self::prepare(binary).await;
+        fleet.put_table("steering", &example::steering_between(home, other, false));
+        for region in [home, other] {
+            fleet.add_instance_in(&format!("instance-{region}"), region);
+        }
+        fleet.start_all().await;
+        fleet
+    }
+
+    /// Starts the platform and the backend servers.
+    async fn prepare(binary: &str) -> Self {
         let number = FLEETS.fetch_add(1, atomic::Ordering::Relaxed);
         let name = format!("marjoramwing-{}-{number}", process::id());
         let directory = env::temp_dir().join(name);
@@ -91,7 +118,7 @@
         let platform = platform::PlatformServer::default();
         let platform_port = port::ServedPort::open(any, platform.router()).await;
         let record = record::RunRecord::default();
-        let mut fleet = Self {
+        let fleet = Self {
             platform,
             platform_port: platform_port.expect("a free port can be had"),
             reads: serve_backends(&record).await,
@@ -103,28 +130,35 @@
             directory,
         };
         fleet.put_tables();
-        for index in 0..instances {
-            fleet.add_instance(&format!("instance-{index}"));
-        }
-        fleet.list_all();
-        for index in 0..instances {
-            fleet.start_instance(index);
-        }
-        fleet.wait_ready().await;
-        let all: Vec<_> = (0..instances).collect();
-        fleet.wait_lookup(&all, &all).await;
         fleet
     }
 
+    async fn start_all(&mut self) {
+        self.list_all();
+        for index in 0..self.instances.len() {
+            self.start_instance(index);
+        }
+        self.wait_ready().await;
+    }
+
     /// Prepares one more instance, neither listed nor started yet.
     ///
     /// # Panics
     ///
     /// Panics if it cannot be prepared.
     pub fn add_instance(&mut self, name: &str) -> usize {
+        self.add_instance_in(name, example::REGION)
+    }
+
+    /// Prepares one more instance of a region, neither listed nor started yet.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it cannot be prepared.
+    pub fn add_instance_in(&mut self, name: &str, region: &str) -> usize {
         let store = self.platform_port.address;
         let prepared =
-            instance::InstanceProcess::prepare(&self.binary, &self.directory, name, store);
+            instance::InstanceProcess::prepare(&self.binary, &self.directory, name, region, store);
         self.instances.push(prepared.expect("an instance can be prepared"));
         self.instances.len() - 1
     }
--- a/crates/standins/src/instance.rs
+++ b/crates/standins/src/instance.rs
@@ -5,6 +5,7 @@
 use std::net;
 use std::path;
 use std::process;
+use std::sync;
 
 use marjoramwing_object_api::listing;
 
@@ -20,6 +21,8 @@
 pub struct InstanceProcess {
     /// Name of the instance.
     pub name: String,
+    /// Region of the instance; its one site bears its name.
+    pub region: String,
     /// Address for callers.
     pub callers: net::SocketAddr,
     /// Address for peers.
@@ -43,14 +46,16 @@
         binary: &path::Path,
         directory: &path::Path,
         name: &str,
+        region: &str,
         store: net::SocketAddr,
     ) -> io::Result<Self> {
         let mut ports = deployment::PortHolder::default();
         let (callers, peers, admin) = (ports.hold(0)?, ports.hold(0)?, ports.hold(0)?);
         let settings = directory.join(format!("{name}.toml"));
-        fs::write(&settings, example::settings(name, callers, peers, admin, store))?;
+        fs::write(&settings, example::settings(name, region, callers, peers, admin, store))?;
         Ok(Self {
             name: name.to_owned(),
+            region: region.to_owned(),
             callers,
             peers,
             admin,
@@ -127,13 +132,14 @@
     /// Returns the row of the instance in the platform's list.
     #[must_use]
     pub fn listed(&self, state: listing::ListedState) -> listing::ListedInstance {
+        let site: sync::Arc<str> = format!("{}-a", self.region).into();
         listing::ListedInstance {
             name: self.name.as_str().into(),
             callers: self.callers,
             peers: self.peers,
-            site: "east-a".into(),
-            region: "east".into(),
-            failure_domain: "east-a".into(),
+            site: sync::Arc::clone(&site),
+            region: self.region.as_str().into(),
+            failure_domain: site,
             state,
         }
     }
--- a/crates/standins/src/traffic.rs
+++ b/crates/standins/src/traffic.rs
@@ -126,7 +126,8 @@
 }
 
 /// Returns the load of one team, reads and writes in turn.
-pub(crate) fn team_load(team: &str) -> profile::TeamLoad {
+#[must_use]
+pub fn team_load(team: &str) -> profile::TeamLoad {
     let shape = |method: &str, path: &str, once| profile::RequestShape {
         method: method.to_owned(),
         path: path.to_owned(),
