--- a/crates/transport/node/src/callers/mod.rs
+++ b/crates/transport/node/src/callers/mod.rs
@@ -4,6 +4,7 @@
 //! - [`attempts`]: the attempts at one request.
 //! - [`body`]: the body of a request, with a bound on its pauses.
 //! - [`credential`]: the key that comes with a request.
+//! - [`exposure`]: keys put where backend servers would see them.
 //! - [`guard`]: checks of a request before it is routed.
 //! - [`headers`]: headers that must not pass through.
 //! - [`lookup`]: which instance a caller is to use.
@@ -17,6 +18,7 @@
 pub mod attempts;
 pub mod body;
 pub mod credential;
+pub mod exposure;
 pub mod guard;
 pub mod headers;
 pub mod lookup;
--- a/crates/transport/node/src/lib.rs
+++ b/crates/transport/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`callers`]: the caller port, look-up and the path of a request.
 //! - [`clock`]: the monotonic clock.
 //! - [`control`]: tasks around the decisions on membership and configuration.
+//! - [`dispatch`]: the services, each with a dispatch of its own.
 //! - [`dump`]: the state of an instance, in sections of bounded size.
 //! - [`inbox`]: hands received envelopes to those who wait for them.
 //! - [`listener`]: bounded listening for HTTP.
@@ -21,6 +22,7 @@
 pub mod callers;
 pub mod clock;
 pub mod control;
+pub mod dispatch;
 pub mod dump;
 pub mod inbox;
 pub mod listener;
