--- a/crates/transport/node/src/callers/mod.rs
+++ b/crates/transport/node/src/callers/mod.rs
@@ -3,6 +3,7 @@
 //! - [`answer`]: answers that the instance gives itself.
 //! - [`attempts`]: the attempts at one request.
 //! - [`body`]: the body of a request, with a bound on its pauses.
+//! - [`claims`]: claims of idempotency keys.
 //! - [`credential`]: the key that comes with a request.
 //! - [`exposure`]: keys put where backend servers would see them.
 //! - [`guard`]: checks of a request before it is routed.
@@ -17,6 +18,7 @@
 pub mod answer;
 pub mod attempts;
 pub mod body;
+pub mod claims;
 pub mod credential;
 pub mod exposure;
 pub mod guard;
