--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -1,6 +1,7 @@
 //! The messages between instances.
 
 use crate::configuration;
+use crate::ledger;
 use crate::membership;
 use crate::report;
 
@@ -11,7 +12,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// What the frame carries.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 7")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 7")]
     pub body: Option<Body>,
 }
 
@@ -30,6 +31,9 @@
     /// About the configuration.
     #[prost(message, tag = "4")]
     Configuration(configuration::Configuration),
+    /// About limits.
+    #[prost(message, tag = "5")]
+    Ledger(ledger::LedgerEnvelope),
     /// About traffic between regions.
     #[prost(message, tag = "7")]
     Report(report::Report),
--- a/crates/transport/node/src/inbox.rs
+++ b/crates/transport/node/src/inbox.rs
@@ -6,6 +6,7 @@
 use marjoramwing_steering::report;
 use tokio::sync::mpsc;
 
+use crate::admission::driver;
 use crate::peers::carrier;
 
 /// Where each kind of envelope goes.
@@ -19,6 +20,8 @@
     pub configuration: mpsc::Sender<configuration::ConfigurationEvent>,
     /// Takes what concerns traffic between regions.
     pub reports: mpsc::Sender<report::ReportEvent>,
+    /// Takes what concerns limits.
+    pub ledger: driver::LedgerDriver,
 }
 
 /// Routes received envelopes until the mesh ends.
@@ -43,6 +46,7 @@
                 let event = configuration::ConfigurationEvent::Received { address, message };
                 let _ = routes.configuration.try_send(event);
             }
+            message::Body::Ledger(raw) => routes.ledger.receive(envelope.from, raw),
             message::Body::Report(raw) => {
                 let Ok(message) = raw.try_into() else { continue };
                 let event = report::ReportEvent::Received { from: envelope.from, message };
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -7,6 +7,7 @@
 use marjoramwing_derives as derives;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
+use marjoramwing_ledger::action;
 use marjoramwing_membership::farewell;
 use marjoramwing_membership::keeper;
 use marjoramwing_settings::settings;
@@ -16,6 +17,7 @@
 use tokio_util::sync as cancellation;
 
 use crate::admin;
+use crate::admission::driver as ledger_driver;
 use crate::callers::server;
 use crate::control::configuration;
 use crate::control::listing;
@@ -28,6 +30,9 @@
 
 /// Time given to the last messages to peers before the process ends.
 const FAREWELL_WAIT: time::Duration = time::Duration::from_millis(200);
+/// Longest wait for the hand-over of limits; without it an heir takes over.
+const MAX_HANDOVER_WAIT: time::Duration = time::Duration::from_secs(5);
+const HANDOVER_POLL: time::Duration = time::Duration::from_millis(20);
 
 /// Why an instance could not start.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
@@ -100,6 +105,7 @@
     signals.wait().await;
     emit!(catalogue::STOP_BEGAN, open = shared.metrics.open_requests.get());
     shared.leave();
+    shared.admission.handle(action::LedgerEvent::Leave, shared.now());
     let _ = membership.send(keeper::MembershipEvent::Leave).await;
     let outcome = tokio::select! {
         outcome = finish_requests(&shared, serving, &stop) => outcome,
@@ -139,7 +145,12 @@
     let steering =
         steering_driver::SteeringDriver::new(sync::Arc::clone(shared), mesh.clone(), report_events);
     tokio::spawn(steering.run());
-    let routes = inbox::InboxRoutes { membership: sender.clone(), configuration: answers, reports };
+    let ledger = ledger_driver::LedgerDriver::new(sync::Arc::clone(shared), mesh.clone(), client);
+    if let Some(actions) = shared.admission.take_actions() {
+        tokio::spawn(ledger.clone().run(actions));
+    }
+    let routes =
+        inbox::InboxRoutes { membership: sender.clone(), configuration: answers, reports, ledger };
     tokio::spawn(inbox::route_envelopes(received, routes));
     sender
 }
@@ -153,7 +164,9 @@
     let spread = farewell::leave_spread(shared.members.load().members.len());
     tokio::time::sleep(spread + cached_lookups).await;
     stop.cancel();
-    match tokio::time::timeout(shared.settings.stop.max_wait, serving).await {
+    let finished = tokio::time::timeout(shared.settings.stop.max_wait, serving).await;
+    let _ = tokio::time::timeout(MAX_HANDOVER_WAIT, hand_over(shared)).await;
+    match finished {
         Ok(_) => {
             emit!(catalogue::STOP_FINISHED);
             StopOutcome::Finished
@@ -181,6 +194,13 @@
     }
 }
 
+/// Waits until the limits held here are free for another holder.
+async fn hand_over(shared: &shared::SharedTables) {
+    while !shared.admission.has_left() {
+        tokio::time::sleep(HANDOVER_POLL).await;
+    }
+}
+
 async fn bind(
     role: &'static str,
     address: net::SocketAddr,
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -18,7 +18,7 @@
 use marjoramwing_tables::snapshot;
 use tokio::sync::watch;
 
-use crate::admission;
+use crate::admission::control;
 use crate::clock;
 use crate::control::dump;
 use crate::dispatch;
@@ -40,7 +40,7 @@
     /// Dispatch of requests to backend servers.
     pub dispatch: dispatch::DispatchControl,
     /// Admission of requests under limits.
-    pub admission: admission::AdmissionControl,
+    pub admission: control::AdmissionControl,
     /// State of the control tasks for the dump.
     pub control: dump::ControlBoard,
     /// Steering of callers.
@@ -63,13 +63,13 @@
             incarnation,
             tables: arc_swap::ArcSwap::from_pointee(Self::no_tables()),
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
+            admission: control::AdmissionControl::new(&settings, incarnation),
             dispatch: dispatch::DispatchControl::new(&settings, incarnation, clock),
             settings,
             member_changes: watch::Sender::default(),
             steering: steering::SteeringControl::default(),
             metrics: metrics::InstanceMetrics::new(),
             clock,
-            admission: admission::AdmissionControl::default(),
             leaving: atomic::AtomicBool::new(false),
             keys_trusted: atomic::AtomicBool::new(true),
             was_confirmed: atomic::AtomicBool::new(true),
@@ -106,8 +106,7 @@
 
     /// Puts a set of tables in force.
     pub fn apply(&self, applied: configuration::AppliedTables) {
-        let live_count = self.members.load().live_count();
-        self.admission.set_limits(&applied.snapshot, live_count, self.now());
+        self.admission.set_limits(&applied.snapshot, self.now());
         self.dispatch.set_pools(&applied.snapshot);
         self.record_versions(&applied.versions);
         self.tables.store(sync::Arc::new(applied));
--- a/crates/transport/node/tests/outcome/support.rs
+++ b/crates/transport/node/tests/outcome/support.rs
@@ -15,6 +15,8 @@
 use marjoramwing_tables::snapshot;
 use tokio_util::sync as cancellation;
 
+use crate::ledger;
+
 /// The key of the only team.
 pub(crate) const KEY: &str = "conad-1.a-long-secret";
 
@@ -101,6 +103,7 @@
         tokio::spawn(server::serve_callers(sync::Arc::clone(&shared), listener, stop));
         let instance = Self { shared, address, tables: documents(servers, deadline_ms) };
         instance.apply();
+        ledger::start_ledger(&instance.shared);
         instance
     }
 
--- a/crates/transport/node/tests/ports/harness.rs
+++ b/crates/transport/node/tests/ports/harness.rs
@@ -14,6 +14,8 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 
+use crate::ledger;
+
 /// Ends a test that waits for what never comes.
 const GIVE_UP: time::Duration = time::Duration::from_secs(60);
 
@@ -61,6 +63,7 @@
         let backend = start_backend(record.clone()).await;
         let shared = sync::Arc::new(shared::SharedTables::new(make_settings(callers)));
         apply_tables(&shared, backend);
+        ledger::start_ledger(&shared);
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let stop = tokio_util::sync::CancellationToken::new();
