Operators' page names every section of the dump, compared by a test

Cause: sections were added by merges while the page kept its own list. Conclusion: a new section without its line is a red test.

--- a/crates/transport/node/tests/ports/metrics.rs
+++ b/crates/transport/node/tests/ports/metrics.rs
@@ -1,7 +1,8 @@
-//! docs/OPERATORS.md lists exactly the metrics of the code.
+//! docs/OPERATORS.md lists exactly the metrics and dump sections of the code.
 
 use std::fs;
 
+use marjoramwing_node::dump;
 use marjoramwing_node::metrics;
 
 const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../../docs/OPERATORS.md");
@@ -17,3 +18,12 @@
     });
     assert_eq!(rows, expected.collect::<Vec<_>>());
 }
+
+#[test]
+fn page_names_every_section_of_the_dump() {
+    let page = fs::read_to_string(PAGE).unwrap();
+    let sections: Vec<_> =
+        dump::DumpSection::ALL.iter().map(|section| format!("`{section}`")).collect();
+    let line = format!("The sections are {}.", sections.join(", "));
+    assert!(page.contains(&line), "{line}");
+}
