Name an heir at once; let a request wait over several asks

Cause: process_faults::killed_instance_breaks_only_what_it_held waited more than 60 s for a takeover: the lease's first write named no heir, since no member was known yet, and a holder killed before its next renewal was left to the wait for the longest outage. A request refused after 250 ms was also lost when the one ask or its answer was. Ruled out: a claim that waits for an heir (the first requests would wait). Change: a lease names a new heir with its next tick; a lease that names none can be ended by anyone after its own length, since no promise prolongs it; a request waits 1 s at most, over several asks; a leaving instance asks its heir for a limit that nobody holds, and who is asked for it claims it. Before: that test failed after 60 s.

--- a/crates/coordination/ledger/src/asking.rs
+++ b/crates/coordination/ledger/src/asking.rs
@@ -19,7 +19,9 @@
 use crate::message;
 use crate::share;
 
-/// Longest wait for a holder's answer.
+/// Longest time for which a request waits, over several asks.
+pub const REQUEST_WAIT: duration::Duration = duration::Duration::from_secs(1);
+/// Longest wait for a holder's answer to one ask.
 pub const ASK_WAIT: duration::Duration = duration::Duration::from_millis(250);
 /// Time within which a request that a holder admitted must be sent.
 const SEND_WAIT: duration::Duration = duration::Duration::from_secs(10);
@@ -188,7 +190,7 @@
     /// Refuses the requests that waited too long.
     pub fn expire(&mut self, now: time::Timestamp, actions: &mut Vec<action::LedgerAction>) {
         while let Some(oldest) = self.waiting.front() {
-            if now < oldest.since + ASK_WAIT {
+            if now < oldest.since + REQUEST_WAIT {
                 return;
             }
             settle(oldest.ticket, refused(NO_ANSWER_RETRY), actions);
--- a/crates/coordination/ledger/src/holding.rs
+++ b/crates/coordination/ledger/src/holding.rs
@@ -23,13 +23,14 @@
         now: time::Timestamp,
         actions: &mut Vec<action::LedgerAction>,
     ) {
-        let Some(known) = self.directory.holder(id) else {
+        let known = self.directory.holder(id).map(|known| known.holder);
+        let Some(holder) = known.or_else(|| self.successor()) else {
             self.directory.want(id);
             self.step_directory(now, actions);
             self.ask_peers(id, actions);
             return;
         };
-        if known.holder == self.own.incarnation {
+        if holder == self.own.incarnation {
             return;
         }
         let number = self.take_number();
@@ -37,11 +38,16 @@
         if state.borrowed.asked.is_some() {
             return;
         }
-        let sent = asking::SentAsk { number, holder: known.holder, sent_at: now };
+        let sent = asking::SentAsk { number, holder, sent_at: now };
         let demand = state.demand.per_second(now);
         let ask = state.borrowed.make_ask(id, sent, demand);
         let message = message::LedgerMessage::Ask(ask);
-        actions.push(action::LedgerAction::Send { to: known.holder, message });
+        actions.push(action::LedgerAction::Send { to: holder, message });
+    }
+
+    /// Returns whom a leaving instance asks to hold what nobody holds.
+    fn successor(&self) -> Option<incarnation::Incarnation> {
+        self.choose_heir().filter(|_| self.is_leaving)
     }
 
     /// Handles a peer's message.
@@ -213,15 +219,27 @@
                 self.active.insert(ask.limit);
                 message::AnswerResult::Held(held)
             }
-            None => message::AnswerResult::NotHeld(self.refer(ask.limit)),
+            None => message::AnswerResult::NotHeld(self.refer(from, ask.limit, now)),
         };
         let answer = message::TokenAnswer { limit: ask.limit, number: ask.number, result };
         message::LedgerMessage::Answer(answer)
     }
 
     /// Names another holder, or has the store read again.
-    fn refer(&mut self, id: limit::LimitId) -> Option<message::KnownHolder> {
+    fn refer(
+        &mut self,
+        from: incarnation::Incarnation,
+        id: limit::LimitId,
+        now: time::Timestamp,
+    ) -> Option<message::KnownHolder> {
         let known = self.directory.holder(id);
+        if known.is_none() {
+            self.directory.want(id);
+        }
+        if known.is_some_and(|holder| holder.holder == from) {
+            // A holder that asks for its own limit has ended its lease.
+            self.takeover.suspect(from, now);
+        }
         let other = known.filter(|holder| holder.holder != self.own.incarnation);
         if other.is_none() {
             self.directory.doubt(id);
@@ -256,8 +274,10 @@
             message::AnswerResult::NotHeld(referral) => {
                 state.borrowed.asked = None;
                 self.directory.doubt(answer.limit);
-                self.takeover.suspect(from, now);
-                self.takeover.step(now, actions);
+                if self.directory.holder(answer.limit).is_some_and(|known| known.holder == from) {
+                    self.takeover.suspect(from, now);
+                    self.takeover.step(now, actions);
+                }
                 referral.iter().for_each(|known| self.directory.learn(*known));
                 self.step_directory(now, actions);
                 let holder = self.directory.holder(answer.limit);
--- a/crates/coordination/ledger/src/lease.rs
+++ b/crates/coordination/ledger/src/lease.rs
@@ -50,6 +50,7 @@
     /// Tells that a write which names another heir may still take effect.
     has_doubt: bool,
     not_before: time::Timestamp,
+    retry_at: time::Timestamp,
     promise_at: time::Timestamp,
     number: u64,
     asked: Option<AskedPromise>,
@@ -95,6 +96,7 @@
             needs_read: false,
             has_doubt: false,
             not_before: time::Timestamp::ZERO,
+            retry_at: time::Timestamp::ZERO,
             promise_at: time::Timestamp::ZERO,
             number: 0,
             asked: None,
@@ -141,7 +143,9 @@
         now: time::Timestamp,
         actions: &mut Vec<action::LedgerAction>,
     ) {
-        if self.pending.is_none() && now >= self.not_before {
+        let is_new_heir = self.choose_heir(wanted_heir, now) != self.heir;
+        let is_due = now >= self.not_before || (is_new_heir && now >= self.retry_at);
+        if self.pending.is_none() && is_due && !self.is_released() {
             self.renew(wanted_heir, now, actions);
         }
         if now >= self.promise_at && !self.is_releasing {
@@ -157,6 +161,7 @@
     ) -> LeaseChange {
         let pending = self.pending.take();
         self.not_before = now + RETRY_DELAY;
+        self.retry_at = now + RETRY_DELAY;
         match (answer, pending) {
             (
                 operation::StoreAnswer::Written(version),
--- a/crates/coordination/ledger/src/takeover.rs
+++ b/crates/coordination/ledger/src/takeover.rs
@@ -216,7 +216,9 @@
     version: object::ObjectVersion,
     now: time::Timestamp,
 ) -> SeenLease {
-    let wait = if document.heir == Some(own) { lease::LEASE } else { lease::MAX_OUTAGE };
+    // Without an heir no promise prolongs the lease beyond its last renewal.
+    let is_free = document.heir.is_none_or(|heir| heir == own);
+    let wait = if is_free { lease::LEASE } else { lease::MAX_OUTAGE };
     SeenLease { version, term: document.term, due: now + wait + lease::LEASE_MARGIN }
 }
 
--- a/crates/transport/node/src/admission/control.rs
+++ b/crates/transport/node/src/admission/control.rs
@@ -20,7 +20,7 @@
 use tokio::sync::oneshot;
 
 /// Longest wait for the ledger.
-const MAX_WAIT: duration::Duration = duration::Duration::from_secs(1);
+const MAX_WAIT: duration::Duration = duration::Duration::from_secs(2);
 /// Time after which a request may come again when the ledger has ended.
 const ENDED_RETRY: duration::Duration = duration::Duration::from_secs(1);
 
