Send callers to an instance only once it has its tables

Ruled out: keeping an instance unknown until it is ready: peers are what it gets its tables from.

Change: members tell a phase (starting, serving, leaving) in place of a leaving flag; look-ups name serving ones. Watchers are ranked among starting and serving ones. Limits are shared among all members in the view. Setting `peers.contacts`: peer addresses tried beside the platform's list, which is down with the store.

--- a/crates/coordination/configuration/src/fleet.rs
+++ b/crates/coordination/configuration/src/fleet.rs
@@ -58,9 +58,11 @@
     pub fn is_watcher(&self, watchers: usize) -> bool {
         let own_rank = rank(self.own);
         let near = self.others().filter(|member| member.region == self.region);
-        let live = near.filter(|member| member.state == member::MemberState::Live);
+        let able = near.filter(|member| {
+            matches!(member.state, member::MemberState::Starting | member::MemberState::Live)
+        });
         let ahead =
-            live.filter_map(|member| member.incarnation).filter(|run| rank(*run) < own_rank);
+            able.filter_map(|member| member.incarnation).filter(|run| rank(*run) < own_rank);
         ahead.count() < watchers
     }
 
--- a/crates/coordination/membership/src/exchange.rs
+++ b/crates/coordination/membership/src/exchange.rs
@@ -7,6 +7,7 @@
 use marjoramwing_entity::time;
 
 use crate::keeper;
+use crate::member;
 use crate::message;
 use crate::probe;
 use crate::record;
@@ -57,7 +58,7 @@
             incarnation: from,
             sequence: header.sequence,
             health: update::UpdateHealth::Alive,
-            leaving: header.leaving,
+            phase: header.phase,
             profile: None,
         };
         self.take_update(&update, false, now);
@@ -270,7 +271,7 @@
     ) {
         let header = message::SenderHeader {
             sequence: self.sequence,
-            leaving: self.leaving,
+            phase: self.phase,
             digest: self.digest(),
         };
         let message = message::MembershipMessage { header, body, updates };
@@ -283,10 +284,10 @@
     }
 
     fn digest(&self) -> u64 {
-        let own = mix(self.incarnation, self.sequence, self.leaving);
+        let own = mix(self.incarnation, self.sequence, self.phase);
         self.roster
             .present()
-            .fold(own, |digest, (run, record)| digest ^ mix(run, record.sequence, record.leaving))
+            .fold(own, |digest, (run, record)| digest ^ mix(run, record.sequence, record.phase))
     }
 }
 
@@ -299,8 +300,8 @@
     (record.sequence, record.told_health())
 }
 
-fn mix(run: incarnation::Incarnation, sequence: u32, leaving: bool) -> u64 {
-    let state = u64::from(sequence) << 1 | u64::from(leaving);
+fn mix(run: incarnation::Incarnation, sequence: u32, phase: member::MemberPhase) -> u64 {
+    let state = u64::from(sequence) << 2 | phase as u64;
     let mut mixed = run.as_u64() ^ state.wrapping_mul(DIGEST_SEED);
     mixed = (mixed ^ mixed >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ mixed >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/coordination/membership/src/keeper.rs
+++ b/crates/coordination/membership/src/keeper.rs
@@ -26,8 +26,8 @@
 
 /// Instances that are asked at once by one that knows no other.
 const JOIN_CONTACTS: usize = 2;
-/// Instances that are told at once of a planned leave or stop.
-const LEAVE_TELLS: usize = 8;
+/// Instances that are told at once of a change of the own phase.
+const PHASE_TELLS: usize = 8;
 
 /// What happened.
 #[derive(Debug, Clone)]
@@ -45,6 +45,8 @@
         /// What it sent.
         message: message::MembershipMessage,
     },
+    /// This instance takes requests from now on.
+    Serve,
     /// This instance takes no new requests from now on.
     Leave,
     /// This instance stops now.
@@ -77,7 +79,7 @@
     pub(crate) own: Arc<member::MemberProfile>,
     pub(crate) incarnation: incarnation::Incarnation,
     pub(crate) sequence: u32,
-    pub(crate) leaving: bool,
+    pub(crate) phase: member::MemberPhase,
     pub(crate) stopped: bool,
     pub(crate) roster: roster::MemberRoster,
     pub(crate) gossip: gossip::GossipQueue,
@@ -109,7 +111,7 @@
             own: Arc::new(own),
             incarnation,
             sequence: 0,
-            leaving: false,
+            phase: member::MemberPhase::Starting,
             stopped: false,
             roster: roster::MemberRoster::default(),
             gossip,
@@ -141,7 +143,8 @@
                 self.last_heard = now;
                 self.receive(from, address, message, now, actions);
             }
-            MembershipEvent::Leave => self.leave(rng, actions),
+            MembershipEvent::Serve => self.advance(member::MemberPhase::Serving, rng, actions),
+            MembershipEvent::Leave => self.advance(member::MemberPhase::Leaving, rng, actions),
             MembershipEvent::Stop => self.stop(rng, actions),
         }
         if std::mem::take(&mut self.view_changed) {
@@ -152,8 +155,11 @@
     /// Returns the members that are neither dead nor gone, with this one.
     #[must_use]
     pub fn view(&self) -> view::MemberView {
-        let state =
-            if self.leaving { member::MemberState::Leaving } else { member::MemberState::Live };
+        let state = match self.phase {
+            member::MemberPhase::Starting => member::MemberState::Starting,
+            member::MemberPhase::Serving => member::MemberState::Live,
+            member::MemberPhase::Leaving => member::MemberState::Leaving,
+        };
         let mut members = vec![member::Member::new(&self.own, self.incarnation, state)];
         members.extend(self.roster.iter().filter_map(|(run, record)| record.to_member(run)));
         let dead = self.roster.iter().filter(|(_, record)| record.is_dead());
@@ -260,11 +266,17 @@
         contacts
     }
 
-    fn leave(&mut self, rng: &mut impl rand::Rng, actions: &mut Vec<MembershipAction>) {
-        if self.leaving {
+    /// Goes on to a later phase and tells it.
+    fn advance(
+        &mut self,
+        phase: member::MemberPhase,
+        rng: &mut impl rand::Rng,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if phase <= self.phase {
             return;
         }
-        self.leaving = true;
+        self.phase = phase;
         self.sequence += 1;
         self.gossip.push(self.incarnation);
         self.view_changed = true;
@@ -272,14 +284,14 @@
     }
 
     fn stop(&mut self, rng: &mut impl rand::Rng, actions: &mut Vec<MembershipAction>) {
-        self.leaving = true;
+        self.phase = member::MemberPhase::Leaving;
         self.stopped = true;
         self.gossip.push(self.incarnation);
         self.tell_some(rng, actions);
     }
 
     fn tell_some(&mut self, rng: &mut impl rand::Rng, actions: &mut Vec<MembershipAction>) {
-        for (run, address) in self.pick_present(LEAVE_TELLS, rng) {
+        for (run, address) in self.pick_present(PHASE_TELLS, rng) {
             self.send(Some(run), address, message::MembershipBody::Note, actions);
         }
     }
@@ -305,7 +317,7 @@
             incarnation: run,
             sequence: self.sequence,
             health,
-            leaving: self.leaving,
+            phase: self.phase,
             profile: Some(Arc::clone(&self.own)),
         })
     }
--- a/crates/coordination/membership/src/member.rs
+++ b/crates/coordination/membership/src/member.rs
@@ -45,11 +45,24 @@
     pub state: MemberState,
 }
 
+/// How far a run of a process has come; never goes back.
+#[derives::value]
+pub enum MemberPhase {
+    /// It has no confirmed tables yet.
+    Starting,
+    /// It takes requests.
+    Serving,
+    /// It finishes its requests and takes no new ones.
+    Leaving,
+}
+
 /// State of a member.
 #[derives::value]
 #[derive(serde::Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum MemberState {
+    /// Answers but has no tables yet.
+    Starting,
     /// Answers and takes requests.
     Live,
     /// Has not answered of late.
--- a/crates/coordination/membership/src/message.rs
+++ b/crates/coordination/membership/src/message.rs
@@ -5,6 +5,7 @@
 use marjoramwing_derives as derives;
 use marjoramwing_entity::incarnation;
 
+use crate::member;
 use crate::update;
 
 /// One message.
@@ -23,8 +24,8 @@
 pub struct SenderHeader {
     /// Sequence that the sender gives itself.
     pub sequence: u32,
-    /// Whether the sender takes no new requests.
-    pub leaving: bool,
+    /// How far the sender has come.
+    pub phase: member::MemberPhase,
     /// Digest of the members that the sender knows as living.
     pub digest: u64,
 }
--- a/crates/coordination/membership/src/record.rs
+++ b/crates/coordination/membership/src/record.rs
@@ -16,8 +16,8 @@
     pub profile: Arc<member::MemberProfile>,
     /// Newest sequence that is known.
     pub sequence: u32,
-    /// Whether it takes no new requests; never taken back.
-    pub leaving: bool,
+    /// How far it has come.
+    pub phase: member::MemberPhase,
     /// Whether it answers.
     pub health: RecordHealth,
 }
@@ -80,7 +80,7 @@
             incarnation,
             sequence: self.sequence,
             health,
-            leaving: self.leaving,
+            phase: self.phase,
             profile: is_alive.then(|| Arc::clone(&self.profile)),
         }
     }
@@ -88,11 +88,14 @@
     /// Makes the entry of the view, unless the run is dead or gone.
     #[must_use]
     pub fn to_member(&self, incarnation: incarnation::Incarnation) -> Option<member::Member> {
-        let state = match self.health {
-            RecordHealth::Alive if self.leaving => member::MemberState::Leaving,
-            RecordHealth::Alive => member::MemberState::Live,
-            RecordHealth::Suspect { .. } => member::MemberState::Suspect,
-            RecordHealth::Dead { .. } | RecordHealth::Gone { .. } => return None,
+        if !self.is_present() {
+            return None;
+        }
+        let state = match (self.phase, self.health) {
+            (member::MemberPhase::Starting, _) => member::MemberState::Starting,
+            (member::MemberPhase::Leaving, _) => member::MemberState::Leaving,
+            (member::MemberPhase::Serving, RecordHealth::Alive) => member::MemberState::Live,
+            (member::MemberPhase::Serving, _) => member::MemberState::Suspect,
         };
         Some(member::Member::new(&self.profile, incarnation, state))
     }
--- a/crates/coordination/membership/src/roster.rs
+++ b/crates/coordination/membership/src/roster.rs
@@ -68,7 +68,12 @@
     ) -> bool {
         let health = record::RecordHealth::Gone { since: now };
         let profile = Arc::clone(profile);
-        let grave = record::MemberRecord { profile, sequence: 0, leaving: true, health };
+        let grave = record::MemberRecord {
+            profile,
+            sequence: 0,
+            phase: member::MemberPhase::Leaving,
+            health,
+        };
         let record = self.records.entry(target).or_insert_with(|| grave.clone());
         let is_new = record.is_present() || record.is_dead() || *record == grave;
         record.health = health;
@@ -126,7 +131,7 @@
         let record = record::MemberRecord {
             profile: Arc::clone(profile),
             sequence: update.sequence,
-            leaving: update.leaving,
+            phase: update.phase,
             health,
         };
         self.records.insert(update.incarnation, record);
@@ -163,10 +168,10 @@
         }
         (_, health) => health,
     };
-    let leaving = record.leaving || update.leaving;
-    let changed = is_newer || health != record.health || leaving != record.leaving;
+    let phase = record.phase.max(update.phase);
+    let changed = is_newer || health != record.health || phase != record.phase;
     record.sequence = update.sequence;
     record.health = health;
-    record.leaving = leaving;
+    record.phase = phase;
     changed
 }
--- a/crates/coordination/membership/src/update.rs
+++ b/crates/coordination/membership/src/update.rs
@@ -18,8 +18,8 @@
     pub sequence: u32,
     /// Whether it answers.
     pub health: UpdateHealth,
-    /// Whether it takes no new requests.
-    pub leaving: bool,
+    /// How far it has come.
+    pub phase: member::MemberPhase,
     /// What it tells of itself, for those who do not know it.
     pub profile: Option<Arc<member::MemberProfile>>,
 }
--- a/crates/coordination/membership/src/view.rs
+++ b/crates/coordination/membership/src/view.rs
@@ -72,7 +72,7 @@
         match member.state {
             member::MemberState::Live => true,
             member::MemberState::Suspect => self.counts_suspects,
-            member::MemberState::Leaving => false,
+            member::MemberState::Starting | member::MemberState::Leaving => false,
         }
     }
 }
--- a/crates/coordination/membership/tests/membership.rs
+++ b/crates/coordination/membership/tests/membership.rs
@@ -240,3 +240,18 @@
     let settings = settings::MembershipSettings { isolation_factor: 1, ..Default::default() };
     assert!(lost_while_cut_off(settings) > 0);
 }
+
+#[test]
+fn starting_instance_is_known_but_takes_no_requests() {
+    let mut schedule = started(5, 15);
+    schedule.replace(2);
+    schedule.list_all();
+    schedule.run(seconds(10));
+    let starting = schedule.nodes[2].incarnation;
+    let view = schedule.nodes[0].keeper.view();
+    assert!(view.by_incarnation(starting).is_some());
+    assert!(view.live().all(|member| member.incarnation != Some(starting)));
+    schedule.handle(2, keeper::MembershipEvent::Serve);
+    schedule.run(seconds(5));
+    assert!(schedule.agrees());
+}
--- a/crates/coordination/membership/tests/support/mod.rs
+++ b/crates/coordination/membership/tests/support/mod.rs
@@ -81,8 +81,14 @@
         schedule
     }
 
-    /// Starts a process at the address of an index, in place of any before.
+    /// Starts a process that takes requests at once.
     pub(crate) fn start(&mut self, index: usize) {
+        self.replace(index);
+        self.handle(index, keeper::MembershipEvent::Serve);
+    }
+
+    /// Starts a process at the address of an index, in place of any before.
+    pub(crate) fn replace(&mut self, index: usize) {
         let address = address_of(index);
         let incarnation = incarnation::Incarnation::from_u64(self.rng.random());
         let region = index % 3;
--- a/crates/protocol/peer/src/membership.rs
+++ b/crates/protocol/peer/src/membership.rs
@@ -17,9 +17,9 @@
     /// Sequence that the sender gives itself.
     #[prost(uint32, tag = "1")]
     pub sequence: u32,
-    /// Whether the sender takes no new requests.
-    #[prost(bool, tag = "2")]
-    pub leaving: bool,
+    /// Number of the sender's [`Phase`].
+    #[prost(enumeration = "Phase", tag = "2")]
+    pub phase: i32,
     /// Digest of the members that the sender knows.
     #[prost(fixed64, tag = "3")]
     pub digest: u64,
@@ -136,9 +136,9 @@
     /// Number of the [`Health`].
     #[prost(enumeration = "Health", tag = "3")]
     pub health: i32,
-    /// Whether it takes no new requests.
-    #[prost(bool, tag = "4")]
-    pub leaving: bool,
+    /// Number of its [`Phase`].
+    #[prost(enumeration = "Phase", tag = "4")]
+    pub phase: i32,
     /// What it tells of itself.
     #[prost(message, optional, tag = "5")]
     pub profile: Option<Profile>,
@@ -180,6 +180,19 @@
     Gone = 2,
 }
 
+/// How far a run has come.
+#[derives::value]
+#[derive(prost::Enumeration)]
+#[repr(i32)]
+pub enum Phase {
+    /// It takes requests.
+    Serving = 0,
+    /// It has no confirmed tables yet.
+    Starting = 1,
+    /// It takes no new requests.
+    Leaving = 2,
+}
+
 /// Why a message cannot be used.
 #[derives::record]
 #[derive(derive_more::Display, derive_more::Error)]
@@ -196,7 +209,7 @@
     },
     /// A number is none of the known states.
     #[display("message holds the unknown state {number}; run one version of the program")]
-    Health {
+    State {
         /// What was sent.
         number: i32,
     },
@@ -206,7 +219,7 @@
     fn from(message: message::MembershipMessage) -> Self {
         Self {
             sequence: message.header.sequence,
-            leaving: message.header.leaving,
+            phase: Phase::from(message.header.phase).into(),
             digest: message.header.digest,
             body: Some(message.body.into()),
             updates: message.updates.into_iter().map(Update::from).collect(),
@@ -220,7 +233,7 @@
     fn try_from(raw: Membership) -> Result<Self, Self::Error> {
         let header = message::SenderHeader {
             sequence: raw.sequence,
-            leaving: raw.leaving,
+            phase: parse_phase(raw.phase)?,
             digest: raw.digest,
         };
         let body = raw.body.ok_or(MembershipError::Incomplete)?.try_into()?;
@@ -308,7 +321,7 @@
             incarnation: update.incarnation.as_u64(),
             sequence: update.sequence,
             health: Health::from(update.health).into(),
-            leaving: update.leaving,
+            phase: Phase::from(update.phase).into(),
             profile: update.profile.map(|profile| Profile::from(&*profile)),
         }
     }
@@ -323,7 +336,7 @@
             incarnation: incarnation::Incarnation::from_u64(raw.incarnation),
             sequence: raw.sequence,
             health: parse_health(raw.health)?,
-            leaving: raw.leaving,
+            phase: parse_phase(raw.phase)?,
             profile: profile.map(Arc::new),
         })
     }
@@ -367,12 +380,31 @@
     }
 }
 
+impl From<member::MemberPhase> for Phase {
+    fn from(phase: member::MemberPhase) -> Self {
+        match phase {
+            member::MemberPhase::Starting => Self::Starting,
+            member::MemberPhase::Serving => Self::Serving,
+            member::MemberPhase::Leaving => Self::Leaving,
+        }
+    }
+}
+
+fn parse_phase(number: i32) -> Result<member::MemberPhase, MembershipError> {
+    match Phase::try_from(number) {
+        Ok(Phase::Starting) => Ok(member::MemberPhase::Starting),
+        Ok(Phase::Serving) => Ok(member::MemberPhase::Serving),
+        Ok(Phase::Leaving) => Ok(member::MemberPhase::Leaving),
+        Err(_) => Err(MembershipError::State { number }),
+    }
+}
+
 fn parse_health(number: i32) -> Result<update::UpdateHealth, MembershipError> {
     match Health::try_from(number) {
         Ok(Health::Alive) => Ok(update::UpdateHealth::Alive),
         Ok(Health::Suspect) => Ok(update::UpdateHealth::Suspect),
         Ok(Health::Gone) => Ok(update::UpdateHealth::Gone),
-        Err(_) => Err(MembershipError::Health { number }),
+        Err(_) => Err(MembershipError::State { number }),
     }
 }
 
--- a/crates/protocol/settings/src/catalogue.rs
+++ b/crates/protocol/settings/src/catalogue.rs
@@ -98,4 +98,6 @@
         "Time without word of the object API, also by way of peers, after which keys are in doubt.";
     KEYS_UNDECIDED = "keys.undecided", "`refuse` or `serve`", "refuse", None,
         "What becomes of keyed requests when an outage of the object API cannot be told from being cut off.";
+    PEERS_CONTACTS = "peers.contacts", "list of IP addresses and ports", "[]", None,
+        "Peer addresses tried beside the platform's list, so that an instance at a new address finds others while the platform is down.";
 }
--- a/crates/protocol/settings/src/document.rs
+++ b/crates/protocol/settings/src/document.rs
@@ -28,6 +28,9 @@
     /// How long and when keys are believed.
     #[serde(default)]
     pub keys: KeysDocument,
+    /// Where other instances may be found.
+    #[serde(default)]
+    pub peers: PeersDocument,
 }
 
 /// The `[instance]` table.
@@ -138,6 +141,15 @@
     Serve,
 }
 
+/// The `[peers]` table.
+#[derives::document]
+#[derive(Default)]
+#[serde(default, deny_unknown_fields)]
+pub struct PeersDocument {
+    /// Peer addresses that are tried beside those of the platform's list.
+    pub contacts: Vec<Arc<str>>,
+}
+
 /// The `[objective]` table.
 #[derives::document]
 #[derive(Default)]
--- a/crates/protocol/settings/src/settings.rs
+++ b/crates/protocol/settings/src/settings.rs
@@ -33,6 +33,8 @@
     pub objective: DeploymentObjective,
     /// How long and when keys are believed.
     pub keys: KeyTrustSettings,
+    /// Peer addresses that are tried beside those of the platform's list.
+    pub contacts: Vec<net::SocketAddr>,
 }
 
 /// Who an instance is.
@@ -143,6 +145,7 @@
             document::WeighDocument::Latency => DeploymentObjective::Latency,
         };
         let keys = check_keys(&mut faults, &raw.keys);
+        let contacts = check_contacts(&mut faults, &raw.peers);
         let checked = (|| {
             Some(Self {
                 identity: identity?,
@@ -153,6 +156,7 @@
                 callers: callers?,
                 objective,
                 keys: keys?,
+                contacts: contacts?,
             })
         })();
         checked.ok_or(faults)
@@ -247,7 +251,21 @@
     })
 }
 
-/// Checks an address that others are told.
+fn check_contacts(
+    faults: &mut fault::FaultList,
+    raw: &document::PeersDocument,
+) -> Option<Vec<net::SocketAddr>> {
+    let rows = raw.contacts.iter().enumerate();
+    let checked: Vec<_> = rows
+        .map(|(index, text)| {
+            let path = format!("peers.contacts[{index}]");
+            faults.check(&path, check_reachable(text))
+        })
+        .collect();
+    checked.into_iter().collect()
+}
+
+/// Checks an address that others are told or that is called.
 fn check_reachable(text: &Arc<str>) -> Result<net::SocketAddr, fault::FaultKind> {
     let address = check_address(text)?;
     if address.ip().is_unspecified() {
--- a/crates/protocol/settings/tests/settings.rs
+++ b/crates/protocol/settings/tests/settings.rs
@@ -59,6 +59,11 @@
         "[keys]\nmax_age_ms = 500\n[callers]",
         "keys.max_age_ms: 500 is out of range; use 10000 to 600000",
     );
+    contact_that_is_no_address => (
+        "[callers]",
+        "[peers]\ncontacts = [\"10.0.0.1:7200\", \"nowhere\"]\n[callers]",
+        "peers.contacts[1]: `nowhere` is not an address",
+    );
     unknown_choice_for_undecided_keys => (
         "[callers]",
         "[keys]\nundecided = \"maybe\"\n[callers]",
--- a/crates/transport/node/src/control/listing.rs
+++ b/crates/transport/node/src/control/listing.rs
@@ -23,14 +23,16 @@
     client: client::StoreClient,
     events: mpsc::Sender<keeper::MembershipEvent>,
 ) {
+    let mut addresses = shared.settings.contacts.clone();
     loop {
         if let Ok(list) = client.list_instances().await {
             shared.dispatch.set_leaving(leaving_servers(&list));
-            let addresses: Vec<net::SocketAddr> =
-                list.instances.into_iter().map(|listed| listed.peers).collect();
-            if events.send(keeper::MembershipEvent::Listed(addresses)).await.is_err() {
-                return;
-            }
+            addresses.clone_from(&shared.settings.contacts);
+            addresses.extend(list.instances.into_iter().map(|listed| listed.peers));
+        }
+        let listed = keeper::MembershipEvent::Listed(addresses.clone());
+        if events.send(listed).await.is_err() {
+            return;
         }
         let knows_others = shared.members.load().members.len() > 1;
         let period = if knows_others { LISTING_PERIOD } else { JOIN_PERIOD };
--- a/crates/transport/node/src/control/membership.rs
+++ b/crates/transport/node/src/control/membership.rs
@@ -26,6 +26,8 @@
     events: mpsc::Receiver<keeper::MembershipEvent>,
     keeper: keeper::MembershipKeeper,
     rng: rand_pcg::Pcg64Mcg,
+    /// Whether others were told that this instance takes requests.
+    serving: bool,
 }
 
 impl MembershipDriver {
@@ -44,7 +46,7 @@
         );
         let rng = rand_pcg::Pcg64Mcg::seed_from_u64(rand::random());
         shared.publish_members(keeper.view());
-        Self { shared, mesh, events, keeper, rng }
+        Self { shared, mesh, events, keeper, rng, serving: false }
     }
 
     /// Runs until all senders of events are gone or the instance stops.
@@ -65,7 +67,20 @@
         if matches!(event, keeper::MembershipEvent::Tick) {
             let dump = self.keeper.dump(self.shared.now());
             self.shared.control.set_membership(dump, self.mesh.link_count());
+            self.serve_once_ready();
         }
+        self.decide(event);
+    }
+
+    /// Tells others that this instance takes requests, once it has its tables.
+    fn serve_once_ready(&mut self) {
+        if !self.serving && self.shared.is_ready() {
+            self.serving = true;
+            self.decide(keeper::MembershipEvent::Serve);
+        }
+    }
+
+    fn decide(&mut self, event: keeper::MembershipEvent) {
         let mut actions = Vec::new();
         self.keeper.handle(event, self.shared.now(), &mut self.rng, &mut actions);
         for action in actions {
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -100,8 +100,9 @@
 
     /// Puts a set of tables in force.
     pub fn apply(&self, applied: configuration::AppliedTables) {
-        let live_count = self.members.load().live_count();
-        self.admission.set_limits(&applied.snapshot, live_count, self.now());
+        // Starting and leaving instances admit requests too, or will at once.
+        let sharing_count = self.members.load().members.len();
+        self.admission.set_limits(&applied.snapshot, sharing_count, self.now());
         self.dispatch.set_pools(&applied.snapshot);
         self.record_versions(&applied.versions);
         self.tables.store(sync::Arc::new(applied));
