Count silence and rounded latency in the choice of a server

Ruled out: counting silence from the first microsecond; idle slots with false reports rose above those of least in flight (fleet test failed).

Change: a server silent for eight times its least latency counts by its silence; latencies count by powers of two from 1 ms.

--- a/crates/coordination/dispatch/benches/choice.rs
+++ b/crates/coordination/dispatch/benches/choice.rs
@@ -30,7 +30,7 @@
     for (index, address) in addresses.into_iter().enumerate() {
         let latency = duration::Duration::from_micros(1_000 + index as u64 % 7);
         let result = picker::ReportedResult::Answered(latency);
-        picker.begin(address);
+        picker.begin(address, time::Timestamp::ZERO);
         let report = picker::AttemptReport { result, open_requests: Some(index as u32 % 9) };
         picker.finish(address, report, time::Timestamp::ZERO);
     }
@@ -46,7 +46,7 @@
             bencher.iter(|| {
                 seed += 1;
                 let server = picker.pick(&[], seed, now).expect("a slot is free");
-                picker.begin(server);
+                picker.begin(server, now);
                 let report = picker::AttemptReport {
                     result: picker::ReportedResult::Cancelled,
                     open_requests: None,
--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -23,6 +23,10 @@
 const REPORT_LIFE_BITS: u32 = 20;
 /// Time for which a server that shed a request is passed over.
 const SHED_PAUSE: duration::Duration = duration::Duration::from_millis(20);
+/// Times the least latency after which a server counts as silent.
+const SILENCE_FACTOR: u64 = 8;
+/// Latency below which servers count as equally far, in microseconds.
+const NEAR_US: u64 = 1 << 10;
 /// Scale of a load in a score.
 const LOAD_SCALE: u64 = 1 << 20;
 
@@ -69,6 +73,8 @@
     /// End of the pause after a shed, or of the ejection.
     blocked_until: time::Timestamp,
     least_us: u64,
+    /// Start of the wait for the next answer.
+    silent_since: time::Timestamp,
     health: health::ServerHealth,
 }
 
@@ -131,8 +137,11 @@
     }
 
     /// Records the start of a request at a server.
-    pub fn begin(&mut self, address: net::SocketAddr) {
+    pub fn begin(&mut self, address: net::SocketAddr, now: time::Timestamp) {
         if let Some(server) = self.server_mut(address) {
+            if server.in_flight == 0 {
+                server.silent_since = now;
+            }
             server.in_flight += 1;
         }
     }
@@ -153,7 +162,7 @@
             server.reported_at = now;
         }
         match report.result {
-            ReportedResult::Answered(latency) => server.record_answer(latency),
+            ReportedResult::Answered(latency) => server.record_answer(latency, now),
             ReportedResult::Shed => server.block_until(now + SHED_PAUSE),
             ReportedResult::Failed => {
                 if server.health.record_failure() && may_eject {
@@ -240,6 +249,7 @@
             reported_at: time::Timestamp::ZERO,
             blocked_until: time::Timestamp::ZERO,
             least_us: 0,
+            silent_since: time::Timestamp::ZERO,
             health,
         }
     }
@@ -266,12 +276,26 @@
         u64::from(self.in_flight) * self.slot_load + (others >> REPORT_LIFE_BITS)
     }
 
+    /// Expects the next answer after the least latency seen, or, once the server
+    /// is silent for many times as long, after as long as that. An unknown
+    /// server is tried first.
     fn score(&self, now: time::Timestamp) -> u64 {
-        // The least latency tells the distance; an unknown server is tried first.
-        self.least_us.saturating_mul(LOAD_SCALE + self.believed_load(now))
+        let silent_us = match self.in_flight {
+            0 => 0,
+            _ => now.as_micros().saturating_sub(self.silent_since.as_micros()),
+        };
+        let usual = silent_us <= self.least_us.saturating_mul(SILENCE_FACTOR);
+        let expected_us = match self.least_us {
+            0 => 0,
+            // Servers that are about as far share the load.
+            least_us if usual => least_us.max(NEAR_US).next_power_of_two(),
+            _ => silent_us.max(NEAR_US),
+        };
+        expected_us.saturating_mul(LOAD_SCALE + self.believed_load(now))
     }
 
-    fn record_answer(&mut self, latency: duration::Duration) {
+    fn record_answer(&mut self, latency: duration::Duration, now: time::Timestamp) {
+        self.silent_since = now;
         let latency_us = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
         self.health.record_success();
         self.least_us = match self.least_us {
--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -111,7 +111,7 @@
         now: time::Timestamp,
     ) -> Option<net::SocketAddr> {
         let server = self.picker.pick(avoided, seed, now)?;
-        self.picker.begin(server);
+        self.picker.begin(server, now);
         Some(server)
     }
 
@@ -152,7 +152,7 @@
         let mut granted = Vec::new();
         while let Some(grant) = self.next_grant(seed.wrapping_add(granted.len() as u64), now) {
             self.queue.take(grant.ticket);
-            self.picker.begin(grant.server);
+            self.picker.begin(grant.server, now);
             granted.push(grant);
         }
         QueueTurn { granted, expired }
--- a/crates/coordination/dispatch/tests/service.rs
+++ b/crates/coordination/dispatch/tests/service.rs
@@ -122,7 +122,7 @@
     let now = time::Timestamp::from_millis(1);
     for server in servers {
         for _ in 0..3 {
-            picker.begin(address(server));
+            picker.begin(address(server), now);
             picker.finish(address(server), report(Failed), now);
         }
     }
@@ -141,8 +141,9 @@
     let mut picker = picker::BackendPicker::new(policy::ChoiceRule::SoonestAnswer, Nothing);
     picker.set_servers(&make_pool(&[1, 2, 3], &[], 3), time::Timestamp::ZERO);
     let fail = |picker: &mut picker::BackendPicker, at_ms| {
-        picker.begin(address(1));
-        picker.finish(address(1), report(Failed), time::Timestamp::from_millis(at_ms));
+        let now = time::Timestamp::from_millis(at_ms);
+        picker.begin(address(1), now);
+        picker.finish(address(1), report(Failed), now);
     };
     (0..3).for_each(|_| fail(&mut picker, 1));
     let ejected = |picker: &picker::BackendPicker, at_ms| {
@@ -153,6 +154,36 @@
     assert!(ejected(&picker, 3_000) && !ejected(&picker, 3_001));
 }
 
+#[test]
+fn silent_server_is_passed_over_before_it_fails() {
+    let mut picker = picker::BackendPicker::new(policy::ChoiceRule::SoonestAnswer, Nothing);
+    picker.set_servers(&make_pool(&[1, 2], &[], 30), time::Timestamp::ZERO);
+    for (server, latency_ms) in [(1, 1), (2, 20)] {
+        picker.begin(address(server), time::Timestamp::ZERO);
+        let answered = Answered(duration::Duration::from_millis(latency_ms));
+        picker.finish(address(server), report(answered), time::Timestamp::ZERO);
+    }
+    let now = time::Timestamp::from_millis(1);
+    assert_eq!(picker.pick(&[], 1, now), Some(address(1)));
+    picker.begin(address(1), now);
+    assert_eq!(picker.pick(&[], 1, time::Timestamp::from_millis(40)), Some(address(2)));
+}
+
+/// Servers whose latencies differ by chance share the load.
+#[test]
+fn servers_about_as_far_share_the_load() {
+    let mut picker = picker::BackendPicker::new(policy::ChoiceRule::SoonestAnswer, Nothing);
+    picker.set_servers(&make_pool(&[1, 2, 3], &[], 3), time::Timestamp::ZERO);
+    let now = time::Timestamp::from_millis(1);
+    for server in [1, 2, 3] {
+        picker.begin(address(server), now);
+        let answered = Answered(duration::Duration::from_micros(5_000 + u64::from(server)));
+        picker.finish(address(server), report(answered), now);
+    }
+    let picked = (0..100).filter_map(|seed| picker.pick(&[], seed, now));
+    assert_eq!(picked.collect::<collections::HashSet<_>>().len(), 3);
+}
+
 /// Retries over ten thousand requests that all fail.
 fn check_retries(disabled: DisabledMechanism, holds: bool) {
     const REQUESTS: u32 = 10_000;
