Admit clients of other regions under the caps of their shift

Cause: the caps of a shift were kept by the planner's belief only; callers keep to old answers and a look-up is not needed to reach an instance. Ruled out: charging the giver of an answer (callers cache, a block's traffic is unknown). Change: caps and headrooms of the steering object are limits of the ledger; a request whose client is at home in another region spends from both before its team's limit. Before: no bound at the arriving side. Conclusion: the caps hold whatever the plan believed.

--- a/crates/coordination/ledger/src/limit.rs
+++ b/crates/coordination/ledger/src/limit.rs
@@ -20,10 +20,10 @@
     /// A route's requests over all teams.
     #[display("route")]
     Route,
-    /// Clients moved between sites by a shift.
+    /// Requests of one region's clients that another region serves.
     #[display("shift")]
     Shift,
-    /// Requests that a region may be sent beyond its present load.
+    /// Requests that a region serves for the clients of all others.
     #[display("headroom")]
     Headroom,
     /// Bytes over a link between regions.
@@ -47,6 +47,18 @@
         Self::of_text(LimitKind::Route, route.as_str())
     }
 
+    /// Returns the cap on one region's clients that another region serves.
+    #[must_use]
+    pub fn of_shift(from: &name::RegionName, to: &name::RegionName) -> Self {
+        Self::of_text(LimitKind::Shift, &format!("{from}>{to}"))
+    }
+
+    /// Returns the limit of the traffic that a region takes for all others.
+    #[must_use]
+    pub fn of_headroom(region: &name::RegionName) -> Self {
+        Self::of_text(LimitKind::Headroom, region.as_str())
+    }
+
     /// Returns the limit of a kind and a name.
     #[must_use]
     pub fn of_text(kind: LimitKind, name: &str) -> Self {
--- a/crates/coordination/steering/src/table.rs
+++ b/crates/coordination/steering/src/table.rs
@@ -14,6 +14,7 @@
 use marjoramwing_entity::primary;
 use marjoramwing_membership::member;
 use marjoramwing_membership::view;
+use marjoramwing_tables::name;
 use marjoramwing_tables::region;
 use marjoramwing_tables::site;
 use marjoramwing_tables::snapshot;
@@ -44,6 +45,7 @@
     pub(crate) regions: primary::PrimaryMap<region::RegionKey, RegionEntry>,
     blocks: Arc<table::BlockTable>,
     site_regions: primary::PrimaryMap<site::SiteKey, region::RegionKey>,
+    region_names: primary::PrimaryMap<region::RegionKey, name::RegionName>,
     view: Arc<view::MemberView>,
 }
 
@@ -66,7 +68,8 @@
                 regions[region].members.push(LiveMember { index, seed });
             }
         }
-        Self { regions, blocks, site_regions, view }
+        let region_names = tables.regions.values().map(|region| region.name.clone()).collect();
+        Self { regions, blocks, site_regions, region_names, view }
     }
 
     /// Returns the home region of a client.
@@ -76,6 +79,12 @@
         self.site_regions.get(site).copied()
     }
 
+    /// Returns the name of a region.
+    #[must_use]
+    pub fn region_name(&self, region: region::RegionKey) -> Option<&name::RegionName> {
+        self.region_names.get(region)
+    }
+
     /// Returns the member of an index.
     ///
     /// # Panics
--- a/crates/transport/node/src/admission/control.rs
+++ b/crates/transport/node/src/admission/control.rs
@@ -16,6 +16,7 @@
 use marjoramwing_ledger::mechanism;
 use marjoramwing_settings::settings;
 use marjoramwing_tables::snapshot;
+use marjoramwing_tables::team;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -64,13 +65,7 @@
 
     /// Sets the limits of a snapshot.
     pub fn set_limits(&self, tables: &snapshot::TableSnapshot, now: time::Timestamp) {
-        let teams = tables.teams.values();
-        let teams = teams.map(|team| (limit::LimitId::of_team(&team.name), team.limit));
-        let routes = tables.routes.values().filter_map(|route| {
-            let id = limit::LimitId::of_route(&route.name);
-            route.limit.map(|limit| (id, limit))
-        });
-        let limits: collections::BTreeMap<_, _> = teams.chain(routes).collect();
+        let limits = collect_limits(tables);
         let ledger = &mut self.lock().ledger;
         let known: Vec<_> = ledger.limit_ids().collect();
         for id in known.into_iter().filter(|id| !limits.contains_key(id)) {
@@ -159,3 +154,23 @@
         self.state.lock().expect("no task panics while it holds the ledger")
     }
 }
+
+type LimitTable = collections::BTreeMap<limit::LimitId, team::RateLimit>;
+
+fn collect_limits(tables: &snapshot::TableSnapshot) -> LimitTable {
+    let teams = tables.teams.values();
+    let teams = teams.map(|team| (limit::LimitId::of_team(&team.name), team.limit));
+    let routes = tables.routes.values().filter_map(|route| {
+        let id = limit::LimitId::of_route(&route.name);
+        route.limit.map(|limit| (id, limit))
+    });
+    let shifts = tables.shifts.iter().map(|cap| {
+        let (from, to) = (&tables.regions[cap.from].name, &tables.regions[cap.to].name);
+        (limit::LimitId::of_shift(from, to), cap.limit)
+    });
+    let headrooms = tables.regions.values().filter_map(|region| {
+        let id = limit::LimitId::of_headroom(&region.name);
+        region.headroom.map(|limit| (id, limit))
+    });
+    teams.chain(routes).chain(shifts).chain(headrooms).collect()
+}
--- a/crates/transport/node/src/callers/answer.rs
+++ b/crates/transport/node/src/callers/answer.rs
@@ -78,7 +78,7 @@
     NotReady,
     /// Every region that could serve the caller has reached its cap.
     #[display(
-        "your region is out of service and the others have reached their caps; ask again later"
+        "this region takes no more clients of yours now; ask a look-up again after the time in Retry-After"
     )]
     ShiftCapped,
     /// No backend server took the request.
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -11,6 +11,7 @@
 use marjoramwing_ledger::action;
 use marjoramwing_ledger::limit;
 use marjoramwing_tables::credential as tables_credential;
+use marjoramwing_tables::name;
 use marjoramwing_tables::route;
 use marjoramwing_tables::snapshot;
 use marjoramwing_tables::team;
@@ -34,7 +35,7 @@
     request: http::Request<axum::body::Body>,
 ) -> axum::response::Response {
     let _open = OpenRequest::begin(&shared);
-    shared.steering.note_arrival(peer.ip());
+    let home = shared.steering.note_arrival(peer.ip());
     let arrived = shared.now();
     let tables = sync::Arc::clone(&shared.tables.load().snapshot);
     let route = find_route(&tables, &request);
@@ -42,7 +43,9 @@
         Ok(key) => {
             let route = &tables.routes[*key];
             let deadline = arrived + route.deadline;
-            RequestPath { shared: &shared, tables: &tables, route, deadline }.run(request).await
+            let path =
+                RequestPath { shared: &shared, tables: &tables, route, deadline, home: &home };
+            path.run(request).await
         }
         Err(refusal) => Err(refusal.clone()),
     };
@@ -109,6 +112,8 @@
     tables: &'a snapshot::TableSnapshot,
     route: &'a route::Route,
     deadline: time::Timestamp,
+    /// Home region of the client, if its address has one.
+    home: &'a Option<name::RegionName>,
 }
 
 /// Who sent a request, as its key tells.
@@ -210,7 +215,7 @@
     /// Returns the time before which the request's first byte must be sent.
     async fn admit(&self, team: Option<team::TeamKey>) -> Result<time::Timestamp, answer::Refusal> {
         let admission = &self.shared.admission;
-        let mut send_before = time::Timestamp::NEVER;
+        let mut send_before = self.admit_foreign().await?;
         if self.route.limit.is_some() {
             let id = limit::LimitId::of_route(&self.route.name);
             let outcome = admission.admit(id, self.shared.now()).await;
@@ -224,6 +229,28 @@
         Ok(send_before)
     }
 
+    /// Admits a client of another region under the caps of the shift.
+    ///
+    /// Callers keep to old answers of look-ups, so only here the caps are exact.
+    async fn admit_foreign(&self) -> Result<time::Timestamp, answer::Refusal> {
+        let own = &self.shared.settings.identity.region;
+        let Some(home) = self.home.as_ref().filter(|home| *home != own) else {
+            return Ok(time::Timestamp::NEVER);
+        };
+        let mut send_before = time::Timestamp::NEVER;
+        for id in [limit::LimitId::of_shift(home, own), limit::LimitId::of_headroom(own)] {
+            match self.shared.admission.admit(id, self.shared.now()).await {
+                action::TicketOutcome::Admitted { valid_until } => {
+                    send_before = send_before.min(valid_until);
+                }
+                action::TicketOutcome::Refused { .. } => {
+                    return Err(answer::Refusal::not_run(answer::RefusalKind::ShiftCapped));
+                }
+            }
+        }
+        Ok(send_before)
+    }
+
     async fn prepare(
         &self,
         request: http::Request<axum::body::Body>,
--- a/crates/transport/node/src/steering/driver.rs
+++ b/crates/transport/node/src/steering/driver.rs
@@ -120,7 +120,7 @@
             let members = table.serving_count(region);
             self.tell(&planner::PlannerEvent::Serving { region, members });
         }
-        self.shared.steering.table.store(Some(sync::Arc::new(table)));
+        self.shared.steering.replace_table(sync::Arc::new(table));
         self.publish();
     }
 
--- a/crates/transport/node/src/steering/mod.rs
+++ b/crates/transport/node/src/steering/mod.rs
@@ -16,6 +16,7 @@
 use marjoramwing_steering::planner;
 use marjoramwing_steering::rendezvous;
 use marjoramwing_steering::table;
+use marjoramwing_tables::name;
 use marjoramwing_tables::region;
 use marjoramwing_tables::snapshot;
 use marjoramwing_tables::team;
@@ -82,12 +83,18 @@
         lookup::find_members(context, &table, &self.plan.load(), &query)
     }
 
+    /// Puts a table in force.
+    pub fn replace_table(&self, table: sync::Arc<table::SteeringTable>) {
+        self.table.store(Some(table));
+    }
+
     /// Counts an arriving request and returns the home region of its client.
-    pub fn note_arrival(&self, client: net::IpAddr) -> Option<region::RegionKey> {
+    pub fn note_arrival(&self, client: net::IpAddr) -> Option<name::RegionName> {
         let table = self.table.load();
-        let home = table.as_ref()?.find_home(client)?;
+        let table = table.as_ref()?;
+        let home = table.find_home(client)?;
         self.traffic.add(home);
-        Some(home)
+        table.region_name(home).cloned()
     }
 
     /// Returns the plan of every region, for the state dump.
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -8,5 +8,6 @@
 #[path = "../support/ledger.rs"]
 mod ledger;
 mod service;
+mod shifts;
 mod stream;
 mod support;
