--- a/crates/coordination/ledger/src/asking.rs
+++ b/crates/coordination/ledger/src/asking.rs
@@ -19,7 +19,9 @@
 use crate::message;
 use crate::share;
 
-/// Longest wait for a holder's answer.
+/// Longest time for which a request waits, over several asks.
+pub const REQUEST_WAIT: duration::Duration = duration::Duration::from_secs(1);
+/// Longest wait for a holder's answer to one ask.
 pub const ASK_WAIT: duration::Duration = duration::Duration::from_millis(250);
 /// Time within which a request that a holder admitted must be sent.
 const SEND_WAIT: duration::Duration = duration::Duration::from_secs(10);
@@ -188,7 +190,7 @@
     /// Refuses the requests that waited too long.
     pub fn expire(&mut self, now: time::Timestamp, actions: &mut Vec<action::LedgerAction>) {
         while let Some(oldest) = self.waiting.front() {
-            if now < oldest.since + ASK_WAIT {
+            if now < oldest.since + REQUEST_WAIT {
                 return;
             }
             settle(oldest.ticket, refused(NO_ANSWER_RETRY), actions);
@@ -223,7 +225,7 @@
         fell || now >= loan.renewed_at + RENEW_AFTER
     }
 
-    /// Settles what waits for a limit that this instance now holds.
+    /// Admits what waits for a limit that this instance now holds, as tokens come.
     pub fn settle_held(
         &mut self,
         bucket: &mut bucket::TokenBucket,
@@ -231,13 +233,12 @@
         now: time::Timestamp,
         actions: &mut Vec<action::LedgerAction>,
     ) {
-        for request in self.waiting.drain(..) {
-            let outcome = if bucket.take(request.amount, now) {
-                action::TicketOutcome::Admitted { valid_until }
-            } else {
-                refused(bucket.time_until(request.amount))
-            };
-            settle(request.ticket, outcome, actions);
+        while let Some(oldest) = self.waiting.front() {
+            if !bucket.take(oldest.amount, now) {
+                return;
+            }
+            settle(oldest.ticket, action::TicketOutcome::Admitted { valid_until }, actions);
+            self.waiting.pop_front();
         }
     }
 
--- a/crates/transport/node/src/admission/members.rs
+++ b/crates/transport/node/src/admission/members.rs
@@ -50,9 +50,9 @@
 ) -> action::LedgerEvent {
     match state {
         member::MemberState::Leaving => action::LedgerEvent::MemberLeft(incarnation),
-        member::MemberState::Live | member::MemberState::Suspect => {
-            action::LedgerEvent::MemberDown(incarnation)
-        }
+        member::MemberState::Starting
+        | member::MemberState::Live
+        | member::MemberState::Suspect => action::LedgerEvent::MemberDown(incarnation),
     }
 }
 
