--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -29,6 +29,8 @@
 const NEAR_US: u64 = 1 << 10;
 /// Time after which the latency of a server that is not used is forgotten.
 const LATENCY_LIFE: duration::Duration = duration::Duration::from_secs(30);
+/// Usable servers that one choice scores, from a place that differs each time.
+const MAX_SCORED: usize = 128;
 /// Scale of a load in a score.
 const LOAD_SCALE: u64 = 1 << 20;
 
@@ -136,7 +138,7 @@
             policy::ChoiceRule::LeastInFlight => usable.min_by_key(|server| server.own_load()),
             policy::ChoiceRule::TwoChoices => self.pick_of_two(usable, seed, now),
             policy::ChoiceRule::SoonestAnswer => {
-                usable.min_by_key(|server| self.score(server, now))
+                usable.take(MAX_SCORED).min_by_key(|server| self.score(server, now))
             }
         };
         chosen.map(|server| server.address)
