--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -30,8 +30,10 @@
 
 /// Time given to the last messages to peers before the process ends.
 const FAREWELL_WAIT: time::Duration = time::Duration::from_millis(200);
-/// Longest wait for the hand-over of limits; without it an heir takes over.
-const MAX_HANDOVER_WAIT: time::Duration = time::Duration::from_secs(5);
+/// Longest wait for the hand-over of limits: a loan, its margin and the release.
+///
+/// Without it an heir takes over, if it has not been replaced as well.
+const MAX_HANDOVER_WAIT: time::Duration = time::Duration::from_secs(15);
 const HANDOVER_POLL: time::Duration = time::Duration::from_millis(20);
 
 /// Why an instance could not start.
