Tell backend servers the route's whole deadline; one attempt in a file of its own

Ruled out: longer leases (a dead holder's limits would wait longer). Change: the lease bounds only the moment of the first byte, which the gate checks; the header tells the route's deadline. ServerAttempt moves to callers/attempt.rs. Before: lease_of_a_limit_does_not_shorten_the_deadline saw 11,999 ms of 60,000. Left: a process that is frozen between the gate and the socket's write may send late; a header that says by when a backend server must have begun would close that.

--- /dev/null
+++ b/crates/transport/node/src/callers/attempt.rs
@@ -0,0 +1,150 @@
+//! One attempt at one backend server.
+//!
+//! Invariant: the last moment at which the first byte may be written is
+//! checked by the connection's gate; how far the attempt came is read off the
+//! gate, whatever the connection says.
+
+use std::net;
+use std::sync;
+
+use marjoramwing_dispatch::exchange;
+use marjoramwing_dispatch::gate;
+use marjoramwing_dispatch::picker;
+use tokio_util::sync as cancellation;
+
+use crate::backends::answer as backend_answer;
+use crate::backends::connection;
+use crate::backends::service;
+use crate::callers::attempts;
+use crate::callers::request;
+
+/// How an attempt ended.
+pub(crate) struct AttemptEnd {
+    pub(crate) key: exchange::AttemptKey,
+    pub(crate) address: net::SocketAddr,
+    pub(crate) result: AttemptResult,
+}
+
+/// What came of an attempt.
+pub(crate) enum AttemptResult {
+    Answered(Box<attempts::OpenAnswer>),
+    Shed,
+    Crossed,
+    Failed(exchange::AttemptState),
+    Unreachable,
+    Abandoned(exchange::AttemptState),
+}
+
+/// One attempt on its way to one backend server.
+pub(crate) struct ServerAttempt<'a> {
+    pub(crate) context: attempts::AttemptContext<'a>,
+    pub(crate) key: exchange::AttemptKey,
+    pub(crate) address: net::SocketAddr,
+    pub(crate) cancel: cancellation::CancellationToken,
+}
+
+impl ServerAttempt<'_> {
+    /// Makes the attempt with the slot that it was given.
+    pub(crate) async fn run(self, guard: service::ServerGuard) -> AttemptEnd {
+        let result = self.exchange(guard).await;
+        AttemptEnd { key: self.key, address: self.address, result }
+    }
+
+    async fn exchange(&self, mut guard: service::ServerGuard) -> AttemptResult {
+        let connection = tokio::select! {
+            biased;
+            () = self.cancel.cancelled() => None,
+            connection = self.connect(&guard) => Some(connection),
+        };
+        let mut connection = match connection {
+            None => return AttemptResult::Abandoned(exchange::AttemptState::NotSent),
+            Some(None) => {
+                guard.note(picker::ReportedResult::Failed, None);
+                return AttemptResult::Unreachable;
+            }
+            Some(Some(connection)) => connection,
+        };
+        let send_before = self.context.deadline.min(self.context.send_before);
+        let time_left = self.context.deadline.since(self.context.shared.now());
+        let request = self.context.request.build(time_left);
+        let marks = request::AnswerMarks::of(request.headers());
+        let gate = sync::Arc::clone(connection.gate());
+        let sent = tokio::select! {
+            biased;
+            sent = connection.send(request, send_before) => Some(sent),
+            () = self.cancel.cancelled() => None,
+        };
+        let response = match sent {
+            None => return self.abandon(&gate, guard),
+            Some(Ok(response)) if is_late(&response) => {
+                guard.note(picker::ReportedResult::Failed, None);
+                return AttemptResult::Failed(gate.reached());
+            }
+            Some(Ok(response)) if !marks.contradict(response.headers()) => response,
+            Some(sent) => {
+                let unsent = sent.as_ref().is_err_and(|state| state.is_not_run());
+                let told = if unsent {
+                    picker::ReportedResult::Cancelled
+                } else {
+                    picker::ReportedResult::Failed
+                };
+                guard.note(told, None);
+                return sent.map_or_else(AttemptResult::Failed, |_| AttemptResult::Crossed);
+            }
+        };
+        let open_requests = told_load(response.headers());
+        match gate.reached().after(head_event(&response)) {
+            exchange::AttemptState::Answered => {
+                guard.note(picker::ReportedResult::Answered(guard.age()), open_requests);
+                let exchange = backend_answer::OpenExchange { connection, guard };
+                AttemptResult::Answered(Box::new(attempts::OpenAnswer { response, exchange }))
+            }
+            exchange::AttemptState::Shed => {
+                guard.note(picker::ReportedResult::Shed, open_requests);
+                AttemptResult::Shed
+            }
+            state => AttemptResult::Failed(state),
+        }
+    }
+
+    /// Closes a silent exchange and forgets what may have gone silent with it.
+    fn abandon(&self, gate: &gate::SendGate, mut guard: service::ServerGuard) -> AttemptResult {
+        guard.service().connections.forget(self.address);
+        guard.note(picker::ReportedResult::Failed, None);
+        AttemptResult::Abandoned(gate.close())
+    }
+
+    async fn connect(&self, guard: &service::ServerGuard) -> Option<connection::Connection> {
+        let shared = self.context.shared;
+        let idempotent = self.context.route.is_idempotent(self.context.request.method().as_str());
+        let kept = guard.service().connections.take(self.address, idempotent, shared.now());
+        match kept {
+            Some(connection) => Some(connection),
+            None => connection::Connection::open(self.address, shared.clock()).await,
+        }
+    }
+}
+
+/// Header with which a backend server tells its open requests.
+const LOAD_HEADER: &str = "marjoramwing-load";
+
+fn told_load(headers: &http::HeaderMap) -> Option<u32> {
+    headers.get(LOAD_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+/// Header with which a backend server says that it did not run a request.
+const SHED_HEADER: &str = "marjoramwing-shed";
+
+/// Tells whether a backend server gave up at the deadline that it was told.
+fn is_late<B>(response: &http::Response<B>) -> bool {
+    response.status() == http::StatusCode::GATEWAY_TIMEOUT
+}
+
+fn head_event<B>(response: &http::Response<B>) -> exchange::AttemptEvent {
+    let unavailable = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
+    if unavailable && response.headers().contains_key(SHED_HEADER) {
+        exchange::AttemptEvent::ShedHead
+    } else {
+        exchange::AttemptEvent::Head
+    }
+}
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -10,9 +10,7 @@
 use futures_util::StreamExt;
 use futures_util::stream;
 use marjoramwing_dispatch::exchange;
-use marjoramwing_dispatch::gate;
 use marjoramwing_dispatch::mechanism;
-use marjoramwing_dispatch::picker;
 use marjoramwing_dispatch::queue;
 use marjoramwing_entity::primary;
 use marjoramwing_entity::time;
@@ -22,9 +20,9 @@
 use tokio_util::sync as cancellation;
 
 use crate::backends::answer as backend_answer;
-use crate::backends::connection;
 use crate::backends::service;
 use crate::callers::answer;
+use crate::callers::attempt;
 use crate::callers::request;
 use crate::shared;
 
@@ -61,30 +59,6 @@
     pub exchange: backend_answer::OpenExchange,
 }
 
-/// How an attempt ended.
-struct AttemptEnd {
-    key: exchange::AttemptKey,
-    address: net::SocketAddr,
-    result: AttemptResult,
-}
-
-enum AttemptResult {
-    Answered(Box<OpenAnswer>),
-    Shed,
-    Crossed,
-    Failed(exchange::AttemptState),
-    Unreachable,
-    Abandoned(exchange::AttemptState),
-}
-
-/// One attempt on its way to one backend server.
-struct ServerAttempt<'a> {
-    context: AttemptContext<'a>,
-    key: exchange::AttemptKey,
-    address: net::SocketAddr,
-    cancel: cancellation::CancellationToken,
-}
-
 /// Runs attempts until one is answered or none may follow.
 ///
 /// # Errors
@@ -109,7 +83,7 @@
     AttemptDriver { context, exchange, open, cancels, failed, fault }.run().await
 }
 
-type AttemptFuture<'a> = futures_util::future::BoxFuture<'a, AttemptEnd>;
+type AttemptFuture<'a> = futures_util::future::BoxFuture<'a, attempt::AttemptEnd>;
 
 struct AttemptDriver<'a> {
     context: AttemptContext<'a>,
@@ -216,7 +190,7 @@
         let cancel = cancellation::CancellationToken::new();
         let key = self.exchange.begin(self.now());
         self.cancels.push(cancel.clone());
-        let attempt = ServerAttempt { context: self.context, key, address, cancel };
+        let attempt = attempt::ServerAttempt { context: self.context, key, address, cancel };
         self.open.push(Box::pin(attempt.run(guard)));
     }
 
@@ -236,43 +210,47 @@
         None
     }
 
-    fn record(&mut self, end: AttemptEnd) -> Option<OpenAnswer> {
-        let AttemptEnd { key, address, result } = end;
+    fn record(&mut self, end: attempt::AttemptEnd) -> Option<OpenAnswer> {
+        let attempt::AttemptEnd { key, address, result } = end;
         self.count(&result, address);
         match result {
-            AttemptResult::Answered(open) => {
+            attempt::AttemptResult::Answered(open) => {
                 self.exchange.end(key, exchange::AttemptState::Answered);
                 return Some(*open);
             }
-            AttemptResult::Shed => {
+            attempt::AttemptResult::Shed => {
                 self.exchange.end(key, exchange::AttemptState::Shed);
                 self.failed.retain(|failed| *failed != address);
             }
-            AttemptResult::Unreachable => self.exchange.end(key, exchange::AttemptState::NotSent),
-            AttemptResult::Crossed => self.exchange.end(key, exchange::AttemptState::PossiblySent),
-            AttemptResult::Failed(state) => self.exchange.end(key, state),
-            AttemptResult::Abandoned(state) => self.exchange.abandon(key, state),
+            attempt::AttemptResult::Unreachable => {
+                self.exchange.end(key, exchange::AttemptState::NotSent);
+            }
+            attempt::AttemptResult::Crossed => {
+                self.exchange.end(key, exchange::AttemptState::PossiblySent);
+            }
+            attempt::AttemptResult::Failed(state) => self.exchange.end(key, state),
+            attempt::AttemptResult::Abandoned(state) => self.exchange.abandon(key, state),
         }
         None
     }
 
-    fn count(&self, result: &AttemptResult, address: net::SocketAddr) {
+    fn count(&self, result: &attempt::AttemptResult, address: net::SocketAddr) {
         let label = match result {
-            AttemptResult::Answered(_) => "answered",
-            AttemptResult::Shed => "shed",
-            AttemptResult::Crossed => {
+            attempt::AttemptResult::Answered(_) => "answered",
+            attempt::AttemptResult::Shed => "shed",
+            attempt::AttemptResult::Crossed => {
                 emit!(catalogue::BACKEND_ANSWER_CROSSED, server = %address);
                 "crossed"
             }
-            AttemptResult::Failed(_) => {
+            attempt::AttemptResult::Failed(_) => {
                 emit!(catalogue::BACKEND_EXCHANGE_FAILED, server = %address);
                 "broken_off"
             }
-            AttemptResult::Unreachable => {
+            attempt::AttemptResult::Unreachable => {
                 emit!(catalogue::BACKEND_CONNECT_FAILED, server = %address);
                 "connect_failed"
             }
-            AttemptResult::Abandoned(_) => "abandoned",
+            attempt::AttemptResult::Abandoned(_) => "abandoned",
         };
         self.context.shared.metrics.attempts.with_label_values(&[label]).inc();
     }
@@ -306,110 +284,6 @@
     }
 }
 
-impl ServerAttempt<'_> {
-    async fn run(self, guard: service::ServerGuard) -> AttemptEnd {
-        let result = self.exchange(guard).await;
-        AttemptEnd { key: self.key, address: self.address, result }
-    }
-
-    async fn exchange(&self, mut guard: service::ServerGuard) -> AttemptResult {
-        let connection = tokio::select! {
-            biased;
-            () = self.cancel.cancelled() => None,
-            connection = self.connect(&guard) => Some(connection),
-        };
-        let mut connection = match connection {
-            None => return AttemptResult::Abandoned(exchange::AttemptState::NotSent),
-            Some(None) => {
-                guard.note(picker::ReportedResult::Failed, None);
-                return AttemptResult::Unreachable;
-            }
-            Some(Some(connection)) => connection,
-        };
-        let send_before = self.context.deadline.min(self.context.send_before);
-        let request = self.context.request.build(send_before.since(self.context.shared.now()));
-        let marks = request::AnswerMarks::of(request.headers());
-        let gate = sync::Arc::clone(connection.gate());
-        let sent = tokio::select! {
-            biased;
-            sent = connection.send(request, send_before) => Some(sent),
-            () = self.cancel.cancelled() => None,
-        };
-        let response = match sent {
-            None => return self.abandon(&gate, guard),
-            Some(Ok(response)) if is_late(&response) => {
-                guard.note(picker::ReportedResult::Failed, None);
-                return AttemptResult::Failed(gate.reached());
-            }
-            Some(Ok(response)) if !marks.contradict(response.headers()) => response,
-            Some(sent) => {
-                let unsent = sent.as_ref().is_err_and(|state| state.is_not_run());
-                let told = if unsent {
-                    picker::ReportedResult::Cancelled
-                } else {
-                    picker::ReportedResult::Failed
-                };
-                guard.note(told, None);
-                return sent.map_or_else(AttemptResult::Failed, |_| AttemptResult::Crossed);
-            }
-        };
-        let open_requests = told_load(response.headers());
-        match gate.reached().after(head_event(&response)) {
-            exchange::AttemptState::Answered => {
-                guard.note(picker::ReportedResult::Answered(guard.age()), open_requests);
-                let exchange = backend_answer::OpenExchange { connection, guard };
-                AttemptResult::Answered(Box::new(OpenAnswer { response, exchange }))
-            }
-            exchange::AttemptState::Shed => {
-                guard.note(picker::ReportedResult::Shed, open_requests);
-                AttemptResult::Shed
-            }
-            state => AttemptResult::Failed(state),
-        }
-    }
-
-    /// Closes a silent exchange and forgets what may have gone silent with it.
-    fn abandon(&self, gate: &gate::SendGate, mut guard: service::ServerGuard) -> AttemptResult {
-        guard.service().connections.forget(self.address);
-        guard.note(picker::ReportedResult::Failed, None);
-        AttemptResult::Abandoned(gate.close())
-    }
-
-    async fn connect(&self, guard: &service::ServerGuard) -> Option<connection::Connection> {
-        let shared = self.context.shared;
-        let idempotent = self.context.route.is_idempotent(self.context.request.method().as_str());
-        let kept = guard.service().connections.take(self.address, idempotent, shared.now());
-        match kept {
-            Some(connection) => Some(connection),
-            None => connection::Connection::open(self.address, shared.clock()).await,
-        }
-    }
-}
-
-/// Header with which a backend server tells its open requests.
-const LOAD_HEADER: &str = "marjoramwing-load";
-
-fn told_load(headers: &http::HeaderMap) -> Option<u32> {
-    headers.get(LOAD_HEADER)?.to_str().ok()?.parse().ok()
-}
-
-/// Header with which a backend server says that it did not run a request.
-const SHED_HEADER: &str = "marjoramwing-shed";
-
-/// Tells whether a backend server gave up at the deadline that it was told.
-fn is_late<B>(response: &http::Response<B>) -> bool {
-    response.status() == http::StatusCode::GATEWAY_TIMEOUT
-}
-
-fn head_event<B>(response: &http::Response<B>) -> exchange::AttemptEvent {
-    let unavailable = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
-    if unavailable && response.headers().contains_key(SHED_HEADER) {
-        exchange::AttemptEvent::ShedHead
-    } else {
-        exchange::AttemptEvent::Head
-    }
-}
-
 fn is_bounded<B: http_body::Body>(response: &http::Response<B>) -> bool {
     response.body().is_end_stream()
         || response.body().size_hint().exact().is_some()
--- a/crates/transport/node/src/callers/mod.rs
+++ b/crates/transport/node/src/callers/mod.rs
@@ -1,6 +1,7 @@
 //! The caller port: look-up and the path of a request.
 //!
 //! - [`answer`]: answers that the instance gives itself.
+//! - `attempt`: one attempt at one backend server.
 //! - [`attempts`]: the attempts at one request.
 //! - [`body`]: the body of a request, with a bound on its pauses.
 //! - [`claims`]: claims of idempotency keys.
@@ -16,6 +17,7 @@
 //! - [`target`]: the one form of a request's path and host.
 
 pub mod answer;
+mod attempt;
 pub mod attempts;
 pub mod body;
 pub mod claims;
--- a/crates/transport/node/tests/outcome/credentials.rs
+++ b/crates/transport/node/tests/outcome/credentials.rs
@@ -110,3 +110,21 @@
         assert_eq!(streaming.await.unwrap().body, None);
     });
 }
+
+/// Route deadline that is longer than any lease of a limit, in milliseconds.
+const LONG_DEADLINE_MS: u64 = 60_000;
+/// Longest lease or grant of a limit, in milliseconds.
+const LEASE_MS: u64 = 12_000;
+
+#[test]
+fn lease_of_a_limit_does_not_shorten_the_deadline() {
+    support::block_on(async {
+        let server = backend::ScriptedServer::start(&[]).await;
+        let instance = support::TestInstance::start(&[server.address], LONG_DEADLINE_MS).await;
+        assert_eq!(send(&instance, &[("authorization", BEARER)]).await.status, 200);
+        let head = server.runs()[0].head.to_ascii_lowercase();
+        let told = head.split("marjoramwing-deadline-ms: ").nth(1).unwrap();
+        let told: u64 = told.lines().next().unwrap().trim().parse().unwrap();
+        assert!(told > LEASE_MS && told <= LONG_DEADLINE_MS, "{told}");
+    });
+}
