Hash a presented key once a request

Cause: the read of the whole change found that each keyed request hashed its key twice: to authenticate it and to watch it while the answer streams. Ruled out: passing the hash beside the key, a second thing to keep in step. Change: a presented key keeps its hash once it was made. Behaviour is as before.

--- a/crates/state/tables/src/credential.rs
+++ b/crates/state/tables/src/credential.rs
@@ -3,6 +3,7 @@
 //! Invariant: the secret text never leaves [`PresentedKey`], whose `Debug`
 //! form hides it; the tables hold hashes only.
 
+use std::cell;
 use std::fmt;
 use std::sync::Arc;
 
@@ -80,6 +81,7 @@
 pub struct PresentedKey<'a> {
     text: &'a str,
     id: &'a str,
+    hash: cell::OnceCell<KeyHash>,
 }
 
 impl<'a> PresentedKey<'a> {
@@ -90,7 +92,11 @@
             return None;
         }
         let (id, secret) = text.split_once('.')?;
-        (!id.is_empty() && !secret.is_empty()).then_some(Self { text, id })
+        (!id.is_empty() && !secret.is_empty()).then_some(Self {
+            text,
+            id,
+            hash: cell::OnceCell::new(),
+        })
     }
 
     /// Returns the public identifier.
@@ -99,10 +105,10 @@
         self.id
     }
 
-    /// Hashes the whole key.
+    /// Returns the hash of the whole key, made once.
     #[must_use]
     pub fn hash(&self) -> KeyHash {
-        KeyHash::of(self.text)
+        *self.hash.get_or_init(|| KeyHash::of(self.text))
     }
 }
 
