--- a/crates/coordination/configuration/src/keeper.rs
+++ b/crates/coordination/configuration/src/keeper.rs
@@ -116,6 +116,14 @@
     trust: trust::KeyTrust,
 }
 
+/// One version of an object, with its text.
+#[derive(Debug)]
+pub(crate) struct ToldObject {
+    pub(crate) object: candidate::TableObject,
+    pub(crate) version: u64,
+    pub(crate) text: bytes::Bytes,
+}
+
 /// A digest that waits for its answer.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PendingAsk {
@@ -233,12 +241,28 @@
         rng: &mut impl rand::Rng,
         actions: &mut Vec<ConfigurationAction>,
     ) {
-        self.fetches.finish(object, version);
-        if !self.selector.offer(object, version, text) {
+        self.offer_all(vec![ToldObject { object, version, text }], rng, actions);
+    }
+
+    /// Takes in objects that were read together, and chooses among them once.
+    pub(crate) fn offer_all(
+        &mut self,
+        told: Vec<ToldObject>,
+        rng: &mut impl rand::Rng,
+        actions: &mut Vec<ConfigurationAction>,
+    ) {
+        let mut is_new = false;
+        for ToldObject { object, version, text } in told {
+            self.fetches.finish(object, version);
+            if self.selector.offer(object, version, text) {
+                is_new = true;
+                let wanted = group::version_mut(&mut self.wanted, object);
+                *wanted = version.max(*wanted);
+            }
+        }
+        if !is_new {
             return;
         }
-        let wanted = group::version_mut(&mut self.wanted, object);
-        *wanted = version.max(*wanted);
         actions.extend(self.selector.select().map(ConfigurationAction::Apply));
         if self.settings.notices {
             self.announce(rng, actions);
--- a/crates/coordination/configuration/src/store.rs
+++ b/crates/coordination/configuration/src/store.rs
@@ -85,12 +85,24 @@
             return;
         }
         self.calls.revision = answer.revision;
-        for change in &answer.changes {
-            if let Some(object) = candidate::TableObject::from_name(&change.name) {
-                let wanted = group::version_mut(&mut self.wanted, object);
-                *wanted = change.version.0.max(*wanted);
+        let mut told = Vec::new();
+        for change in answer.changes {
+            let Some(object) = candidate::TableObject::from_name(&change.name) else { continue };
+            let wanted = group::version_mut(&mut self.wanted, object);
+            *wanted = change.version.0.max(*wanted);
+            match change.value {
+                operation::ChangedValue::Told(text) => {
+                    told.push(keeper::ToldObject { object, version: change.version.0, text });
+                }
+                // The fault is that of the text, which is offered so that it is reported.
+                operation::ChangedValue::Unreadable(reason) => {
+                    let text = bytes::Bytes::copy_from_slice(reason.as_bytes());
+                    told.push(keeper::ToldObject { object, version: change.version.0, text });
+                }
+                operation::ChangedValue::Untold | operation::ChangedValue::Deleted => {}
             }
         }
+        self.offer_all(told, rng, actions);
         self.calls.unread_since = Some(sent);
         self.read_wanted(now, actions);
         self.confirm_read();
--- a/crates/coordination/configuration/tests/support/fleet.rs
+++ b/crates/coordination/configuration/tests/support/fleet.rs
@@ -101,8 +101,10 @@
         let changes = newer.map(|object| operation::ObjectChange {
             name: object.name.clone(),
             version: object::ObjectVersion(object.version),
+            value: operation::ChangedValue::Untold,
         });
-        operation::WatchAnswer { revision: self.revision, changes: changes.collect() }
+        let changes = changes.collect();
+        operation::WatchAnswer { revision: self.revision, changes, is_whole: false }
     }
 }
 
--- a/crates/coordination/dispatch/benches/choice.rs
+++ b/crates/coordination/dispatch/benches/choice.rs
@@ -22,11 +22,12 @@
         failure_domain: domain.clone(),
         slots: 9,
         draining: false,
+        registered: None,
     };
     let servers: primary::PrimaryMap<_, _> = (1..=servers).map(server).collect();
     let name = name::PoolName::try_from(&Arc::from("web")).expect("a valid name");
     let addresses: Vec<_> = servers.values().map(|server| server.address).collect();
-    picker.set_servers(&pool::Pool { name, servers }, time::Timestamp::ZERO);
+    picker.set_servers(&pool::Pool { name, servers, cold_start: None }, time::Timestamp::ZERO);
     for (index, address) in addresses.into_iter().enumerate() {
         let latency = duration::Duration::from_micros(1_000 + index as u64 % 7);
         let result = picker::ReportedResult::Answered(latency);
@@ -45,7 +46,8 @@
         criterion.bench_function(&format!("choice among {servers}"), |bencher| {
             bencher.iter(|| {
                 seed += 1;
-                let server = picker.pick(&[], seed, now).expect("a slot is free");
+                let server =
+                    picker.pick(&picker::ServerWish::default(), seed, now).expect("a slot is free");
                 picker.begin(server, now);
                 let report = picker::AttemptReport {
                     result: picker::ReportedResult::Cancelled,
--- a/crates/coordination/dispatch/src/exchange.rs
+++ b/crates/coordination/dispatch/src/exchange.rs
@@ -78,6 +78,8 @@
     pub deadline: time::Timestamp,
     /// Attempts that are not shed.
     pub max_attempts: u32,
+    /// Whether an attempt after a shed one costs a retry too.
+    pub counts_sheds: bool,
     /// Longest wait for the head of an answer before another server is tried.
     pub silence: duration::Duration,
     /// Wait before a second attempt runs beside the first.
@@ -145,11 +147,13 @@
 
     /// Tells whether the next attempt costs a token of the retry budget.
     ///
-    /// An attempt after a shed one does not: its server did no work.
+    /// An attempt after a shed one may not: its server did no work.
     #[must_use]
     pub fn costs_retry(&self) -> bool {
         let last = self.attempts.values().next_back();
-        last.is_some_and(|attempt| attempt.state != AttemptState::Shed)
+        let costs =
+            |attempt: &Attempt| self.rules.counts_sheds || attempt.state != AttemptState::Shed;
+        last.is_some_and(costs)
     }
 
     /// Gives up the second attempt beside the first.
--- a/crates/coordination/dispatch/src/health.rs
+++ b/crates/coordination/dispatch/src/health.rs
@@ -72,6 +72,12 @@
         self.warm_from = Some(self.ejected_until);
     }
 
+    /// Tells whether all of a server's slots may be used.
+    #[must_use]
+    pub fn is_warm(&self, now: time::Timestamp) -> bool {
+        self.warm_from.is_none_or(|from| now.since(from) >= SLOW_START)
+    }
+
     /// Returns how many of a server's slots may be used.
     #[must_use]
     pub fn usable_slots(&self, slots: u32, now: time::Timestamp) -> u32 {
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! - [`budget`]: retries as a share of live traffic.
 //! - [`claim`]: claims of idempotency keys.
+//! - [`cold`]: the pace of requests to a cold server.
+//! - [`distance`]: how far a backend server is.
 //! - [`exchange`]: how far the attempts came, and what may follow.
 //! - [`gate`]: the last moment before the first byte.
 //! - [`health`]: ejection and slow start.
@@ -13,6 +15,8 @@
 
 pub mod budget;
 pub mod claim;
+pub mod cold;
+pub mod distance;
 pub mod exchange;
 pub mod gate;
 pub mod health;
--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -7,12 +7,16 @@
 
 use std::collections;
 use std::net;
+use std::sync::Arc;
 use std::time as duration;
 
 use marjoramwing_derives as derives;
 use marjoramwing_entity::time;
+use marjoramwing_tables::name;
 use marjoramwing_tables::pool;
 
+use crate::cold;
+use crate::distance;
 use crate::health;
 use crate::mechanism;
 use crate::policy;
@@ -31,6 +35,20 @@
 const LATENCY_LIFE: duration::Duration = duration::Duration::from_secs(30);
 /// Usable servers that one choice scores, from a place that differs each time.
 const MAX_SCORED: usize = 128;
+/// Time for which a server's report of its load counts.
+const REPORT_LIFE: duration::Duration = duration::Duration::from_millis(300);
+/// Requests that may wait at a server, as a part of its slots.
+const QUEUE_DIVISOR: u32 = 3;
+/// Times the usual work after which a server counts as silent.
+const SILENCE_WORKS: u64 = 3;
+/// Part of the usual work that a wholly taken server counts more than an idle one.
+const CROWDING_DIVISOR: u64 = 8;
+/// Work that is assumed before the first answer, in microseconds.
+const FIRST_WORK_US: u64 = 200_000;
+/// Answers over which a server's usual work is averaged.
+const SERVER_SMOOTHING: u64 = 8;
+/// Answers over which the usual work of all servers is averaged.
+const POOL_SMOOTHING: u64 = 64;
 /// Scale of a load in a score.
 const LOAD_SCALE: u64 = 1 << 20;
 
@@ -56,6 +74,24 @@
     Cancelled,
 }
 
+/// Which servers a request may go to.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ServerWish<'a> {
+    /// Servers that were tried in vain.
+    pub avoided: &'a [net::SocketAddr],
+    /// The only regions in which the request may be served.
+    pub regions: Option<&'a [Arc<str>]>,
+}
+
+impl ServerWish<'_> {
+    fn admits(&self, address: net::SocketAddr, region: &Option<Arc<str>>) -> bool {
+        let is_home =
+            |regions: &[Arc<str>]| region.as_ref().is_some_and(|region| regions.contains(region));
+        let in_region = self.regions.is_none_or(is_home);
+        in_region && !self.avoided.contains(&address)
+    }
+}
+
 /// Chooses among the backend servers of one pool.
 #[derive(Debug, Clone)]
 pub struct BackendPicker {
@@ -63,11 +99,20 @@
     disabled: mechanism::DisabledMechanism,
     servers: Vec<ServerState>,
     places: collections::HashMap<net::SocketAddr, usize>,
+    /// Usual time at a server, without the way to it, in microseconds.
+    work_us: u64,
 }
 
 #[derive(Debug, Clone)]
 struct ServerState {
     address: net::SocketAddr,
+    failure_domain: name::DomainName,
+    region: Option<Arc<str>>,
+    registered: Option<pool::ServerIdentity>,
+    distance: distance::ServerDistance,
+    cold: cold::ColdPace,
+    /// Usual time at this server, in microseconds; 0 before its first answer.
+    work_us: u64,
     slots: u32,
     slot_load: u64,
     in_flight: u32,
@@ -89,7 +134,7 @@
     #[must_use]
     pub fn new(rule: policy::ChoiceRule, disabled: mechanism::DisabledMechanism) -> Self {
         let places = collections::HashMap::new();
-        Self { rule, disabled, servers: Vec::new(), places }
+        Self { rule, disabled, servers: Vec::new(), places, work_us: FIRST_WORK_US }
     }
 
     /// Takes over the servers of a pool; what is known of them is kept.
@@ -99,13 +144,17 @@
         let joins = !self.servers.is_empty();
         self.servers.iter_mut().for_each(|state| state.listed = false);
         for server in pool.servers.values() {
-            let cold =
-                if joins { health::ServerHealth::cold(now) } else { health::ServerHealth::WARM };
+            let starts_slowly = joins && server.registered.is_none();
+            let cold = match starts_slowly {
+                true => health::ServerHealth::cold(now),
+                false => health::ServerHealth::WARM,
+            };
             let place = *self.places.entry(server.address).or_insert_with(|| {
                 self.servers.push(ServerState::new(server, cold));
                 self.servers.len() - 1
             });
             let state = &mut self.servers[place];
+            state.take_registration(server, now);
             state.slots = server.slots;
             state.slot_load = LOAD_SCALE / u64::from(server.slots.max(1));
             state.listed = !server.draining;
@@ -113,6 +162,38 @@
         self.forget_gone();
     }
 
+    /// Notes how far the servers are from this instance.
+    pub fn set_places(&mut self, place_of: &dyn Fn(&name::DomainName) -> distance::DomainPlace) {
+        for server in &mut self.servers {
+            let told = place_of(&server.failure_domain);
+            server.distance.place = told.place;
+            server.region = told.region;
+        }
+    }
+
+    /// Sets what this instance may send to each cold server, in requests per second.
+    pub fn set_cold_rates(&mut self, rate_of: &dyn Fn(&str) -> u32) {
+        for server in &mut self.servers {
+            if let Some(registered) = &server.registered {
+                server.cold.set_rate(rate_of(&registered.id));
+            }
+        }
+    }
+
+    /// Notes the time that a connection to a server took to open.
+    pub fn note_connected(&mut self, address: net::SocketAddr, round_trip: duration::Duration) {
+        if let Some(server) = self.server_mut(address) {
+            server.distance.note(round_trip);
+        }
+    }
+
+    /// Returns the identifier of a server that registered itself.
+    #[must_use]
+    pub fn identity(&self, address: net::SocketAddr) -> Option<Arc<str>> {
+        let server = &self.servers[*self.places.get(&address)?];
+        server.registered.as_ref().map(|registered| Arc::clone(&registered.id))
+    }
+
     /// Gives the leaving among the servers no new work; a later call replaces it.
     pub fn set_leaving(&mut self, leaving: &collections::HashSet<net::SocketAddr>) {
         for server in &mut self.servers {
@@ -120,19 +201,24 @@
         }
     }
 
-    /// Chooses a server that is listed, healthy, not avoided and has a free slot.
+    /// Chooses a server that is listed, healthy, wanted and has a free slot.
     #[must_use]
     pub fn pick(
         &self,
-        avoided: &[net::SocketAddr],
+        wish: &ServerWish<'_>,
         seed: u64,
         now: time::Timestamp,
     ) -> Option<net::SocketAddr> {
         let offset = usize::try_from(spread(seed)).ok()?.checked_rem(self.servers.len())?;
         let (before, after) = self.servers.split_at(offset);
         let rotated = after.iter().chain(before);
-        let mut usable =
-            rotated.filter(|server| server.is_usable(now) && !avoided.contains(&server.address));
+        let room = |server: &ServerState| match self.rule {
+            policy::ChoiceRule::ExpectedDelay => server.has_room(now),
+            _ => server.in_flight < server.slots,
+        };
+        let mut usable = rotated.filter(|server| {
+            room(server) && server.is_usable(now) && wish.admits(server.address, &server.region)
+        });
         let chosen = match self.rule {
             policy::ChoiceRule::Random => usable.next(),
             policy::ChoiceRule::LeastInFlight => usable.min_by_key(|server| server.own_load()),
@@ -140,15 +226,18 @@
             policy::ChoiceRule::SoonestAnswer => {
                 usable.take(MAX_SCORED).min_by_key(|server| self.score(server, now))
             }
+            policy::ChoiceRule::ExpectedDelay => {
+                usable.min_by_key(|server| server.expected_us(self.work_us, now))
+            }
         };
         chosen.map(|server| server.address)
     }
 
     /// Tells whether any server may be used, now or later.
     #[must_use]
-    pub fn has_server(&self, avoided: &[net::SocketAddr]) -> bool {
+    pub fn has_server(&self, wish: &ServerWish<'_>) -> bool {
         let mut staying = self.servers.iter().filter(|server| server.listed && !server.leaving);
-        staying.any(|server| !avoided.contains(&server.address))
+        staying.any(|server| wish.admits(server.address, &server.region))
     }
 
     /// Records the start of a request at a server.
@@ -158,6 +247,7 @@
                 server.silent_since = now;
             }
             server.in_flight += 1;
+            server.cold.record(now);
         }
     }
 
@@ -177,7 +267,11 @@
             server.reported_at = now;
         }
         match report.result {
-            ReportedResult::Answered(latency) => server.record_answer(latency, now),
+            ReportedResult::Answered(latency) => {
+                server.record_answer(latency, now);
+                let work_us = server.work_us;
+                self.work_us = smooth(self.work_us, work_us, POOL_SMOOTHING);
+            }
             ReportedResult::Shed => server.block_until(now + SHED_PAUSE),
             ReportedResult::Failed => {
                 if server.health.record_failure() && may_eject {
@@ -187,9 +281,7 @@
             }
             ReportedResult::Cancelled => {}
         }
-        if !server.listed {
-            self.forget_gone();
-        }
+        self.forget_gone();
     }
 
     /// Returns the requests that this instance has open at a server.
@@ -207,7 +299,13 @@
     /// Returns when a server that is passed over may be usable again.
     #[must_use]
     pub fn next_change(&self, now: time::Timestamp) -> Option<time::Timestamp> {
-        let ends = self.servers.iter().map(|server| server.blocked_until);
+        let reports_count = self.rule == policy::ChoiceRule::ExpectedDelay;
+        let ends = self.servers.iter().flat_map(|server| {
+            let report_end = (server.reported_at + REPORT_LIFE).as_micros();
+            let report_end = if reports_count { report_end } else { 0 };
+            let report_end = time::Timestamp::from_micros(report_end);
+            [server.blocked_until, server.cold.next_at(), report_end]
+        });
         ends.filter(|end| *end > now).min()
     }
 
@@ -264,6 +362,12 @@
     fn new(server: &pool::BackendServer, health: health::ServerHealth) -> Self {
         Self {
             address: server.address,
+            failure_domain: server.failure_domain.clone(),
+            region: None,
+            registered: None,
+            distance: distance::ServerDistance::default(),
+            cold: cold::ColdPace::WARM,
+            work_us: 0,
             slots: server.slots,
             slot_load: LOAD_SCALE / u64::from(server.slots.max(1)),
             in_flight: 0,
@@ -280,11 +384,61 @@
     }
 
     fn is_usable(&self, now: time::Timestamp) -> bool {
-        self.in_flight < self.slots
-            && now >= self.blocked_until
+        now >= self.blocked_until
             && self.listed
             && !self.leaving
-            && self.in_flight < self.health.usable_slots(self.slots, now)
+            && self.cold.allows(now)
+            && (self.health.is_warm(now)
+                || self.in_flight < self.health.usable_slots(self.slots, now))
+    }
+
+    /// Tells whether the server's own queue would be short, for all instances.
+    fn has_room(&self, now: time::Timestamp) -> bool {
+        let queue = self.slots.div_ceil(QUEUE_DIVISOR);
+        self.believed_open(now) < self.slots + queue
+    }
+
+    /// Takes over who the server is; another run of it starts from nothing.
+    fn take_registration(&mut self, server: &pool::BackendServer, now: time::Timestamp) {
+        let Some(told) = &server.registered else { return };
+        let known = self.registered.as_ref();
+        let same_run =
+            known.is_some_and(|known| known.id == told.id && known.started_ms == told.started_ms);
+        let was_told = known.is_some_and(|known| known == told);
+        if !same_run {
+            let (in_flight, place, cold) = (self.in_flight, self.distance.place, self.cold);
+            let region = self.region.take();
+            *self = Self::new(server, health::ServerHealth::WARM);
+            (self.in_flight, self.distance.place, self.cold) = (in_flight, place, cold);
+            self.region = region;
+        }
+        if !was_told {
+            self.cold.set_until(now + told.cold_for);
+            self.registered = Some(told.clone());
+        }
+    }
+
+    /// Returns the requests that the server holds, from all instances.
+    fn believed_open(&self, now: time::Timestamp) -> u32 {
+        let is_fresh = now.since(self.reported_at) < REPORT_LIFE;
+        self.in_flight + if is_fresh { self.others } else { 0 }
+    }
+
+    /// Returns the expected time to an answer, in microseconds.
+    fn expected_us(&self, pool_work_us: u64, now: time::Timestamp) -> u64 {
+        let usual_us = if self.work_us == 0 { pool_work_us } else { self.work_us };
+        let silent_us = match self.in_flight {
+            0 => 0,
+            _ => now.as_micros().saturating_sub(self.silent_since.as_micros()),
+        };
+        let is_silent = silent_us > usual_us.saturating_mul(SILENCE_WORKS);
+        let work_us = if is_silent { silent_us } else { usual_us };
+        let open = u64::from(self.believed_open(now));
+        let slots = u64::from(self.slots.max(1));
+        let queued = (open + 1).saturating_sub(slots);
+        // A fuller server is more likely to be full by the time the request arrives.
+        let crowding_us = work_us * open / (slots * CROWDING_DIVISOR);
+        self.distance.cost_us() + work_us + work_us * queued / slots + crowding_us
     }
 
     fn block_until(&mut self, until: time::Timestamp) {
@@ -324,6 +478,11 @@
         self.answered_at = now;
         let latency_us = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
         self.health.record_success();
+        let at_server_us = latency_us.saturating_sub(self.distance.round_trip_us());
+        self.work_us = match self.work_us {
+            0 => at_server_us,
+            known => smooth(known, at_server_us, SERVER_SMOOTHING),
+        };
         self.least_us = match self.least_us {
             0 => latency_us.max(1),
             least => least.min(latency_us.max(1)),
@@ -331,6 +490,11 @@
     }
 }
 
+/// Moves a mean towards a new value by one part in `divisor`.
+const fn smooth(mean: u64, value: u64, divisor: u64) -> u64 {
+    (mean * (divisor - 1) + value) / divisor
+}
+
 /// Spreads a seed over all bits.
 const fn spread(seed: u64) -> u64 {
     const FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
--- a/crates/coordination/dispatch/src/policy.rs
+++ b/crates/coordination/dispatch/src/policy.rs
@@ -17,6 +17,8 @@
     TwoChoices,
     /// The soonest answer by latency, reported load and sheds, over all servers.
     SoonestAnswer,
+    /// The soonest answer by distance, usual work and the slots that are taken.
+    ExpectedDelay,
 }
 
 /// Which queued request goes next.
@@ -39,6 +41,12 @@
     pub hedge_after: Option<duration::Duration>,
     /// Retries per request of a service.
     pub retry_share: f64,
+    /// Retries that a quiet service may make at once.
+    pub retry_reserve: f64,
+    /// Whether an attempt after a shed one costs a retry, and one server each.
+    pub counts_sheds: bool,
+    /// Whether a silent backend server is left before the deadline.
+    pub leaves_silent: bool,
     /// Requests that wait for one service.
     pub max_queued: usize,
     /// Bytes of bodies that wait for one service.
@@ -50,6 +58,7 @@
 const MAX_QUEUED: usize = 1_024;
 const MAX_QUEUED_BYTES: usize = 4 * 1024 * 1024;
 const RETRY_SHARE: f64 = 0.1;
+const RETRY_RESERVE: f64 = 10.0;
 const HEDGE_AFTER: duration::Duration = duration::Duration::from_millis(500);
 
 impl DispatchPolicy {
@@ -61,12 +70,27 @@
             order: QueueOrder::LeastServedTeam,
             hedge_after: None,
             retry_share: RETRY_SHARE,
+            retry_reserve: RETRY_RESERVE,
+            counts_sheds: false,
+            leaves_silent: true,
             max_queued: MAX_QUEUED,
             max_queued_bytes: MAX_QUEUED_BYTES,
             disabled: mechanism::DisabledMechanism::Nothing,
         }
     }
 
+    /// For servers of few slots that count every arrival, sheds included.
+    #[must_use]
+    pub const fn scarce_slots() -> Self {
+        Self {
+            choice: ChoiceRule::ExpectedDelay,
+            order: QueueOrder::EarliestDeadline,
+            counts_sheds: true,
+            leaves_silent: false,
+            ..Self::fairness()
+        }
+    }
+
     /// Weighs latency and headroom more.
     #[must_use]
     pub const fn latency() -> Self {
--- a/crates/coordination/dispatch/src/queue.rs
+++ b/crates/coordination/dispatch/src/queue.rs
@@ -11,6 +11,7 @@
 use marjoramwing_entity::time;
 
 use crate::mechanism;
+use crate::picker;
 use crate::policy;
 
 /// Number of a queued request; never reused within a queue.
@@ -28,6 +29,16 @@
     pub bytes: usize,
     /// Servers that were tried before.
     pub avoided: Vec<net::SocketAddr>,
+    /// The only regions in which the request may be served.
+    pub regions: Option<Arc<[Arc<str>]>>,
+}
+
+impl SlotRequest {
+    /// Returns which servers the request may go to.
+    #[must_use]
+    pub fn wish(&self) -> picker::ServerWish<'_> {
+        picker::ServerWish { avoided: &self.avoided, regions: self.regions.as_deref() }
+    }
 }
 
 /// A request with its ticket.
--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -6,12 +6,16 @@
 
 use std::collections;
 use std::net;
+use std::sync::Arc;
+use std::time as duration;
 
 use marjoramwing_derives as derives;
 use marjoramwing_entity::time;
+use marjoramwing_tables::name;
 use marjoramwing_tables::pool;
 
 use crate::budget;
+use crate::distance;
 use crate::mechanism;
 use crate::picker;
 use crate::policy;
@@ -70,7 +74,7 @@
         Self {
             picker: picker::BackendPicker::new(policy.choice, policy.disabled),
             queue: queue::TeamQueue::new(&policy),
-            budget: budget::RetryBudget::new(policy.retry_share),
+            budget: budget::RetryBudget::new(policy.retry_share, policy.retry_reserve),
             policy,
         }
     }
@@ -85,6 +89,32 @@
         self.picker.set_servers(pool, now);
     }
 
+    /// Notes how far the servers are from this instance.
+    pub fn set_places(&mut self, place_of: &dyn Fn(&name::DomainName) -> distance::DomainPlace) {
+        self.picker.set_places(place_of);
+    }
+
+    /// Sets what this instance may send to each cold server, in requests per second.
+    pub fn set_cold_rates(&mut self, rate_of: &dyn Fn(&str) -> u32) {
+        self.picker.set_cold_rates(rate_of);
+    }
+
+    /// Sets the retries that the service may make at once while it is quiet.
+    pub const fn set_retry_reserve(&mut self, reserve: f64) {
+        self.budget.set_reserve(reserve);
+    }
+
+    /// Notes the time that a connection to a server took to open.
+    pub fn note_connected(&mut self, server: net::SocketAddr, round_trip: duration::Duration) {
+        self.picker.note_connected(server, round_trip);
+    }
+
+    /// Returns the identifier of a server that registered itself.
+    #[must_use]
+    pub fn identity(&self, server: net::SocketAddr) -> Option<Arc<str>> {
+        self.picker.identity(server)
+    }
+
     /// Asks for a slot for a request's first attempt.
     pub fn submit(
         &mut self,
@@ -92,11 +122,11 @@
         seed: u64,
         now: time::Timestamp,
     ) -> SubmitOutcome {
-        if !self.picker.has_server(&request.avoided) {
+        if !self.picker.has_server(&request.wish()) {
             return SubmitOutcome::NoServer;
         }
         if self.queue.is_empty()
-            && let Some(server) = self.try_submit(&request.avoided, seed, now)
+            && let Some(server) = self.try_submit(&request.wish(), seed, now)
         {
             return SubmitOutcome::Granted(server);
         }
@@ -112,11 +142,11 @@
     /// Takes a slot that is free now, past the queue.
     pub fn try_submit(
         &mut self,
-        avoided: &[net::SocketAddr],
+        wish: &picker::ServerWish<'_>,
         seed: u64,
         now: time::Timestamp,
     ) -> Option<net::SocketAddr> {
-        let server = self.picker.pick(avoided, seed, now)?;
+        let server = self.picker.pick(wish, seed, now)?;
         self.picker.begin(server, now);
         Some(server)
     }
@@ -184,7 +214,7 @@
 
     fn next_grant(&self, seed: u64, now: time::Timestamp) -> Option<SlotGrant> {
         self.queue.heads().find_map(|queued| {
-            let server = self.picker.pick(&queued.request.avoided, seed, now)?;
+            let server = self.picker.pick(&queued.request.wish(), seed, now)?;
             Some(SlotGrant { ticket: queued.ticket, server })
         })
     }
--- a/crates/coordination/dispatch/tests/exchange.rs
+++ b/crates/coordination/dispatch/tests/exchange.rs
@@ -33,6 +33,7 @@
         idempotent,
         deadline: time::Timestamp::from_millis(1_000),
         max_attempts: 3,
+        counts_sheds: false,
         silence: duration::Duration::from_millis(200),
         hedge_after: idempotent.then_some(duration::Duration::from_millis(50)),
         disabled,
--- a/crates/coordination/dispatch/tests/fleet/trial.rs
+++ b/crates/coordination/dispatch/tests/fleet/trial.rs
@@ -105,9 +105,10 @@
         failure_domain: name::DomainName::try_from(&text("a")).unwrap(),
         slots: SLOTS,
         draining: false,
+        registered: None,
     };
     let servers: primary::PrimaryMap<_, _> = servers.map(server).collect();
-    pool::Pool { name: name::PoolName::try_from(&text("web")).unwrap(), servers }
+    pool::Pool { name: name::PoolName::try_from(&text("web")).unwrap(), servers, cold_start: None }
 }
 
 impl FleetTrial {
@@ -180,6 +181,7 @@
             deadline: time::Timestamp::from_micros(arrived_us) + DEADLINE,
             bytes: 0,
             avoided: Vec::new(),
+            regions: None,
         };
         let (seed, now) = (self.rng.random(), self.now());
         match self.instances[instance].dispatcher.submit(slot_request, seed, now) {
--- a/crates/coordination/dispatch/tests/service.rs
+++ b/crates/coordination/dispatch/tests/service.rs
@@ -32,9 +32,14 @@
         failure_domain: name::DomainName::try_from(&Arc::from("a")).unwrap(),
         slots,
         draining: draining.contains(port),
+        registered: None,
     };
     let servers: primary::PrimaryMap<_, _> = servers.iter().map(server).collect();
-    pool::Pool { name: name::PoolName::try_from(&Arc::from("web")).unwrap(), servers }
+    pool::Pool {
+        name: name::PoolName::try_from(&Arc::from("web")).unwrap(),
+        servers,
+        cold_start: None,
+    }
 }
 
 fn make_policy(disabled: DisabledMechanism) -> policy::DispatchPolicy {
@@ -49,7 +54,13 @@
 
 fn ask(team: &str, deadline_ms: u64) -> queue::SlotRequest {
     let deadline = time::Timestamp::from_millis(deadline_ms);
-    queue::SlotRequest { team: Arc::from(team), deadline, bytes: 1, avoided: Vec::new() }
+    queue::SlotRequest {
+        team: Arc::from(team),
+        deadline,
+        bytes: 1,
+        avoided: Vec::new(),
+        regions: None,
+    }
 }
 
 fn report(result: picker::ReportedResult) -> picker::AttemptReport {
@@ -128,7 +139,7 @@
     }
     assert!(picker.ejected_count(now) >= 2);
     assert_eq!(picker.ejected_count(now) <= 2, holds);
-    assert_eq!(picker.pick(&[], 1, now).is_some(), holds);
+    assert_eq!(picker.pick(&picker::ServerWish::default(), 1, now).is_some(), holds);
 }
 
 cases! { check_ejection:
@@ -164,9 +175,12 @@
         picker.finish(address(server), report(answered), time::Timestamp::ZERO);
     }
     let now = time::Timestamp::from_millis(1);
-    assert_eq!(picker.pick(&[], 1, now), Some(address(1)));
+    assert_eq!(picker.pick(&picker::ServerWish::default(), 1, now), Some(address(1)));
     picker.begin(address(1), now);
-    assert_eq!(picker.pick(&[], 1, time::Timestamp::from_millis(40)), Some(address(2)));
+    assert_eq!(
+        picker.pick(&picker::ServerWish::default(), 1, time::Timestamp::from_millis(40)),
+        Some(address(2))
+    );
 }
 
 /// Servers whose latencies differ by chance share the load.
@@ -180,7 +194,7 @@
         let answered = Answered(duration::Duration::from_micros(5_000 + u64::from(server)));
         picker.finish(address(server), report(answered), now);
     }
-    let picked = (0..100).filter_map(|seed| picker.pick(&[], seed, now));
+    let picked = (0..100).filter_map(|seed| picker.pick(&picker::ServerWish::default(), seed, now));
     assert_eq!(picked.collect::<collections::HashSet<_>>().len(), 3);
 }
 
@@ -227,7 +241,8 @@
     let mut dispatcher = make_service(Nothing, &[1, 2, 3]);
     let now = time::Timestamp::from_millis(1);
     dispatcher.set_servers(&make_pool(&[1, 3], &[1], 3), now);
-    let granted = (0..4).filter_map(|seed| dispatcher.try_submit(&[], seed, now));
+    let granted =
+        (0..4).filter_map(|seed| dispatcher.try_submit(&picker::ServerWish::default(), seed, now));
     assert_eq!(granted.collect::<Vec<_>>(), [address(3); 3]);
     dispatcher.set_servers(&make_pool(&[1], &[1], 3), now);
     assert_eq!(dispatcher.submit(ask("a", 10), 1, now), service::SubmitOutcome::NoServer);
@@ -239,7 +254,7 @@
     let joined = time::Timestamp::from_millis(1);
     dispatcher.set_servers(&make_pool(&[2], &[], 8), joined);
     let free = |dispatcher: &mut service::ServiceDispatcher, now| {
-        std::iter::from_fn(|| dispatcher.try_submit(&[], 1, now)).count()
+        std::iter::from_fn(|| dispatcher.try_submit(&picker::ServerWish::default(), 1, now)).count()
     };
     assert_eq!(free(&mut dispatcher, joined), 1);
     assert_eq!(free(&mut dispatcher, joined + duration::Duration::from_secs(5)), 3);
@@ -302,7 +317,7 @@
     let mut chosen = 0;
     for number in 0..600_u64 {
         let now = time::Timestamp::from_millis(number * 100);
-        let server = dispatcher.try_submit(&[], number, now).unwrap();
+        let server = dispatcher.try_submit(&picker::ServerWish::default(), number, now).unwrap();
         let is_slow = server == address(1);
         let is_first = is_slow && chosen == 0;
         chosen += usize::from(is_slow);
--- a/crates/marjoramwing/src/main.rs
+++ b/crates/marjoramwing/src/main.rs
@@ -5,6 +5,7 @@
 
 use marjoramwing_operator::command;
 
+mod logs;
 mod serve;
 
 #[global_allocator]
--- a/crates/marjoramwing/src/serve.rs
+++ b/crates/marjoramwing/src/serve.rs
@@ -1,5 +1,6 @@
 //! `marjoramwing serve`: runs an instance.
 
+use std::io;
 use std::path;
 
 use marjoramwing_node::runtime;
@@ -7,10 +8,12 @@
 use marjoramwing_operator::options;
 use marjoramwing_settings::settings;
 
+use crate::logs;
+
 const SPEC: options::CommandSpec = options::CommandSpec {
     synopsis: "serve -c FILE",
     purpose: "Runs an instance until a planned stop (SIGTERM or SIGINT) has finished. Logs go \
-              to standard error as JSON; $MARJORAMWING_LOG sets their level.",
+              to standard output as JSON; $MARJORAMWING_LOG sets their level.",
     exits: &[command::CommandExit::Faulty, command::CommandExit::Cut],
 };
 
@@ -41,10 +44,9 @@
             return command::CommandExit::Faulty;
         }
     };
-    start_logs();
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    let result = match runtime {
-        Ok(runtime) => runtime.block_on(runtime::run_instance(settings)),
+    let _logs = logs::start();
+    let result = match make_runtime(settings.threads) {
+        Ok(runtime) => runtime.block_on(runtime::run_instance(settings, file.to_owned())),
         Err(error) => {
             eprintln!("cannot start worker threads ({error}); raise the process's limits");
             return command::CommandExit::Faulty;
@@ -60,8 +62,14 @@
     }
 }
 
-fn start_logs() {
-    let filter = tracing_subscriber::EnvFilter::try_from_env("MARJORAMWING_LOG")
-        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).json().init();
+/// Makes the runtime; one thread needs no scheduler between threads.
+fn make_runtime(threads: Option<usize>) -> io::Result<tokio::runtime::Runtime> {
+    match threads {
+        Some(1) => tokio::runtime::Builder::new_current_thread().enable_all().build(),
+        Some(threads) => {
+            let mut builder = tokio::runtime::Builder::new_multi_thread();
+            builder.worker_threads(threads).enable_all().build()
+        }
+        None => tokio::runtime::Builder::new_multi_thread().enable_all().build(),
+    }
 }
--- a/crates/marjoramwing/tests/cli_serve/process.rs
+++ b/crates/marjoramwing/tests/cli_serve/process.rs
@@ -48,7 +48,7 @@
     let mut command = process::Command::new(BINARY);
     command.args(["serve", "-c"]).arg(settings).env_clear();
     command.env("PEER", "peer-secret-of-tests").env("ADMIN", "admin-secret-of-tests");
-    command.stdout(process::Stdio::null()).stderr(process::Stdio::piped());
+    command.stdout(process::Stdio::piped()).stderr(process::Stdio::piped());
     command
 }
 
@@ -88,7 +88,7 @@
     pub(crate) async fn start(settings: &path::Path) -> Self {
         let mut child = serve_command(settings).spawn().unwrap();
         let log = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
-        let lines = std::io::BufReader::new(child.stderr.take().unwrap()).lines();
+        let lines = std::io::BufReader::new(child.stdout.take().unwrap()).lines();
         let gathered = std::sync::Arc::clone(&log);
         std::thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -47,6 +47,16 @@
     /// Requests were still open when the longest wait of a planned stop ended.
     STOP_TIMED_OUT = 1005, WARN, "planned stop reached its longest wait with requests open", "look for backend servers that do not answer";
 
+    /// The settings file was read again.
+    SETTINGS_RELOADED = 1006, INFO, "settings read again", "none";
+    /// The settings file is faulty; the settings in force stay.
+    SETTINGS_REFUSED = 1007, ERROR, "settings refused; those in force stay", "correct the file; `marjoramwing check -c FILE` tells every fault";
+    /// The instance wrote its own entry into the object API.
+    INSTANCE_ANNOUNCED = 1008, INFO, "own entry written, so that other instances find this one", "none";
+
+    /// The limits held here could not be handed over in time.
+    HANDOVER_TIMED_OUT = 1009, WARN, "limits not handed over in time; another instance takes them over later", "none";
+
     /// A new set of tables is in force.
     TABLES_APPLIED = 2001, INFO, "tables applied", "none";
     /// An object was not accepted; the previous one stays in force.
@@ -58,10 +68,31 @@
     /// Whether keyed requests are served has changed, or why.
     KEY_TRUST_CHANGED = 2005, WARN, "belief in the keys changed", "when refused: restore the way to the object API or to peers of other regions, or change the setting for the undecided case";
 
+    /// A call of the store gave no usable answer.
+    STORE_CALL_FAILED = 2006, WARN, "call of the object API failed; retrying", "check the platform's object API and the way to it";
+    /// A backend server registered itself.
+    SERVER_JOINED = 2010, INFO, "backend server registered", "none";
+    /// A backend server takes no new work.
+    SERVER_DRAINING = 2011, INFO, "backend server is draining; no new requests go to it", "none";
+    /// A backend server's registration is gone.
+    SERVER_LEFT = 2012, INFO, "backend server's registration is gone; no new requests go to it", "none";
+    /// A registration is gone that may have lapsed while the store was away.
+    SERVER_MISSING = 2013, INFO, "registration is missing after an outage of the object API; the server is kept for a moment", "none";
+    /// A backend server's registration has changed.
+    SERVER_UPDATED = 2014, INFO, "backend server's registration has changed", "none";
+    /// A registration cannot be read.
+    SERVER_FAULTY = 2015, WARN, "registration names no server to use; ignored", "find out who writes such entries";
+    /// A failure domain is drained.
+    DOMAIN_DRAINED = 2016, INFO, "failure domain is drained; no new requests go to its servers", "none";
+    /// A failure domain is no longer drained.
+    DOMAIN_RESTORED = 2017, INFO, "failure domain may get requests again", "none";
+
     /// A caller's connection ended with an error.
     CALLER_CONNECTION_FAILED = 3001, DEBUG, "caller connection ended with an error", "none";
     /// A connection was refused since too many are open.
     CALLER_CONNECTION_REFUSED = 3002, WARN, "caller connection refused; too many are open", "raise callers.max_connections or look for callers that open too many";
+    /// A caller's connection ended.
+    CALLER_CONNECTION_ENDED = 3003, DEBUG, "caller connection ended", "none";
 
     /// A backend server could not be reached.
     BACKEND_CONNECT_FAILED = 4001, WARN, "backend server refused the connection; trying another", "check the backend server or remove it from its pool";
--- a/crates/protocol/object-api/src/watch.rs
+++ b/crates/protocol/object-api/src/watch.rs
@@ -31,7 +31,9 @@
         let changes = self.changes.into_iter().map(|change| operation::ObjectChange {
             name: object::ObjectName { kind, name: change.name },
             version: change.version,
+            value: operation::ChangedValue::Untold,
         });
-        operation::WatchAnswer { revision: self.revision, changes: changes.collect() }
+        let changes = changes.collect();
+        operation::WatchAnswer { revision: self.revision, changes, is_whole: false }
     }
 }
--- a/crates/protocol/peer/tests/configuration_cost.rs
+++ b/crates/protocol/peer/tests/configuration_cost.rs
@@ -125,9 +125,10 @@
         self.watch = None;
         let name = candidate::TableObject::Routes.object_name();
         let version = object::ObjectVersion(self.versions.routes);
-        let change = operation::ObjectChange { name, version };
+        let change =
+            operation::ObjectChange { name, version, value: operation::ChangedValue::Untold };
         let changes = if is_newer { vec![change] } else { Vec::new() };
-        let answer = operation::WatchAnswer { revision: self.revision, changes };
+        let answer = operation::WatchAnswer { revision: self.revision, changes, is_whole: false };
         self.handle(keeper::ConfigurationEvent::Watched(Some(answer)));
     }
 
@@ -299,11 +300,14 @@
     match action {
         keeper::ConfigurationAction::Watch { after, .. } => {
             let version = object::ObjectVersion(1);
-            let changes = candidate::TableObject::ALL
-                .into_iter()
-                .map(|object| operation::ObjectChange { name: object.object_name(), version });
+            let changes =
+                candidate::TableObject::ALL.into_iter().map(|object| operation::ObjectChange {
+                    name: object.object_name(),
+                    version,
+                    value: operation::ChangedValue::Untold,
+                });
             let changes = if *after == 0 { changes.collect() } else { Vec::new() };
-            let answer = operation::WatchAnswer { revision: 5, changes };
+            let answer = operation::WatchAnswer { revision: 5, changes, is_whole: false };
             Some(keeper::ConfigurationEvent::Watched(Some(answer)))
         }
         keeper::ConfigurationAction::Read(object) => {
--- a/crates/protocol/settings/src/catalogue.rs
+++ b/crates/protocol/settings/src/catalogue.rs
@@ -62,12 +62,18 @@
         "Region of the site.";
     INSTANCE_FAILURE_DOMAIN = "instance.failure_domain", "name", "required", None,
         "Failure domain of the site.";
+    INSTANCE_DIALECT = "instance.dialect", "`native` or `platform`", "native", None,
+        "What callers, backend servers and the object API speak: the product's own interface or that of the users' platform.";
     LISTEN_CALLERS = "listen.callers", "IP address and port", "required", None,
         "Where callers connect; port 0 takes any free port.";
     LISTEN_PEERS = "listen.peers", "IP address and port", "required", None,
         "Where other instances connect.";
     LISTEN_ADMIN = "listen.admin", "IP address and port", "required", None,
         "Where operators connect; keep it off the callers' network.";
+    LISTEN_DIRECTORY = "listen.directory", "IP address and port", "none", None,
+        "Where callers ask which instances to use, if apart from requests.";
+    LISTEN_READINESS = "listen.readiness", "IP address and port", "none", None,
+        "Where the platform asks whether the instance takes requests.";
     STORE_ADDRESS = "store.address", "IP address and port", "required", None,
         "Where the platform's object API is.";
     STORE_TIMEOUT_MS = "store.timeout_ms", "milliseconds", "2000", Some((50, 60_000)),
@@ -92,8 +98,12 @@
     CALLERS_MAX_CONNECTIONS = "callers.max_connections", "connections", "10000",
         Some((1, 1_000_000)),
         "Connections of callers at once; one more is told 503, not run.";
+    CALLERS_PIPELINED = "callers.pipelined", "requests", "1", Some((1, 1_000)),
+        "Requests of one HTTP/1.1 connection that may be open at once; above 1 the port speaks HTTP/1.1 only.";
     STOP_MAX_WAIT_MS = "stop.max_wait_ms", "milliseconds", "600000", Some((1_000, 3_600_000)),
         "Longest wait of a planned stop for open requests, after cached look-up answers ran out.";
+    STOP_GRACE_S = "stop.grace_s", "seconds", "none", None,
+        "Time from the stop signal to the platform's kill; the planned stop ends within it. 2 to 3600.";
     OBJECTIVE_WEIGH = "objective.weigh", "`fairness` or `latency`", "fairness", None,
         "What the deployment weighs more: the worst-served team and wrongful refusals, or latency and headroom.";
     KEYS_MAX_AGE_MS = "keys.max_age_ms", "milliseconds", "15000", Some((10_000, 600_000)),
@@ -102,4 +112,18 @@
         "What becomes of keyed requests when an outage of the object API cannot be told from being cut off.";
     PEERS_CONTACTS = "peers.contacts", "list of IP addresses and ports", "[]", None,
         "Peer addresses tried beside the platform's list, so that an instance at a new address finds others while the platform is down.";
+    TOPOLOGY_DOMAINS = "topology.domains", "table of failure domains and regions", "{}", None,
+        "Region of each failure domain, so that near servers are preferred.";
+    BOUNDS_RETRY_RATIO = "bounds.retry_ratio", "retries per request", "0.1", None,
+        "Retries of a service as a part of its requests, shed attempts included. 0 to 1.";
+    BOUNDS_RETRY_SLACK = "bounds.retry_slack", "retries", "70.0", None,
+        "Retries beyond that part within 10 s, over all instances together. 0 to 1000000.";
+    BOUNDS_COLD_OVERAGE = "bounds.cold_overage", "factor", "1.0", None,
+        "Factor on the rate that a cold server bears. 1 to 10.";
+    BOUNDS_COLD_SLACK = "bounds.cold_slack", "requests", "0.0", None,
+        "Requests in one second beyond that rate, over all instances together. 0 to 1000.";
+    BOUNDS_LOOKUP_TTL_S = "bounds.lookup_ttl_s", "seconds", "2.0", None,
+        "Longest time for which callers may use a directory's answer. 0.1 to 60.";
+    PROCESS_THREADS = "process.threads", "threads", "one a core", Some((1, 1_024)),
+        "Worker threads; 1 needs the least memory and time on a machine of one core.";
 }
--- a/crates/protocol/settings/src/document.rs
+++ b/crates/protocol/settings/src/document.rs
@@ -2,6 +2,7 @@
 //!
 //! Unknown members are refused, so that a misspelt one is never ignored.
 
+use std::collections;
 use std::path;
 use std::sync::Arc;
 
@@ -34,6 +35,15 @@
     /// Where other instances may be found.
     #[serde(default)]
     pub peers: PeersDocument,
+    /// Which failure domains lie in which region.
+    #[serde(default)]
+    pub topology: TopologyDocument,
+    /// Bounds that hold over all instances together.
+    #[serde(default)]
+    pub bounds: BoundsDocument,
+    /// What the process may use of its machine.
+    #[serde(default)]
+    pub process: ProcessDocument,
 }
 
 /// The `[instance]` table.
@@ -48,6 +58,21 @@
     pub region: Arc<str>,
     /// Failure domain of the instance.
     pub failure_domain: Arc<str>,
+    /// What callers, backend servers and the object API speak.
+    #[serde(default)]
+    pub dialect: DialectDocument,
+}
+
+/// What callers, backend servers and the object API speak.
+#[derives::document]
+#[derive(Default, Copy)]
+#[serde(rename_all = "lowercase")]
+pub enum DialectDocument {
+    /// The product's own interface.
+    #[default]
+    Native,
+    /// That of the users' platform.
+    Platform,
 }
 
 /// The `[listen]` table: IP addresses and ports.
@@ -60,6 +85,12 @@
     pub peers: Arc<str>,
     /// For operators.
     pub admin: Arc<str>,
+    /// For callers that ask which instances to use, if apart from requests.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub directory: Option<Arc<str>>,
+    /// For the platform's question whether the instance takes requests.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub readiness: Option<Arc<str>>,
 }
 
 /// The `[store]` table.
@@ -103,6 +134,8 @@
     pub body_pause_ms: u64,
     /// Callers' connections at once.
     pub max_connections: u64,
+    /// Requests of one HTTP/1.1 connection that may be open at once.
+    pub pipelined: u64,
 }
 
 impl Default for CallersDocument {
@@ -112,6 +145,7 @@
             header_timeout_ms: 10_000,
             body_pause_ms: 10_000,
             max_connections: 10_000,
+            pipelined: 1,
         }
     }
 }
@@ -122,14 +156,64 @@
 pub struct StopDocument {
     /// Longest wait for open requests, in milliseconds.
     pub max_wait_ms: u64,
+    /// Time from the stop signal to the kill, in seconds, if there is one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub grace_s: Option<f64>,
 }
 
 impl Default for StopDocument {
     fn default() -> Self {
-        Self { max_wait_ms: 600_000 }
+        Self { max_wait_ms: 600_000, grace_s: None }
+    }
+}
+
+/// The `[topology]` table.
+#[derives::document]
+#[derive(Default)]
+#[serde(default, deny_unknown_fields)]
+pub struct TopologyDocument {
+    /// Region of each failure domain.
+    pub domains: collections::BTreeMap<Arc<str>, Arc<str>>,
+}
+
+/// The `[bounds]` table.
+#[derives::document]
+#[serde(default, deny_unknown_fields)]
+pub struct BoundsDocument {
+    /// Retries of a service as a part of its requests.
+    pub retry_ratio: f64,
+    /// Retries beyond that part within one window, over all instances.
+    pub retry_slack: f64,
+    /// Factor on the rate that a cold server bears.
+    pub cold_overage: f64,
+    /// Requests in one second beyond that rate, over all instances.
+    pub cold_slack: f64,
+    /// Longest time for which callers may use a directory's answer, in seconds.
+    pub lookup_ttl_s: f64,
+}
+
+impl Default for BoundsDocument {
+    fn default() -> Self {
+        Self {
+            retry_ratio: 0.1,
+            retry_slack: 70.0,
+            cold_overage: 1.0,
+            cold_slack: 0.0,
+            lookup_ttl_s: 2.0,
+        }
     }
 }
 
+/// The `[process]` table.
+#[derives::document]
+#[derive(Default)]
+#[serde(default, deny_unknown_fields)]
+pub struct ProcessDocument {
+    /// Worker threads; one a core when absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub threads: Option<u64>,
+}
+
 /// The `[keys]` table.
 #[derives::document]
 #[serde(default, deny_unknown_fields)]
--- a/crates/protocol/settings/src/fault.rs
+++ b/crates/protocol/settings/src/fault.rs
@@ -48,6 +48,16 @@
         /// Largest value.
         high: u64,
     },
+    /// A number with fractions is outside its range.
+    #[display("{value} is out of range; use {low} to {high}")]
+    Measure {
+        /// Value that was given.
+        value: Arc<str>,
+        /// Smallest value.
+        low: Arc<str>,
+        /// Largest value.
+        high: Arc<str>,
+    },
     /// Neither or both sources of a secret are set.
     #[display("needs exactly one of `{file}` and `{env}`; set one and remove the other")]
     SecretSource {
@@ -112,3 +122,16 @@
 }
 
 impl std::error::Error for FaultList {}
+
+/// Checks that a number with fractions lies in a range.
+///
+/// # Errors
+///
+/// Returns the range when it does not.
+pub fn check_measure(value: f64, low: f64, high: f64) -> Result<f64, FaultKind> {
+    if (low..=high).contains(&value) {
+        return Ok(value);
+    }
+    let [value, low, high] = [value, low, high].map(|number| number.to_string().into());
+    Err(FaultKind::Measure { value, low, high })
+}
--- a/crates/protocol/settings/src/settings.rs
+++ b/crates/protocol/settings/src/settings.rs
@@ -13,6 +13,7 @@
 use crate::document;
 use crate::fault;
 use crate::secret;
+use crate::topology;
 
 /// Everything an instance is told at its start.
 #[derive(Debug, Clone)]
@@ -37,6 +38,38 @@
     pub keys: KeyTrustSettings,
     /// Peer addresses that are tried beside those of the platform's list.
     pub contacts: Vec<net::SocketAddr>,
+    /// What callers, backend servers and the object API speak.
+    pub dialect: InterfaceDialect,
+    /// Region of each failure domain.
+    pub topology: topology::FleetTopology,
+    /// Bounds that hold over all instances together.
+    pub bounds: FleetBounds,
+    /// Worker threads; `None` for one a core.
+    pub threads: Option<usize>,
+}
+
+/// What callers, backend servers and the object API speak.
+#[derives::value]
+pub enum InterfaceDialect {
+    /// The product's own interface.
+    Native,
+    /// That of the users' platform.
+    Platform,
+}
+
+/// Bounds that hold over all instances together.
+#[derives::measure]
+pub struct FleetBounds {
+    /// Retries of a service as a part of its requests.
+    pub retry_ratio: f64,
+    /// Retries beyond that part within one window.
+    pub retry_slack: f64,
+    /// Factor on the rate that a cold server bears.
+    pub cold_overage: f64,
+    /// Requests in one second beyond that rate.
+    pub cold_slack: f64,
+    /// Longest time for which callers may use a directory's answer.
+    pub lookup_ttl: time::Duration,
 }
 
 /// Who an instance is.
@@ -61,6 +94,10 @@
     pub peers: net::SocketAddr,
     /// For operators.
     pub admin: net::SocketAddr,
+    /// For callers that ask which instances to use, if apart from requests.
+    pub directory: Option<net::SocketAddr>,
+    /// For the platform's question whether the instance takes requests.
+    pub readiness: Option<net::SocketAddr>,
 }
 
 /// Where the object API is and how long to wait for it.
@@ -83,6 +120,8 @@
     pub body_pause: time::Duration,
     /// Callers' connections at once.
     pub max_connections: usize,
+    /// Requests of one HTTP/1.1 connection that may be open at once, if several may.
+    pub pipelined: Option<usize>,
 }
 
 /// How a planned stop goes.
@@ -90,6 +129,8 @@
 pub struct StopLimits {
     /// Longest wait for open requests.
     pub max_wait: time::Duration,
+    /// Time from the stop signal to the kill, if there is one.
+    pub grace: Option<time::Duration>,
 }
 
 /// How long and when keys are believed.
@@ -151,6 +192,12 @@
         let callers = check_callers(&mut faults, &raw.callers);
         let max_wait = catalogue::STOP_MAX_WAIT_MS.check(raw.stop.max_wait_ms);
         let max_wait = faults.check("stop.max_wait_ms", max_wait);
+        let grace = check_grace(&mut faults, &raw.stop);
+        let topology = topology::FleetTopology::check(&mut faults, &raw.topology);
+        let bounds = check_bounds(&mut faults, &raw.bounds);
+        let threads = raw.process.threads.map(|threads| catalogue::PROCESS_THREADS.check(threads));
+        let threads = threads.transpose();
+        let threads = faults.check("process.threads", threads);
         let objective = match raw.objective.weigh {
             document::WeighDocument::Fairness => DeploymentObjective::Fairness,
             document::WeighDocument::Latency => DeploymentObjective::Latency,
@@ -165,10 +212,20 @@
                 peer_secret: peer_secret?,
                 admin_secret: admin_secret?,
                 callers: callers?,
-                stop: StopLimits { max_wait: time::Duration::from_millis(max_wait?) },
+                stop: StopLimits {
+                    max_wait: time::Duration::from_millis(max_wait?),
+                    grace: grace?,
+                },
                 objective,
                 keys: keys?,
                 contacts: contacts?,
+                dialect: match raw.instance.dialect {
+                    document::DialectDocument::Native => InterfaceDialect::Native,
+                    document::DialectDocument::Platform => InterfaceDialect::Platform,
+                },
+                topology: topology?,
+                bounds: bounds?,
+                threads: threads?.and_then(|threads| usize::try_from(threads).ok()),
             })
         })();
         checked.ok_or(faults)
@@ -202,12 +259,52 @@
     let callers = faults.check("listen.callers", check_reachable(&raw.callers));
     let peers = faults.check("listen.peers", check_reachable(&raw.peers));
     let admin = faults.check("listen.admin", check_address(&raw.admin));
-    let listen = ListenAddresses { callers: callers?, peers: peers?, admin: admin? };
+    let directory = raw.directory.as_ref().map(check_address).transpose();
+    let directory = faults.check("listen.directory", directory);
+    let readiness = raw.readiness.as_ref().map(check_address).transpose();
+    let readiness = faults.check("listen.readiness", readiness);
+    let listen = ListenAddresses {
+        callers: callers?,
+        peers: peers?,
+        admin: admin?,
+        directory: directory?,
+        readiness: readiness?,
+    };
     let peers = check_distinct(listen.peers, &[("listen.callers", listen.callers)]);
     let peers = faults.check("listen.peers", peers);
     let others = [("listen.callers", listen.callers), ("listen.peers", listen.peers)];
     let admin = faults.check("listen.admin", check_distinct(listen.admin, &others));
-    Some(ListenAddresses { callers: listen.callers, peers: peers?, admin: admin? })
+    Some(ListenAddresses { peers: peers?, admin: admin?, ..listen })
+}
+
+fn check_grace(
+    faults: &mut fault::FaultList,
+    raw: &document::StopDocument,
+) -> Option<Option<time::Duration>> {
+    let grace = raw.grace_s.map(|seconds| fault::check_measure(seconds, 2.0, 3_600.0));
+    let grace = faults.check("stop.grace_s", grace.transpose())?;
+    Some(grace.map(time::Duration::from_secs_f64))
+}
+
+fn check_bounds(
+    faults: &mut fault::FaultList,
+    raw: &document::BoundsDocument,
+) -> Option<FleetBounds> {
+    let mut check = |member: &str, value: f64, low: f64, high: f64| {
+        faults.check(&format!("bounds.{member}"), fault::check_measure(value, low, high))
+    };
+    let retry_ratio = check("retry_ratio", raw.retry_ratio, 0.0, 1.0);
+    let retry_slack = check("retry_slack", raw.retry_slack, 0.0, 1_000_000.0);
+    let cold_overage = check("cold_overage", raw.cold_overage, 1.0, 10.0);
+    let cold_slack = check("cold_slack", raw.cold_slack, 0.0, 1_000.0);
+    let lookup_ttl = check("lookup_ttl_s", raw.lookup_ttl_s, 0.1, 60.0);
+    Some(FleetBounds {
+        retry_ratio: retry_ratio?,
+        retry_slack: retry_slack?,
+        cold_overage: cold_overage?,
+        cold_slack: cold_slack?,
+        lookup_ttl: time::Duration::from_secs_f64(lookup_ttl?),
+    })
 }
 
 fn check_distinct(
@@ -243,11 +340,14 @@
     let body_pause = faults.check("callers.body_pause_ms", body_pause);
     let connections = catalogue::CALLERS_MAX_CONNECTIONS.check(raw.max_connections);
     let connections = faults.check("callers.max_connections", connections);
+    let pipelined = catalogue::CALLERS_PIPELINED.check(raw.pipelined);
+    let pipelined = faults.check("callers.pipelined", pipelined);
     Some(CallerLimits {
         max_header_bytes: usize::try_from(header_bytes?).ok()?,
         header_timeout: time::Duration::from_millis(header_timeout?),
         body_pause: time::Duration::from_millis(body_pause?),
         max_connections: usize::try_from(connections?).ok()?,
+        pipelined: usize::try_from(pipelined?).ok().filter(|open| *open > 1),
     })
 }
 
--- a/crates/state/objects/src/object.rs
+++ b/crates/state/objects/src/object.rs
@@ -21,11 +21,28 @@
     /// Claims of idempotency keys.
     #[display("claims")]
     Claims,
+    /// Backend servers that register themselves.
+    #[display("servers")]
+    Servers,
+    /// Failure domains that are drained.
+    #[display("drains")]
+    Drains,
+    /// Instances of the system.
+    #[display("instances")]
+    Instances,
 }
 
 impl ObjectKind {
     /// All kinds.
-    pub const ALL: [Self; 4] = [Self::Tables, Self::Status, Self::Ledger, Self::Claims];
+    pub const ALL: [Self; 7] = [
+        Self::Tables,
+        Self::Status,
+        Self::Ledger,
+        Self::Claims,
+        Self::Servers,
+        Self::Drains,
+        Self::Instances,
+    ];
 }
 
 /// Name of an object within its kind.
--- a/crates/state/objects/src/operation.rs
+++ b/crates/state/objects/src/operation.rs
@@ -1,5 +1,6 @@
 //! Operations on objects and their answers.
 
+use std::sync::Arc;
 use std::time;
 
 use marjoramwing_derives as derives;
@@ -81,6 +82,8 @@
     pub revision: u64,
     /// Objects that changed since, with their current versions.
     pub changes: Vec<ObjectChange>,
+    /// Whether the answer names every object of the kind, since the changes are not known.
+    pub is_whole: bool,
 }
 
 /// One changed object.
@@ -90,4 +93,19 @@
     pub name: object::ObjectName,
     /// Its current version.
     pub version: object::ObjectVersion,
+    /// What the answer tells of its value.
+    pub value: ChangedValue,
+}
+
+/// What a watch tells of an object's value.
+#[derives::record]
+pub enum ChangedValue {
+    /// Nothing; the object has to be read.
+    Untold,
+    /// The value at the version, as JSON text.
+    Told(bytes::Bytes),
+    /// The object was deleted.
+    Deleted,
+    /// The value is not one of its kind; the text says why.
+    Unreadable(Arc<str>),
 }
--- a/crates/state/tables/src/credential.rs
+++ b/crates/state/tables/src/credential.rs
@@ -3,6 +3,7 @@
 //! Invariant: the secret text never leaves [`PresentedKey`], whose `Debug`
 //! form hides it; the tables hold hashes only.
 
+use std::borrow;
 use std::cell;
 use std::fmt;
 use std::sync::Arc;
@@ -77,10 +78,34 @@
     }
 }
 
-/// A key as a caller presents it: an identifier, a dot and a secret.
+/// Digits of a hash that name an opaque key.
+const OPAQUE_ID_DIGITS: usize = 16;
+
+/// What the text of a key holds.
+#[derives::value]
+#[derive(Default)]
+pub enum KeyForm {
+    /// A public identifier, a dot and a secret.
+    #[default]
+    Dotted,
+    /// A secret only; its identifier comes from its hash.
+    Opaque,
+}
+
+impl KeyHash {
+    /// Returns the public identifier of an opaque key.
+    #[must_use]
+    pub fn opaque_id(&self) -> String {
+        let mut id = self.to_string();
+        id.truncate(OPAQUE_ID_DIGITS);
+        id
+    }
+}
+
+/// A key as a caller presents it.
 pub struct PresentedKey<'a> {
     text: &'a str,
-    id: &'a str,
+    id: borrow::Cow<'a, str>,
     hash: cell::OnceCell<KeyHash>,
 }
 
@@ -94,15 +119,34 @@
         let (id, secret) = text.split_once('.')?;
         (!id.is_empty() && !secret.is_empty()).then_some(Self {
             text,
-            id,
+            id: id.into(),
             hash: cell::OnceCell::new(),
         })
     }
 
+    /// Takes a key's text as one secret; an empty or long one gives `None`.
+    #[must_use]
+    pub fn opaque(text: &'a str) -> Option<Self> {
+        if text.is_empty() || text.len() > MAX_KEY_BYTES {
+            return None;
+        }
+        let hash = KeyHash::of(text);
+        Some(Self { text, id: hash.opaque_id().into(), hash: cell::OnceCell::from(hash) })
+    }
+
+    /// Reads a key's text in the form that the tables use.
+    #[must_use]
+    pub fn read(text: &'a str, form: KeyForm) -> Option<Self> {
+        match form {
+            KeyForm::Dotted => Self::parse(text),
+            KeyForm::Opaque => Self::opaque(text),
+        }
+    }
+
     /// Returns the public identifier.
     #[must_use]
-    pub fn id(&self) -> &'a str {
-        self.id
+    pub fn id(&self) -> &str {
+        &self.id
     }
 
     /// Returns the hash of the whole key, made once.
--- a/crates/state/tables/src/document.rs
+++ b/crates/state/tables/src/document.rs
@@ -52,6 +52,24 @@
     /// Requests at once over all teams and instances; required with `rate`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub burst: Option<u32>,
+    /// Parts of the traffic, one for each pool; in order of preference when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub weights: Vec<u32>,
+    /// Backend servers that one request may be sent to.
+    #[serde(default = "default_max_attempts")]
+    pub max_attempts: u32,
+    /// Time within which an answer is worth most, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target_ms: Option<u64>,
+    /// Rank among the routes of a pool; 0 goes first.
+    #[serde(default)]
+    pub priority: u32,
+    /// Whether requests of one session are to reach the same backend server.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub sticky: bool,
+    /// Regions in which requests may be served; all when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub regions: Vec<Arc<str>>,
 }
 
 /// Who may use a route.
@@ -98,8 +116,23 @@
 pub struct PoolDocument {
     /// Unique name of the pool.
     pub name: Arc<str>,
-    /// Backend servers of the pool.
+    /// Backend servers of the pool, beside those that register themselves.
+    #[serde(default)]
     pub servers: Vec<ServerDocument>,
+    /// What a backend server bears after its start; as much as later when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_start: Option<ColdStartDocument>,
+}
+
+/// What a backend server bears while it is cold.
+#[derives::document]
+#[derive(Copy)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStartDocument {
+    /// Time for which a server is cold after its start, in milliseconds.
+    pub duration_ms: u64,
+    /// Requests per second that a cold server takes from all instances together.
+    pub rate: f64,
 }
 
 /// One backend server of a pool.
@@ -139,6 +172,12 @@
     pub rate: f64,
     /// Requests at once over all instances.
     pub burst: u32,
+    /// Rank that goes before that of the route; 0 goes first.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u32>,
+    /// Regions in which the team's requests may be served; all when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub regions: Vec<Arc<str>>,
 }
 
 /// The `keys` object.
@@ -148,6 +187,9 @@
 pub struct KeysDocument {
     /// All keys in force; withdrawing a key removes its entry.
     pub keys: Vec<KeyDocument>,
+    /// Whether keys are secrets only, named by the first 16 digits of their hash.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub opaque: bool,
     /// Random identifier of the last edit, written by the edit itself.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub edit_id: Option<Arc<str>>,
@@ -247,7 +289,9 @@
 }
 
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
-const DEFAULT_MAX_BODY_BYTES: u64 = 1 << 20;
+const DEFAULT_MAX_ATTEMPTS: u32 = 3;
+/// Largest request body of a route that names none, in bytes.
+pub const DEFAULT_MAX_BODY_BYTES: u64 = 1 << 20;
 const DEFAULT_SPREAD_RATE: f64 = 200.0;
 const DEFAULT_INSTANCE_RATE: f64 = 2_000.0;
 const DEFAULT_LOOKUP_TTL_MS: u64 = 2_000;
@@ -256,6 +300,10 @@
     DEFAULT_DEADLINE_MS
 }
 
+fn default_max_attempts() -> u32 {
+    DEFAULT_MAX_ATTEMPTS
+}
+
 fn default_max_body_bytes() -> u64 {
     DEFAULT_MAX_BODY_BYTES
 }
--- a/crates/state/tables/src/lib.rs
+++ b/crates/state/tables/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`fault`]: what is wrong with a document, where, and the remedy.
 //! - [`name`]: checked names.
 //! - [`credential`]: team keys, kept as hashes only.
+//! - [`registration`]: backend servers that register themselves.
 //! - [`route`], [`pool`], [`team`], [`site`], [`region`]: the checked rows.
 //! - [`snapshot`]: one immutable set of all tables, made from documents.
 
@@ -13,6 +14,7 @@
 pub mod name;
 pub mod pool;
 pub mod region;
+pub mod registration;
 pub mod route;
 pub mod site;
 pub mod snapshot;
--- a/crates/state/tables/src/route.rs
+++ b/crates/state/tables/src/route.rs
@@ -26,8 +26,8 @@
     pub path: Arc<str>,
     /// Methods that the route serves; all when empty.
     pub methods: Vec<Arc<str>>,
-    /// Pools in order of preference.
-    pub pools: Vec<pool::PoolKey>,
+    /// Pools that serve the route.
+    pub pools: PoolChoice,
     /// Who may use the route.
     pub access: RouteAccess,
     /// Which requests may be run again.
@@ -38,6 +38,60 @@
     pub max_body_bytes: u64,
     /// Limit over all teams and instances.
     pub limit: Option<team::RateLimit>,
+    /// Backend servers that one request may be sent to.
+    pub max_attempts: u32,
+    /// Time within which an answer is worth most.
+    pub target: Option<time::Duration>,
+    /// Rank among the routes of a pool; 0 goes first.
+    pub priority: u32,
+    /// Whether requests of one session are to reach the same backend server.
+    pub sticky: bool,
+    /// Regions in which requests may be served; all when empty.
+    pub regions: Vec<Arc<str>>,
+}
+
+/// How a route chooses among its pools.
+#[derives::record]
+pub enum PoolChoice {
+    /// The first that can serve, in order of preference.
+    Preferred(Vec<pool::PoolKey>),
+    /// One by its part of the traffic; it alone serves the request.
+    Split(Vec<PoolPart>),
+}
+
+/// A pool's part of a route's traffic.
+#[derives::value]
+pub struct PoolPart {
+    /// Pool that serves the part.
+    pub pool: pool::PoolKey,
+    /// Part of the traffic, relative to the other parts.
+    pub weight: u32,
+}
+
+impl PoolChoice {
+    /// Returns the pools that may serve one request, in order of preference.
+    ///
+    /// The same seed gives the same part of a split.
+    #[must_use]
+    pub fn choose(&self, seed: u64) -> &[pool::PoolKey] {
+        match self {
+            Self::Preferred(pools) => pools,
+            Self::Split(parts) => std::slice::from_ref(&choose_part(parts, seed).pool),
+        }
+    }
+}
+
+/// Chooses a part by its weight; a split has a part of a weight above zero.
+fn choose_part(parts: &[PoolPart], seed: u64) -> &PoolPart {
+    let total: u64 = parts.iter().map(|part| u64::from(part.weight)).sum();
+    let mut left = seed % total.max(1);
+    for part in parts {
+        if left < u64::from(part.weight) {
+            return part;
+        }
+        left -= u64::from(part.weight);
+    }
+    &parts[0]
 }
 
 /// Who may use a route.
--- a/crates/state/tables/src/snapshot.rs
+++ b/crates/state/tables/src/snapshot.rs
@@ -23,7 +23,11 @@
 
 const MAX_DEADLINE_MS: u64 = 600_000;
 const MAX_BODY_BYTES: u64 = 1 << 30;
-const MAX_SLOTS: u32 = 100_000;
+const MAX_ATTEMPTS: u32 = 16;
+const MAX_WEIGHT: u32 = 1_000_000;
+const MAX_COLD_MS: u64 = 3_600_000;
+const MIN_COLD_RATE: f64 = 0.001;
+const MAX_COLD_RATE: f64 = 1_000_000.0;
 
 /// Versions of the objects that a snapshot was made from.
 #[derives::value]
@@ -80,6 +84,8 @@
     pub instance_rate: f64,
     /// Time for which callers may use a look-up answer.
     pub lookup_ttl: time::Duration,
+    /// What the text of a team key holds.
+    pub key_form: credential::KeyForm,
     credentials: collections::HashMap<Arc<str>, credential::Credential>,
     route_order: Vec<route::RouteKey>,
 }
@@ -151,8 +157,10 @@
             let name =
                 self.faults.check(format!("{path}.name"), name::PoolName::try_from(&row.name));
             let servers = self.check_servers(&path, row);
-            let Some(name) = name else { continue };
-            let key = self.snapshot.pools.push(pool::Pool { name, servers });
+            let cold_start = row.cold_start.map(check_cold_start).transpose();
+            let cold_start = self.faults.check(format!("{path}.cold_start"), cold_start);
+            let (Some(name), Some(cold_start)) = (name, cold_start) else { continue };
+            let key = self.snapshot.pools.push(pool::Pool { name, servers, cold_start });
             if self.pool_keys.insert(Arc::clone(&row.name), key).is_some() {
                 self.faults.add(path, fault::FaultKind::Duplicate(Arc::clone(&row.name)));
             }
@@ -191,13 +199,14 @@
         let address = self.faults.check(format!("{path}.address"), address);
         let domain = name::DomainName::try_from(&raw.failure_domain);
         let domain = self.faults.check(format!("{path}.failure_domain"), domain);
-        let slots = fault::check_range(raw.slots, 1, MAX_SLOTS);
+        let slots = fault::check_range(raw.slots, 1, pool::MAX_SLOTS);
         let slots = self.faults.check(format!("{path}.slots"), slots);
         Some(pool::BackendServer {
             address: address?,
             failure_domain: domain?,
             slots: slots?,
             draining: raw.draining,
+            registered: None,
         })
     }
 
@@ -225,6 +234,8 @@
         let max_body = fault::check_range(row.max_body_bytes, 0, MAX_BODY_BYTES);
         let max_body = self.faults.check(format!("{path}.max_body_bytes"), max_body);
         let limit = self.faults.check(format!("{path}.rate"), check_route_limit(row));
+        let max_attempts = fault::check_range(row.max_attempts, 1, MAX_ATTEMPTS);
+        let max_attempts = self.faults.check(format!("{path}.max_attempts"), max_attempts);
         Some(route::Route {
             name: name?,
             host: row.host.as_deref().map(|host| host.to_ascii_lowercase().into()),
@@ -243,6 +254,11 @@
             deadline: time::Duration::from_millis(deadline?),
             max_body_bytes: max_body?,
             limit: limit?,
+            max_attempts: max_attempts?,
+            target: row.target_ms.map(time::Duration::from_millis),
+            priority: row.priority,
+            sticky: row.sticky,
+            regions: row.regions.clone(),
         })
     }
 
@@ -250,7 +266,7 @@
         &mut self,
         path: &str,
         row: &document::RouteDocument,
-    ) -> Vec<pool::PoolKey> {
+    ) -> route::PoolChoice {
         if row.pools.is_empty() {
             self.faults.add(format!("{path}.pools"), fault::FaultKind::Empty("pool"));
         }
@@ -259,7 +275,13 @@
             let found = find_named(&self.pool_keys, "pools", name);
             pools.extend(self.faults.check(format!("{path}.pools[{index}]"), found));
         }
-        pools
+        if row.weights.is_empty() {
+            return route::PoolChoice::Preferred(pools);
+        }
+        self.faults.check(format!("{path}.weights"), check_weights(row));
+        let parts = pools.into_iter().zip(&row.weights);
+        let parts = parts.map(|(pool, weight)| route::PoolPart { pool, weight: *weight });
+        route::PoolChoice::Split(parts.collect())
     }
 
     fn add_teams(&mut self, raw: &document::TeamsDocument) {
@@ -271,7 +293,8 @@
             let Some(name) = name else { continue };
             // A stand-in limit keeps the name known, so that its keys show no second fault.
             let limit = limit.unwrap_or(team::RateLimit::LEAST);
-            let key = self.snapshot.teams.push(team::Team { name, limit });
+            let (priority, regions) = (row.priority, row.regions.clone());
+            let key = self.snapshot.teams.push(team::Team { name, limit, priority, regions });
             if self.team_keys.insert(Arc::clone(&row.name), key).is_some() {
                 self.faults.add(path, fault::FaultKind::Duplicate(Arc::clone(&row.name)));
             }
@@ -279,6 +302,10 @@
     }
 
     fn add_keys(&mut self, raw: &document::KeysDocument) {
+        self.snapshot.key_form = match raw.opaque {
+            true => credential::KeyForm::Opaque,
+            false => credential::KeyForm::Dotted,
+        };
         for (index, row) in raw.keys.iter().enumerate() {
             let path = format!("keys[{index}]");
             let Some(credential) = self.check_key(&path, row) else {
@@ -328,6 +355,27 @@
     })
 }
 
+/// Checks that each pool has a weight and some part gets traffic.
+fn check_weights(row: &document::RouteDocument) -> Result<(), fault::FaultKind> {
+    if row.weights.len() != row.pools.len() {
+        return Err(fault::FaultKind::Form {
+            text: format!("{} weights for {} pools", row.weights.len(), row.pools.len()).into(),
+            expected: "one weight for each pool, or none",
+        });
+    }
+    row.weights
+        .iter()
+        .try_for_each(|weight| fault::check_range(*weight, 0, MAX_WEIGHT).map(drop))?;
+    fault::check_range(row.weights.iter().copied().max().unwrap_or(0), 1, MAX_WEIGHT).map(drop)
+}
+
+fn check_cold_start(row: document::ColdStartDocument) -> Result<pool::ColdStart, fault::FaultKind> {
+    let duration_ms = fault::check_range(row.duration_ms, 0, MAX_COLD_MS)?;
+    let rate = fault::check_range(row.rate, MIN_COLD_RATE, MAX_COLD_RATE)?;
+    let duration = time::Duration::from_millis(duration_ms);
+    Ok(pool::ColdStart { duration, rate_milli: (rate * 1_000.0) as u32 })
+}
+
 fn check_route_limit(
     row: &document::RouteDocument,
 ) -> Result<Option<team::RateLimit>, fault::FaultKind> {
--- a/crates/state/tables/src/team.rs
+++ b/crates/state/tables/src/team.rs
@@ -1,5 +1,7 @@
 //! Checked teams and their limits.
 
+use std::sync::Arc;
+
 use marjoramwing_derives as derives;
 use marjoramwing_entity::entity_key;
 
@@ -47,4 +49,8 @@
     pub name: name::TeamName,
     /// Limit over all instances.
     pub limit: RateLimit,
+    /// Rank that goes before that of the route; 0 goes first.
+    pub priority: Option<u32>,
+    /// Regions in which the team's requests may be served; all when empty.
+    pub regions: Vec<Arc<str>>,
 }
--- a/crates/transport/node/src/admin.rs
+++ b/crates/transport/node/src/admin.rs
@@ -8,14 +8,12 @@
 use axum::extract;
 use axum::middleware;
 use axum::response::IntoResponse;
-use hyper_util::server::graceful;
-use hyper_util::service;
 use marjoramwing_tables::credential;
 use tokio_util::sync as cancellation;
 
 use crate::dump;
-use crate::listener::bounded;
 use crate::listener::http as http_listener;
+use crate::listener::router;
 use crate::shared;
 
 type SharedState = extract::State<sync::Arc<shared::SharedTables>>;
@@ -55,26 +53,7 @@
     stop: cancellation::CancellationToken,
 ) {
     let router = make_router(shared);
-    let graceful = graceful::GracefulShutdown::new();
-    let bounded = bounded::BoundedListener::new(listener, MAX_CONNECTIONS, stop.clone());
-    while let Some(accepted) = bounded.accept().await {
-        let Some(permit) = accepted.permit else {
-            continue;
-        };
-        let connection = http_listener::HttpConnection {
-            stream: accepted.stream,
-            limits: LIMITS,
-            watcher: graceful.watcher(),
-            stop: stop.clone(),
-        };
-        let service = service::TowerToHyperService::new(router.clone());
-        tokio::spawn(async move {
-            let _ = connection.serve(service).await;
-            drop(permit);
-        });
-    }
-    drop(bounded);
-    graceful.shutdown().await;
+    router::serve_router(router, listener, LIMITS, MAX_CONNECTIONS, stop).await;
 }
 
 async fn require_secret(
--- a/crates/transport/node/src/backends/service.rs
+++ b/crates/transport/node/src/backends/service.rs
@@ -10,11 +10,13 @@
 use std::sync;
 use std::time as duration;
 
+use marjoramwing_dispatch::distance;
 use marjoramwing_dispatch::picker;
 use marjoramwing_dispatch::policy;
 use marjoramwing_dispatch::queue;
 use marjoramwing_dispatch::service;
 use marjoramwing_entity::time;
+use marjoramwing_tables::name;
 use marjoramwing_tables::pool as tables_pool;
 use tokio::sync::oneshot;
 
@@ -44,6 +46,17 @@
 /// What a waiting request is told.
 type SlotAnswer = Result<ServerGuard, SlotFault>;
 
+/// What one service is told of the fleet around it.
+#[expect(missing_debug_implementations, reason = "closures have none")]
+pub struct Surroundings<'a> {
+    /// Where a failure domain is, as seen from here.
+    pub place_of: &'a dyn Fn(&name::DomainName) -> distance::DomainPlace,
+    /// Requests per second that this instance may send to a cold server.
+    pub cold_rate_of: &'a dyn Fn(&str) -> u32,
+    /// Retries that a quiet service may make at once.
+    pub retry_reserve: f64,
+}
+
 /// Why a request got no slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SlotFault {
@@ -79,6 +92,22 @@
         self.turn();
     }
 
+    /// Notes how far the servers are and how fast each cold one may be used.
+    pub fn set_surroundings(self: &sync::Arc<Self>, surroundings: &Surroundings<'_>) {
+        {
+            let mut state = self.lock();
+            state.dispatcher.set_places(surroundings.place_of);
+            state.dispatcher.set_cold_rates(surroundings.cold_rate_of);
+            state.dispatcher.set_retry_reserve(surroundings.retry_reserve);
+        }
+        self.turn();
+    }
+
+    /// Notes the time that a connection to a server took to open.
+    pub fn note_connected(&self, server: net::SocketAddr, round_trip: duration::Duration) {
+        self.lock().dispatcher.note_connected(server, round_trip);
+    }
+
     /// Gives the leaving among the servers no new work.
     pub fn set_leaving(self: &sync::Arc<Self>, leaving: &collections::HashSet<net::SocketAddr>) {
         self.lock().dispatcher.set_leaving(leaving);
@@ -87,13 +116,14 @@
 
     /// Takes a slot that is free now.
     #[must_use]
-    pub fn try_slot(self: &sync::Arc<Self>, avoided: &[net::SocketAddr]) -> Option<ServerGuard> {
+    pub fn try_slot(self: &sync::Arc<Self>, wish: &picker::ServerWish<'_>) -> Option<ServerGuard> {
         let now = self.clock.now();
         let mut state = self.lock();
         let seed = state.next_seed();
-        let server = state.dispatcher.try_submit(avoided, seed, now)?;
+        let server = state.dispatcher.try_submit(wish, seed, now)?;
+        let identity = state.dispatcher.identity(server);
         drop(state);
-        Some(self.guard(server))
+        Some(self.guard(server, identity))
     }
 
     /// Waits for a slot.
@@ -113,8 +143,9 @@
             let seed = state.next_seed();
             match state.dispatcher.submit(request, seed, now) {
                 service::SubmitOutcome::Granted(server) => {
+                    let identity = state.dispatcher.identity(server);
                     drop(state);
-                    return Ok(self.guard(server));
+                    return Ok(self.guard(server, identity));
                 }
                 service::SubmitOutcome::Full => return Err(SlotFault::QueueFull),
                 service::SubmitOutcome::NoServer => return Err(SlotFault::NoServer),
@@ -168,7 +199,8 @@
             let turn = state.dispatcher.turn(seed, now);
             for grant in turn.granted {
                 let sender = state.waiting.remove(&grant.ticket);
-                granted.push(GrantedSlot { sender, guard: self.guard(grant.server) });
+                let identity = state.dispatcher.identity(grant.server);
+                granted.push(GrantedSlot { sender, guard: self.guard(grant.server, identity) });
             }
             late.extend(turn.expired.iter().filter_map(|ticket| state.waiting.remove(ticket)));
             self.schedule_wake(&mut state, now);
@@ -193,13 +225,17 @@
         });
     }
 
-    fn guard(self: &sync::Arc<Self>, address: net::SocketAddr) -> ServerGuard {
+    fn guard(
+        self: &sync::Arc<Self>,
+        address: net::SocketAddr,
+        identity: Option<sync::Arc<str>>,
+    ) -> ServerGuard {
         let report = picker::AttemptReport {
             result: picker::ReportedResult::Cancelled,
             open_requests: None,
         };
         let begun_at = self.clock.now();
-        ServerGuard { service: sync::Arc::clone(self), address, begun_at, report }
+        ServerGuard { service: sync::Arc::clone(self), address, identity, begun_at, report }
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, ServiceState> {
@@ -249,6 +285,7 @@
 pub struct ServerGuard {
     service: sync::Arc<ServiceControl>,
     address: net::SocketAddr,
+    identity: Option<sync::Arc<str>>,
     begun_at: time::Timestamp,
     report: picker::AttemptReport,
 }
@@ -260,6 +297,12 @@
         self.address
     }
 
+    /// Returns the identifier of a server that registered itself.
+    #[must_use]
+    pub fn identity(&self) -> Option<&str> {
+        self.identity.as_deref()
+    }
+
     /// Returns the service of the server.
     #[must_use]
     pub const fn service(&self) -> &sync::Arc<ServiceControl> {
--- a/crates/transport/node/src/callers/answer.rs
+++ b/crates/transport/node/src/callers/answer.rs
@@ -20,6 +20,9 @@
     /// The request is not one that can be passed on safely.
     #[display("{_0}")]
     BadRequest(&'static str),
+    /// The head is larger than it may be.
+    #[display("the request's head is too large; send fewer or shorter headers")]
+    HeadTooLarge,
     /// The target is one that servers read in different ways.
     #[display("{_0}")]
     BadTarget(target::TargetFault),
@@ -130,6 +133,10 @@
     outcome.is_some_and(|outcome| outcome.as_bytes() == not_run.as_bytes())
 }
 
+/// Time after which a refused request may come again, before it is rounded.
+#[derive(Debug, Clone, Copy)]
+pub struct RetryDelay(pub time::Duration);
+
 #[derive(serde::Serialize)]
 struct RefusalBody {
     error: String,
@@ -156,6 +163,7 @@
             RefusalKind::BadRequest(_) | RefusalKind::BadTarget(_) | RefusalKind::BodyBroken => {
                 http::StatusCode::BAD_REQUEST
             }
+            RefusalKind::HeadTooLarge => http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             RefusalKind::Unsupported(_) => http::StatusCode::NOT_IMPLEMENTED,
             RefusalKind::BodyPaused => http::StatusCode::REQUEST_TIMEOUT,
             RefusalKind::NoRoute => http::StatusCode::NOT_FOUND,
@@ -182,6 +190,7 @@
     pub const fn label(&self) -> &'static str {
         match self.kind {
             RefusalKind::BadRequest(_) => "bad_request",
+            RefusalKind::HeadTooLarge => "head_too_large",
             RefusalKind::BadTarget(_) => "bad_target",
             RefusalKind::Unsupported(_) => "unsupported",
             RefusalKind::BodyPaused => "body_paused",
@@ -233,7 +242,9 @@
         if let Some(delay) = self.retry_after() {
             let seconds = delay.as_secs_f64().ceil();
             headers.insert(http::header::RETRY_AFTER, http::HeaderValue::from(seconds as u64));
+            response.extensions_mut().insert(RetryDelay(delay));
         }
+        let headers = response.headers_mut();
         if self.kind == RefusalKind::KeyMissing {
             let scheme = http::HeaderValue::from_static("Bearer");
             headers.insert(http::header::WWW_AUTHENTICATE, scheme);
--- a/crates/transport/node/src/callers/attempt.rs
+++ b/crates/transport/node/src/callers/attempt.rs
@@ -10,6 +10,7 @@
 use marjoramwing_dispatch::exchange;
 use marjoramwing_dispatch::gate;
 use marjoramwing_dispatch::picker;
+use marjoramwing_exchange::names;
 use tokio_util::sync as cancellation;
 
 use crate::backends::answer as backend_answer;
@@ -30,6 +31,8 @@
     Answered(Box<attempts::OpenAnswer>),
     Shed,
     Crossed,
+    /// Another server has the address now.
+    Misdirected,
     Failed(exchange::AttemptState),
     Unreachable,
     Abandoned(exchange::AttemptState),
@@ -66,8 +69,9 @@
         };
         let send_before = self.context.deadline.min(self.context.send_before);
         let time_left = self.context.deadline.since(self.context.shared.now());
-        let request = self.context.request.build(time_left);
-        let marks = request::AnswerMarks::of(request.headers());
+        let names = self.context.shared.names;
+        let request = self.context.request.build(time_left, guard.identity());
+        let marks = request::AnswerMarks::of(request.headers(), names);
         let gate = sync::Arc::clone(connection.gate());
         let sent = tokio::select! {
             biased;
@@ -76,7 +80,7 @@
         };
         let response = match sent {
             None => return self.abandon(&gate, guard),
-            Some(Ok(response)) if is_late(&response) => {
+            Some(Ok(response)) if is_late(&response, names) => {
                 guard.note(picker::ReportedResult::Failed, None);
                 return AttemptResult::Failed(gate.reached());
             }
@@ -92,13 +96,21 @@
                 return sent.map_or_else(AttemptResult::Failed, |_| AttemptResult::Crossed);
             }
         };
-        let open_requests = told_load(response.headers());
-        match gate.reached().after(head_event(&response)) {
+        let open_requests = told_load(response.headers(), names);
+        match gate.reached().after(head_event(&response, names)) {
+            exchange::AttemptState::Answered if !marks.confirm(&response) => {
+                guard.note(picker::ReportedResult::Failed, None);
+                AttemptResult::Crossed
+            }
             exchange::AttemptState::Answered => {
                 guard.note(picker::ReportedResult::Answered(guard.age()), open_requests);
                 let exchange = backend_answer::OpenExchange { connection, guard };
                 AttemptResult::Answered(Box::new(attempts::OpenAnswer { response, exchange }))
             }
+            exchange::AttemptState::Shed if names.misdirected == Some(response.status()) => {
+                guard.note(picker::ReportedResult::Failed, None);
+                AttemptResult::Misdirected
+            }
             exchange::AttemptState::Shed => {
                 guard.note(picker::ReportedResult::Shed, open_requests);
                 AttemptResult::Shed
@@ -120,29 +132,34 @@
         let kept = guard.service().connections.take(self.address, idempotent, shared.now());
         match kept {
             Some(connection) => Some(connection),
-            None => connection::Connection::open(self.address, shared.clock()).await,
+            None => {
+                let begun = shared.now();
+                let opened = connection::Connection::open(self.address, shared.clock()).await?;
+                guard.service().note_connected(self.address, shared.now().since(begun));
+                Some(opened)
+            }
         }
     }
 }
 
-/// Header with which a backend server tells its open requests.
-const LOAD_HEADER: &str = "marjoramwing-load";
-
-fn told_load(headers: &http::HeaderMap) -> Option<u32> {
-    headers.get(LOAD_HEADER)?.to_str().ok()?.parse().ok()
+fn told_load(headers: &http::HeaderMap, names: &names::HeaderNames) -> Option<u32> {
+    let text = headers.get(&names.load)?.to_str().ok()?;
+    (names.read_load)(text).map(|load| load.open)
 }
 
-/// Header with which a backend server says that it did not run a request.
-const SHED_HEADER: &str = "marjoramwing-shed";
-
 /// Tells whether a backend server gave up at the deadline that it was told.
-fn is_late<B>(response: &http::Response<B>) -> bool {
-    response.status() == http::StatusCode::GATEWAY_TIMEOUT
+fn is_late<B>(response: &http::Response<B>, names: &names::HeaderNames) -> bool {
+    response.status() == http::StatusCode::GATEWAY_TIMEOUT && names.answer_mark.is_none()
 }
 
-fn head_event<B>(response: &http::Response<B>) -> exchange::AttemptEvent {
-    let unavailable = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
-    if unavailable && response.headers().contains_key(SHED_HEADER) {
+fn head_event<B>(
+    response: &http::Response<B>,
+    names: &names::HeaderNames,
+) -> exchange::AttemptEvent {
+    let status = response.status();
+    let says_so = response.headers().contains_key(&names.shed);
+    let is_shed = says_so && names.shed_statuses.contains(&status);
+    if is_shed || names.misdirected == Some(status) {
         exchange::AttemptEvent::ShedHead
     } else {
         exchange::AttemptEvent::Head
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -11,6 +11,7 @@
 use futures_util::stream;
 use marjoramwing_dispatch::exchange;
 use marjoramwing_dispatch::mechanism;
+use marjoramwing_dispatch::picker;
 use marjoramwing_dispatch::queue;
 use marjoramwing_entity::primary;
 use marjoramwing_entity::time;
@@ -26,8 +27,6 @@
 use crate::callers::request;
 use crate::shared;
 
-/// Attempts at one request, the first included.
-const MAX_ATTEMPTS: u32 = 3;
 /// Part of a route's deadline after which a silent backend server is left.
 const SILENCE_DIVISOR: u32 = 4;
 
@@ -40,6 +39,8 @@
     pub services: &'a [sync::Arc<service::ServiceControl>],
     /// Team of the request; empty on a route open to all.
     pub team: &'a str,
+    /// The only regions in which the request may be served.
+    pub regions: Option<&'a sync::Arc<[sync::Arc<str>]>>,
     /// Route of the request.
     pub route: &'a route::Route,
     /// The request.
@@ -68,11 +69,16 @@
     let idempotent = context.route.is_idempotent(context.request.method().as_str());
     let silent = context.route.deadline / SILENCE_DIVISOR;
     // A body that the caller still sends says nothing about the backend server.
-    let silence = if context.request.source.is_whole() { silent } else { duration::Duration::MAX };
+    let leaves_silent = context.shared.dispatch.policy().leaves_silent;
+    let silence = match context.request.source.is_whole() && leaves_silent {
+        true => silent,
+        false => duration::Duration::MAX,
+    };
     let rules = exchange::ExchangeRules {
         idempotent,
         deadline: context.deadline,
-        max_attempts: MAX_ATTEMPTS,
+        max_attempts: context.route.max_attempts,
+        counts_sheds: context.shared.dispatch.policy().counts_sheds,
         silence,
         hedge_after: context.shared.dispatch.policy().hedge_after,
         disabled: mechanism::DisabledMechanism::Nothing,
@@ -95,6 +101,10 @@
 }
 
 impl AttemptContext<'_> {
+    fn wish<'a>(&'a self, failed: &'a [net::SocketAddr]) -> picker::ServerWish<'a> {
+        picker::ServerWish { avoided: failed, regions: self.regions.map(|regions| &**regions) }
+    }
+
     /// Waits for a slot of the route's first service, or takes one of another
     /// that is free now.
     async fn find_slot(
@@ -102,7 +112,7 @@
         failed: &[net::SocketAddr],
     ) -> Result<service::ServerGuard, service::SlotFault> {
         let free = self.services.iter().find_map(|service| {
-            if service.queued() == 0 { service.try_slot(failed) } else { None }
+            if service.queued() == 0 { service.try_slot(&self.wish(failed)) } else { None }
         });
         if let Some(guard) = free {
             return Ok(guard);
@@ -114,6 +124,7 @@
                 deadline: self.deadline,
                 bytes: self.request.source.kept_bytes(),
                 avoided: failed.to_vec(),
+                regions: self.regions.map(sync::Arc::clone),
             };
             match service.wait_slot(request).await {
                 Err(service::SlotFault::NoServer) => {}
@@ -176,7 +187,8 @@
     /// Starts a second attempt if a slot is free for it now.
     fn start_hedge(&mut self) {
         let service = &self.context.services[0];
-        let slot = service.try_slot(&self.failed).filter(|_| service.take_retry());
+        let slot =
+            service.try_slot(&self.context.wish(&self.failed)).filter(|_| service.take_retry());
         match slot {
             Some(guard) => self.begin(guard),
             None => self.exchange.skip_hedge(),
@@ -222,6 +234,9 @@
                 self.exchange.end(key, exchange::AttemptState::Shed);
                 self.failed.retain(|failed| *failed != address);
             }
+            attempt::AttemptResult::Misdirected => {
+                self.exchange.end(key, exchange::AttemptState::Shed);
+            }
             attempt::AttemptResult::Unreachable => {
                 self.exchange.end(key, exchange::AttemptState::NotSent);
             }
@@ -238,6 +253,7 @@
         let label = match result {
             attempt::AttemptResult::Answered(_) => "answered",
             attempt::AttemptResult::Shed => "shed",
+            attempt::AttemptResult::Misdirected => "misdirected",
             attempt::AttemptResult::Crossed => {
                 emit!(catalogue::BACKEND_ANSWER_CROSSED, server = %address);
                 "crossed"
@@ -257,7 +273,8 @@
 
     /// Refuses an answer whose end could not be told from a break.
     fn check_framing(&self, open: OpenAnswer) -> Result<OpenAnswer, answer::Refusal> {
-        if is_bounded(&open.response) {
+        let accepts_unbounded = self.context.shared.names.accepts_unbounded;
+        if accepts_unbounded || is_bounded(&open.response) {
             return Ok(open);
         }
         let outcome = exchange::RequestOutcome::Unknown;
--- a/crates/transport/node/src/callers/body.rs
+++ b/crates/transport/node/src/callers/body.rs
@@ -53,7 +53,7 @@
     Paused,
     /// The caller broke off or sent a wrong chunk.
     #[display("{_0}")]
-    Broken(hyper::Error),
+    Broken(axum::Error),
 }
 
 /// A body that fails when its sender pauses for too long.
@@ -62,7 +62,7 @@
 /// server is not taken for a slow caller.
 #[derive(Debug)]
 pub struct PacedBody {
-    inner: hyper::body::Incoming,
+    inner: axum::body::Body,
     pause: time::Duration,
     timer: Option<pin::Pin<Box<tokio::time::Sleep>>>,
     watch: BodyWatch,
@@ -71,7 +71,7 @@
 impl PacedBody {
     /// Bounds the pauses of a body.
     #[must_use]
-    pub fn new(inner: hyper::body::Incoming, pause: time::Duration, watch: BodyWatch) -> Self {
+    pub fn new(inner: axum::body::Body, pause: time::Duration, watch: BodyWatch) -> Self {
         Self { inner, pause, timer: None, watch }
     }
 
--- a/crates/transport/node/src/callers/exposure.rs
+++ b/crates/transport/node/src/callers/exposure.rs
@@ -40,6 +40,10 @@
 }
 
 fn find_place<B>(tables: &snapshot::TableSnapshot, request: &http::Request<B>) -> Option<KeyPlace> {
+    // An opaque key looks like any other word, so it cannot be searched for.
+    if tables.key_form == credential::KeyForm::Opaque {
+        return None;
+    }
     let target = request.uri().path_and_query().map_or("", |target| target.as_str());
     if shows_key(tables, target.as_bytes()) {
         return Some(KeyPlace::Target);
--- a/crates/transport/node/src/callers/guard.rs
+++ b/crates/transport/node/src/callers/guard.rs
@@ -27,28 +27,44 @@
 }
 
 impl CallerGuard {
-    /// Checks and answers one request.
+    /// Checks and answers one request of the HTTP library.
     ///
     /// # Errors
     ///
     /// Never fails; every refusal is an answer.
-    pub async fn answer(
+    pub async fn answer_incoming(
         self,
         request: http::Request<hyper::body::Incoming>,
     ) -> Result<axum::response::Response, convert::Infallible> {
+        let version = request.version();
+        let shared = sync::Arc::clone(&self.shared);
+        let mut response = self.answer(request.map(axum::body::Body::new)).await;
+        if shared.is_leaving() && version < http::Version::HTTP_2 {
+            tell_close(&mut response);
+        }
+        Ok(response)
+    }
+
+    /// Checks and answers one request.
+    pub async fn answer(
+        self,
+        request: http::Request<axum::body::Body>,
+    ) -> axum::response::Response {
         let version = request.version();
         let checked = check_request(&request);
         // After a refusal here the next request's start on the connection is in doubt.
-        let is_last = checked.is_err() || self.shared.is_leaving();
+        let is_last = checked.is_err();
         let mut response = match checked {
             Ok(uri) => self.pass_on(request, uri).await,
             Err(refusal) => self.refuse(&refusal),
         };
+        if self.shared.names.fractional_retry {
+            tell_fractions(&mut response);
+        }
         if is_last && version < http::Version::HTTP_2 {
-            let close = http::HeaderValue::from_static("close");
-            response.headers_mut().insert(http::header::CONNECTION, close);
+            tell_close(&mut response);
         }
-        Ok(response)
+        response
     }
 
     fn refuse(&self, refusal: &answer::Refusal) -> axum::response::Response {
@@ -58,7 +74,7 @@
 
     async fn pass_on(
         &self,
-        request: http::Request<hyper::body::Incoming>,
+        request: http::Request<axum::body::Body>,
         uri: http::Uri,
     ) -> axum::response::Response {
         let watch = body::BodyWatch::default();
@@ -75,6 +91,11 @@
     }
 }
 
+fn tell_close(response: &mut axum::response::Response) {
+    let close = http::HeaderValue::from_static("close");
+    response.headers_mut().insert(http::header::CONNECTION, close);
+}
+
 /// Checks a request and returns its target in the form that is routed.
 fn check_request<B>(request: &http::Request<B>) -> Result<http::Uri, answer::Refusal> {
     check_method(request)?;
@@ -120,6 +141,14 @@
     Err(answer::Refusal::not_run(answer::RefusalKind::Unsupported(remedy)))
 }
 
+/// Tells the time to retry after without rounding it up to whole seconds.
+fn tell_fractions(response: &mut axum::response::Response) {
+    let Some(answer::RetryDelay(delay)) = response.extensions().get().copied() else { return };
+    let text = format!("{:.3}", delay.as_secs_f64());
+    let value = http::HeaderValue::from_str(&text).expect("a number is a valid header");
+    response.headers_mut().insert(http::header::RETRY_AFTER, value);
+}
+
 fn refuse_target(fault: target::TargetFault) -> answer::Refusal {
     answer::Refusal::not_run(answer::RefusalKind::BadTarget(fault))
 }
--- a/crates/transport/node/src/callers/headers.rs
+++ b/crates/transport/node/src/callers/headers.rs
@@ -5,13 +5,6 @@
 /// Prefix of the headers that only the system itself may set.
 const INTERNAL_PREFIX: &str = "marjoramwing-";
 
-/// Header that tells a backend server the team of a request.
-pub const TEAM_HEADER: http::HeaderName = http::HeaderName::from_static("marjoramwing-team");
-
-/// Header that tells a backend server the milliseconds left for a request.
-pub const DEADLINE_HEADER: http::HeaderName =
-    http::HeaderName::from_static("marjoramwing-deadline-ms");
-
 const HOP_BY_HOP: [http::HeaderName; 7] = [
     http::header::CONNECTION,
     http::header::PROXY_AUTHENTICATE,
--- a/crates/transport/node/src/callers/lookup.rs
+++ b/crates/transport/node/src/callers/lookup.rs
@@ -53,7 +53,7 @@
         return refuse(answer::RefusalKind::NotReady);
     }
     let team = key_text
-        .and_then(tables_credential::PresentedKey::parse)
+        .and_then(|text| tables_credential::PresentedKey::read(text, tables.key_form))
         .and_then(|key| tables.authenticate(&key));
     let caller = steering::LookupCaller {
         client: parameters.client.unwrap_or(peer.ip()),
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -8,6 +8,7 @@
 use axum::response::IntoResponse;
 use marjoramwing_dispatch::claim;
 use marjoramwing_entity::time;
+use marjoramwing_exchange::names;
 use marjoramwing_ledger::action;
 use marjoramwing_ledger::limit;
 use marjoramwing_tables::credential as tables_credential;
@@ -42,7 +43,8 @@
     let result = match &route {
         Ok(key) => {
             let route = &tables.routes[*key];
-            let deadline = arrived + route.deadline;
+            let told = caller_deadline(request.headers(), shared.names);
+            let deadline = arrived + told.map_or(route.deadline, |told| told.min(route.deadline));
             let path =
                 RequestPath { shared: &shared, tables: &tables, route, deadline, home: &home };
             path.run(request).await
@@ -88,6 +90,32 @@
     found.ok_or(answer::Refusal::not_run(answer::RefusalKind::NoRoute))
 }
 
+/// Returns the regions in which both the route and the team may be served.
+fn home_regions(
+    route: &route::Route,
+    team: Option<&team::Team>,
+) -> Option<sync::Arc<[sync::Arc<str>]>> {
+    let of_team = team.map_or(&[][..], |team| &team.regions);
+    match (route.regions.is_empty(), of_team.is_empty()) {
+        (true, true) => None,
+        (false, true) => Some(route.regions.as_slice().into()),
+        (true, false) => Some(of_team.into()),
+        (false, false) => {
+            let common = route.regions.iter().filter(|region| of_team.contains(region));
+            Some(common.map(sync::Arc::clone).collect())
+        }
+    }
+}
+
+/// Returns the time that a caller says it waits, where callers say so.
+fn caller_deadline(
+    headers: &http::HeaderMap,
+    names: &names::HeaderNames,
+) -> Option<duration::Duration> {
+    let told = headers.get(&names.deadline).filter(|_| names.caller_sets_deadline)?;
+    told.to_str().ok()?.trim().parse().ok().map(duration::Duration::from_millis)
+}
+
 fn request_host(request: &http::Request<axum::body::Body>) -> Result<String, answer::Refusal> {
     let named = request.headers().get(http::header::HOST);
     let named = named.and_then(|value| value.to_str().ok()?.parse::<http::uri::Authority>().ok());
@@ -134,9 +162,11 @@
         let send_before = self.admit(team).await?;
         let services = self.find_services()?;
         let request = self.prepare(request, team, &services[0].body_memory).await?;
+        let regions = home_regions(self.route, team.map(|team| &self.tables.teams[team]));
         let context = attempts::AttemptContext {
             shared: self.shared,
             services: &services,
+            regions: regions.as_ref(),
             team: team.map_or("", |team| self.tables.teams[team].name.as_str()),
             route: self.route,
             request: &request,
@@ -175,7 +205,8 @@
 
     /// Finds the services of the route's pools, in order of preference.
     fn find_services(&self) -> Result<Vec<sync::Arc<service::ServiceControl>>, answer::Refusal> {
-        let pools = self.route.pools.iter().map(|key| &self.tables.pools[*key].name);
+        let pools = self.route.pools.choose(rand::random());
+        let pools = pools.iter().map(|key| &self.tables.pools[*key].name);
         let services = pools.filter_map(|pool| self.shared.dispatch.service(pool));
         let services: Vec<_> = services.collect();
         if services.is_empty() {
@@ -197,7 +228,8 @@
         let missing = answer::Refusal::not_run(answer::RefusalKind::KeyMissing);
         let text = credential::find_key(headers)?.ok_or(missing)?;
         let refused = answer::Refusal::not_run(answer::RefusalKind::KeyRefused);
-        let key = tables_credential::PresentedKey::parse(text).ok_or(refused.clone())?;
+        let form = self.tables.key_form;
+        let key = tables_credential::PresentedKey::read(text, form).ok_or(refused.clone())?;
         let team = self.tables.authenticate(&key).ok_or(refused)?;
         Ok(Some(RequestSender { team, watch: credential::KeyWatch::new(&key) }))
     }
@@ -258,7 +290,8 @@
         memory: &replay::BodyMemory,
     ) -> Result<request::PreparedRequest, answer::Refusal> {
         let team = team.map(|team| self.tables.teams[team].name.as_str());
-        let prepared = request::PreparedRequest::prepare(request, self.route, team, memory);
+        let prepared =
+            request::PreparedRequest::prepare(request, self.route, team, self.shared.names, memory);
         let left = self.deadline.since(self.shared.now());
         let late = answer::Refusal::not_run(answer::RefusalKind::DeadlineUnsent);
         tokio::time::timeout(left, prepared).await.unwrap_or(Err(late))
--- a/crates/transport/node/src/callers/request.rs
+++ b/crates/transport/node/src/callers/request.rs
@@ -7,24 +7,20 @@
 use std::time;
 
 use http_body::Body as _;
+use marjoramwing_exchange::names;
 use marjoramwing_tables::route;
 
 use crate::backends::replay;
 use crate::callers::answer;
 use crate::callers::headers;
 
-/// Header with the number of an attempt, which a backend server may echo.
-pub const ATTEMPT_HEADER: http::HeaderName = http::HeaderName::from_static("marjoramwing-attempt");
-
-/// Header with which callers number their requests.
-pub const REQUEST_ID_HEADER: http::HeaderName = http::HeaderName::from_static("x-request-id");
-
 /// A request that can be sent to several backend servers.
 #[derive(Debug)]
 pub struct PreparedRequest {
     method: http::Method,
     uri: http::Uri,
     headers: http::HeaderMap,
+    names: &'static names::HeaderNames,
     /// Where the attempts take the body from.
     pub source: replay::BodySource,
 }
@@ -39,6 +35,7 @@
         request: http::Request<axum::body::Body>,
         route: &route::Route,
         team: Option<&str>,
+        names: &'static names::HeaderNames,
         memory: &replay::BodyMemory,
     ) -> Result<Self, answer::Refusal> {
         let (parts, body) = request.into_parts();
@@ -48,15 +45,19 @@
         headers::remove_hop_by_hop(&mut headers);
         headers::remove_internal(&mut headers);
         headers.remove(http::header::EXPECT);
+        headers.remove(&names.team);
+        if let Some(expected) = &names.expected_server {
+            headers.remove(expected);
+        }
         // A checked name is always a header.
         if let Some(value) = team.and_then(|team| http::HeaderValue::from_str(team).ok()) {
-            headers.insert(headers::TEAM_HEADER, value);
+            headers.insert(names.team.clone(), value);
         }
         let authority = uri.authority().map(http::uri::Authority::as_str);
         if let Some(host) = authority.and_then(|host| http::HeaderValue::from_str(host).ok()) {
             headers.insert(http::header::HOST, host);
         }
-        Ok(Self { method: parts.method, uri: origin_form(&uri), headers, source })
+        Ok(Self { method: parts.method, uri: origin_form(&uri), headers, names, source })
     }
 
     /// Returns the method.
@@ -71,17 +72,29 @@
         &self.headers
     }
 
-    /// Builds the request of one attempt.
+    /// Builds the request of one attempt, which only the expected server may run.
     #[must_use]
-    pub fn build(&self, time_left: time::Duration) -> http::Request<replay::RequestBody> {
+    pub fn build(
+        &self,
+        time_left: time::Duration,
+        expected_server: Option<&str>,
+    ) -> http::Request<replay::RequestBody> {
         let mut request = http::Request::new(self.source.body());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
         let left_ms = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
         let headers = request.headers_mut();
-        headers.insert(headers::DEADLINE_HEADER, http::HeaderValue::from(left_ms));
-        headers.insert(ATTEMPT_HEADER, http::HeaderValue::from(next_attempt_number()));
+        headers.insert(self.names.deadline.clone(), http::HeaderValue::from(left_ms));
+        if let Some(attempt) = &self.names.attempt {
+            headers.insert(attempt.clone(), http::HeaderValue::from(next_attempt_number()));
+        }
+        let expected = self.names.expected_server.as_ref().zip(expected_server);
+        if let Some((name, server)) = expected
+            && let Ok(value) = http::HeaderValue::from_str(server)
+        {
+            headers.insert(name.clone(), value);
+        }
         request
     }
 }
@@ -89,6 +102,7 @@
 /// Numbers that an answer repeats if it belongs to the request.
 #[derive(Debug)]
 pub struct AnswerMarks {
+    names: &'static names::HeaderNames,
     attempt: Option<http::HeaderValue>,
     request: Option<http::HeaderValue>,
 }
@@ -96,21 +110,34 @@
 impl AnswerMarks {
     /// Remembers the numbers of a request.
     #[must_use]
-    pub fn of(headers: &http::HeaderMap) -> Self {
+    pub fn of(headers: &http::HeaderMap, names: &'static names::HeaderNames) -> Self {
         Self {
-            attempt: headers.get(ATTEMPT_HEADER).cloned(),
-            request: headers.get(REQUEST_ID_HEADER).cloned(),
+            names,
+            attempt: names.attempt.as_ref().and_then(|name| headers.get(name)).cloned(),
+            request: headers.get(&names.request_id).cloned(),
         }
     }
 
     /// Tells whether an answer carries another request's number.
     #[must_use]
     pub fn contradict(&self, answer: &http::HeaderMap) -> bool {
-        let differs = |sent: &Option<http::HeaderValue>, name: http::HeaderName| {
+        let differs = |sent: &Option<http::HeaderValue>, name: &http::HeaderName| {
             let told = answer.get(name);
             sent.as_ref().zip(told).is_some_and(|(sent, told)| sent != told)
         };
-        differs(&self.attempt, ATTEMPT_HEADER) || differs(&self.request, REQUEST_ID_HEADER)
+        let attempt = self.names.attempt.as_ref();
+        attempt.is_some_and(|name| differs(&self.attempt, name))
+            || differs(&self.request, &self.names.request_id)
+    }
+
+    /// Tells whether a backend server's answer shows that it belongs to the request.
+    #[must_use]
+    pub fn confirm<B>(&self, answer: &http::Response<B>) -> bool {
+        let echoes = answer.headers().contains_key(&self.names.request_id);
+        let is_echoed = !self.names.echo_required || self.request.is_none() || echoes;
+        let mark = self.names.answer_mark.as_ref();
+        let is_marked = mark.is_none_or(|mark| answer.headers().contains_key(mark));
+        is_echoed && (is_marked || !answer.status().is_success())
     }
 }
 
--- a/crates/transport/node/src/callers/server.rs
+++ b/crates/transport/node/src/callers/server.rs
@@ -13,6 +13,7 @@
 use crate::callers::proxy;
 use crate::listener::bounded;
 use crate::listener::http as http_listener;
+use crate::pipeline::connection;
 use crate::shared;
 
 /// Makes the service of the caller port.
@@ -46,6 +47,27 @@
             router: router.clone(),
             peer: accepted.peer,
         };
+        if let Some(max_open) = limits.pipelined {
+            let connection = connection::PipelinedConnection::new(
+                accepted.stream,
+                guard,
+                connection::PipelineLimits {
+                    max_head_bytes: limits.max_header_bytes,
+                    head_timeout: limits.header_timeout,
+                    write_timeout: limits.body_pause,
+                    max_open,
+                },
+            );
+            let watcher = graceful.watcher();
+            tokio::spawn(serve_pipelined(
+                sync::Arc::clone(&shared),
+                connection,
+                stop.clone(),
+                permit,
+                watcher,
+            ));
+            continue;
+        }
         let connection = http_listener::HttpConnection {
             stream: accepted.stream,
             limits: http_listener::HttpLimits {
@@ -61,6 +83,20 @@
     graceful.shutdown().await;
 }
 
+async fn serve_pipelined(
+    shared: sync::Arc<shared::SharedTables>,
+    connection: connection::PipelinedConnection,
+    stop: cancellation::CancellationToken,
+    permit: tokio::sync::OwnedSemaphorePermit,
+    watcher: graceful::Watcher,
+) {
+    shared.metrics.caller_connections.inc();
+    let end = connection.serve(stop).await;
+    emit!(catalogue::CALLER_CONNECTION_ENDED, end = %end);
+    shared.metrics.caller_connections.dec();
+    drop((permit, watcher));
+}
+
 async fn serve_caller(
     guard: guard::CallerGuard,
     connection: http_listener::HttpConnection,
@@ -69,7 +105,7 @@
     let shared = sync::Arc::clone(&guard.shared);
     let peer = guard.peer;
     shared.metrics.caller_connections.inc();
-    let service = hyper::service::service_fn(move |request| guard.clone().answer(request));
+    let service = hyper::service::service_fn(move |request| guard.clone().answer_incoming(request));
     if let Err(error) = connection.serve(service).await {
         emit!(catalogue::CALLER_CONNECTION_FAILED, peer = %peer, error = %error);
     }
--- /dev/null
+++ b/crates/transport/node/src/directory.rs
@@ -0,0 +1,79 @@
+//! The directory and readiness ports of an instance.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use axum::extract;
+use axum::response::IntoResponse;
+use marjoramwing_platform::directory;
+use marjoramwing_steering::directory as decision;
+use tokio_util::sync as cancellation;
+
+use crate::listener::http as http_listener;
+use crate::listener::router;
+use crate::shared;
+
+type SharedState = extract::State<sync::Arc<shared::SharedTables>>;
+
+/// Connections of callers that ask, at once.
+const MAX_DIRECTORY_CONNECTIONS: usize = 1_024;
+/// Connections of the platform's checks, at once.
+const MAX_READINESS_CONNECTIONS: usize = 16;
+const LIMITS: http_listener::HttpLimits = http_listener::HttpLimits {
+    max_header_bytes: 16 * 1024,
+    header_timeout: time::Duration::from_secs(10),
+};
+
+/// Answers callers that ask which instances to use, until stopped.
+pub async fn serve_directory(
+    shared: sync::Arc<shared::SharedTables>,
+    listener: tokio::net::TcpListener,
+    stop: cancellation::CancellationToken,
+) {
+    let router = axum::Router::new()
+        .route(directory::LOOKUP_PATH, axum::routing::get(answer_question))
+        .with_state(shared);
+    router::serve_router(router, listener, LIMITS, MAX_DIRECTORY_CONNECTIONS, stop).await;
+}
+
+/// Answers the platform's question whether the instance takes requests, until stopped.
+pub async fn serve_readiness(
+    shared: sync::Arc<shared::SharedTables>,
+    listener: tokio::net::TcpListener,
+    stop: cancellation::CancellationToken,
+) {
+    let router = axum::Router::new()
+        .route(directory::READINESS_PATH, axum::routing::get(tell_readiness))
+        .with_state(shared);
+    router::serve_router(router, listener, LIMITS, MAX_READINESS_CONNECTIONS, stop).await;
+}
+
+async fn answer_question(
+    extract::State(shared): SharedState,
+    extract::Query(question): extract::Query<directory::DirectoryQuestion>,
+) -> axum::response::Response {
+    shared.metrics.lookups.inc();
+    let place = decision::CallerPlace {
+        region: question.region.as_deref(),
+        failure_domain: question.failure_domain.as_deref(),
+    };
+    let own = shared.settings.listen.callers;
+    let view = shared.members.load();
+    let takes_requests = |address: &net::SocketAddr| *address != own || shared.is_ready();
+    let mut addresses = decision::find_instances(&view, &place);
+    addresses.retain(takes_requests);
+    addresses.truncate(directory::MAX_ADDRESSES);
+    if addresses.is_empty() {
+        return http::StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let ttl = shared.settings.bounds.lookup_ttl;
+    axum::Json(directory::DirectoryAnswer::new(addresses, ttl)).into_response()
+}
+
+async fn tell_readiness(extract::State(shared): SharedState) -> http::StatusCode {
+    match shared.is_ready() {
+        true => http::StatusCode::OK,
+        false => http::StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -1,6 +1,6 @@
 //! Start and planned stop of an instance.
 
-use std::net;
+use std::path;
 use std::sync;
 use std::time;
 
@@ -8,10 +8,8 @@
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
 use marjoramwing_ledger::action;
-use marjoramwing_membership::farewell;
 use marjoramwing_membership::keeper;
 use marjoramwing_settings::settings;
-use marjoramwing_store_client::client;
 use tokio::signal::unix;
 use tokio::sync::mpsc;
 use tokio_util::sync as cancellation;
@@ -19,53 +17,27 @@
 use crate::admin;
 use crate::admission::driver as ledger_driver;
 use crate::callers::server;
+use crate::control::announcement;
 use crate::control::configuration;
 use crate::control::listing;
 use crate::control::membership;
+use crate::control::registry;
+use crate::control::reload;
+use crate::control::store;
+use crate::directory;
 use crate::inbox;
+use crate::listeners;
+use crate::listeners::StartError;
 use crate::peers::carrier;
 use crate::peers::mesh;
 use crate::shared;
 use crate::steering::driver as steering_driver;
+use crate::stopping;
 
 /// Time given to the last messages to peers before the process ends.
 const FAREWELL_WAIT: time::Duration = time::Duration::from_millis(200);
-/// Longest wait for the hand-over of limits: a loan, its margin and the release.
-///
-/// Without it an heir takes over, if it has not been replaced as well.
-const MAX_HANDOVER_WAIT: time::Duration = time::Duration::from_secs(15);
 const HANDOVER_POLL: time::Duration = time::Duration::from_millis(20);
 
-/// Why an instance could not start.
-#[derive(Debug, derive_more::Display, derive_more::Error)]
-pub enum StartError {
-    /// Addresses cannot be listened on.
-    #[display("{}", join_faults(_0))]
-    Listen(#[error(not(source))] Vec<ListenFault>),
-    /// Signals cannot be received.
-    #[display("cannot receive signals ({_0}); check the process's limits")]
-    Signal(#[error(not(source))] std::io::Error),
-}
-
-/// An address that cannot be listened on.
-#[derive(Debug, derive_more::Display)]
-#[display(
-    "listen.{role}: cannot listen on {address} ({reason}); free the port or change the setting"
-)]
-pub struct ListenFault {
-    /// What the port is for.
-    pub role: &'static str,
-    /// Address that was tried.
-    pub address: net::SocketAddr,
-    /// What the system said.
-    pub reason: std::io::Error,
-}
-
-fn join_faults(faults: &[ListenFault]) -> String {
-    let texts: Vec<_> = faults.iter().map(ToString::to_string).collect();
-    texts.join("\n")
-}
-
 /// How a stop ended.
 #[derives::value]
 pub enum StopOutcome {
@@ -82,19 +54,19 @@
 /// Returns every port that cannot be had, or that signals cannot be received.
 pub async fn run_instance(
     mut settings: settings::InstanceSettings,
+    file: path::PathBuf,
 ) -> Result<StopOutcome, StartError> {
-    let (callers, peers, admin) = bind_all(settings.listen).await?;
+    let listeners = listeners::InstanceListeners::bind(settings.listen).await?;
     let mut signals = StopSignals::new()?;
-    // A port 0 of the settings becomes the port that was given.
-    let listen = settings::ListenAddresses {
-        callers: callers.local_addr().unwrap_or(settings.listen.callers),
-        peers: peers.local_addr().unwrap_or(settings.listen.peers),
-        admin: admin.local_addr().unwrap_or(settings.listen.admin),
-    };
+    let reload = unix::signal(unix::SignalKind::hangup()).map_err(StartError::Signal)?;
+    let listen = listeners.addresses(settings.listen);
     settings.listen = listen;
     let shared = sync::Arc::new(shared::SharedTables::new(settings));
     emit!(catalogue::INSTANCE_STARTED, instance = %shared.settings.identity.name,
-        callers = %listen.callers, peers = %listen.peers, admin = %listen.admin);
+        incarnation = %shared.incarnation, callers = %listen.callers, peers = %listen.peers,
+        admin = %listen.admin);
+    tokio::spawn(reload::follow_settings(sync::Arc::clone(&shared), file, reload));
+    let listeners::InstanceListeners { callers, peers, admin, directory, readiness } = listeners;
     let stop = cancellation::CancellationToken::new();
     let (sender, received) = mpsc::channel(mesh::INBOX_QUEUE);
     let mesh = mesh::PeerMesh::new(sync::Arc::clone(&shared), sender);
@@ -102,6 +74,13 @@
     tokio::spawn(mesh.accept_links(peers));
     let ended = cancellation::CancellationToken::new();
     tokio::spawn(admin::serve_admin(sync::Arc::clone(&shared), admin, ended.clone()));
+    let state = || sync::Arc::clone(&shared);
+    if let Some(listener) = directory {
+        tokio::spawn(directory::serve_directory(state(), listener, ended.clone()));
+    }
+    if let Some(listener) = readiness {
+        tokio::spawn(directory::serve_readiness(state(), listener, ended.clone()));
+    }
     let serving = server::serve_callers(sync::Arc::clone(&shared), callers, stop.clone());
     let serving = tokio::spawn(serving);
     signals.wait().await;
@@ -128,8 +107,11 @@
     mesh: &mesh::PeerMesh,
     received: mpsc::Receiver<carrier::ReceivedEnvelope>,
 ) -> mpsc::Sender<keeper::MembershipEvent> {
-    let store = shared.settings.store;
-    let client = client::StoreClient::new(store.address, store.timeout);
+    let client = store::make_client(&shared.settings);
+    if shared.settings.dialect == settings::InterfaceDialect::Platform {
+        tokio::spawn(announcement::announce(sync::Arc::clone(shared), client.clone()));
+        tokio::spawn(registry::follow_registry(sync::Arc::clone(shared), client.clone()));
+    }
     let (sender, events) = mpsc::channel(membership::EVENT_QUEUE);
     let driver = membership::MembershipDriver::new(sync::Arc::clone(shared), mesh.clone(), events);
     tokio::spawn(driver.run());
@@ -162,12 +144,14 @@
     serving: tokio::task::JoinHandle<()>,
     stop: &cancellation::CancellationToken,
 ) -> StopOutcome {
-    let cached_lookups = shared.tables.load().snapshot.lookup_ttl;
-    let spread = farewell::leave_spread(shared.members.load().members.len());
-    tokio::time::sleep(spread + cached_lookups).await;
+    let schedule = stopping::StopSchedule::new(shared);
+    tokio::time::sleep(schedule.linger).await;
     stop.cancel();
-    let finished = tokio::time::timeout(shared.settings.stop.max_wait, serving).await;
-    let _ = tokio::time::timeout(MAX_HANDOVER_WAIT, hand_over(shared)).await;
+    let finished = tokio::time::timeout(schedule.finish, serving).await;
+    let hands_over = !schedule.hand_over.is_zero();
+    if hands_over && tokio::time::timeout(schedule.hand_over, hand_over(shared)).await.is_err() {
+        emit!(catalogue::HANDOVER_TIMED_OUT, waited_ms = schedule.hand_over.as_millis());
+    }
     match finished {
         Ok(_) => {
             emit!(catalogue::STOP_FINISHED);
@@ -180,22 +164,6 @@
     }
 }
 
-type ThreeListeners = (tokio::net::TcpListener, tokio::net::TcpListener, tokio::net::TcpListener);
-
-/// Listens for callers, peers and operators, or tells every address that cannot be had.
-async fn bind_all(listen: settings::ListenAddresses) -> Result<ThreeListeners, StartError> {
-    let callers = bind("callers", listen.callers).await;
-    let peers = bind("peers", listen.peers).await;
-    let admin = bind("admin", listen.admin).await;
-    match (callers, peers, admin) {
-        (Ok(callers), Ok(peers), Ok(admin)) => Ok((callers, peers, admin)),
-        (callers, peers, admin) => {
-            let faults = [callers.err(), peers.err(), admin.err()];
-            Err(StartError::Listen(faults.into_iter().flatten().collect()))
-        }
-    }
-}
-
 /// Waits until the limits held here are free for another holder.
 async fn hand_over(shared: &shared::SharedTables) {
     while !shared.admission.has_left() {
@@ -203,14 +171,6 @@
     }
 }
 
-async fn bind(
-    role: &'static str,
-    address: net::SocketAddr,
-) -> Result<tokio::net::TcpListener, ListenFault> {
-    let bound = tokio::net::TcpListener::bind(address).await;
-    bound.map_err(|reason| ListenFault { role, address, reason })
-}
-
 struct StopSignals {
     terminate: unix::Signal,
     interrupt: unix::Signal,
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -12,6 +12,7 @@
 use marjoramwing_configuration::trust;
 use marjoramwing_entity::incarnation;
 use marjoramwing_entity::time;
+use marjoramwing_exchange::names;
 use marjoramwing_membership::view;
 use marjoramwing_settings::settings;
 use marjoramwing_tables::credential;
@@ -30,6 +31,8 @@
 pub struct SharedTables {
     /// Settings of the instance.
     pub settings: settings::InstanceSettings,
+    /// Headers between callers, instances and backend servers.
+    pub names: &'static names::HeaderNames,
     /// This run of the process.
     pub incarnation: incarnation::Incarnation,
     /// Tables in force.
@@ -65,6 +68,7 @@
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
             admission: control::AdmissionControl::new(&settings, incarnation),
             dispatch: dispatch::DispatchControl::new(&settings, incarnation, clock),
+            names: header_names(settings.dialect),
             settings,
             member_changes: watch::Sender::default(),
             steering: steering::SteeringControl::default(),
@@ -115,6 +119,7 @@
     /// Publishes a changed view of the members.
     pub fn publish_members(&self, view: view::MemberView) {
         let view = sync::Arc::new(view);
+        self.dispatch.set_members(&view);
         self.members.store(sync::Arc::clone(&view));
         self.member_changes.send_replace(view);
     }
@@ -192,3 +197,10 @@
         }
     }
 }
+
+fn header_names(dialect: settings::InterfaceDialect) -> &'static names::HeaderNames {
+    match dialect {
+        settings::InterfaceDialect::Native => &names::NATIVE,
+        settings::InterfaceDialect::Platform => &marjoramwing_platform::headers::NAMES,
+    }
+}
--- a/crates/transport/operator/src/options.rs
+++ b/crates/transport/operator/src/options.rs
@@ -10,6 +10,7 @@
 use std::time;
 
 use marjoramwing_store_client::client;
+use marjoramwing_store_client::dialect;
 
 use crate::command;
 use crate::output;
@@ -96,7 +97,11 @@
 ) -> Result<client::StoreClient, command::CommandError> {
     let given = matches.opt_str("store").or_else(|| env::var(STORE_VARIABLE).ok());
     let given = given.ok_or_else(|| usage("name the object API with --store"))?;
-    Ok(client::StoreClient::new(parse_address(&given)?, read_timeout(matches)?))
+    Ok(client::StoreClient::new(
+        parse_address(&given)?,
+        read_timeout(matches)?,
+        dialect::StoreDialect::Native,
+    ))
 }
 
 /// Returns the longest wait for one call.
--- a/crates/transport/operator/tests/editor.rs
+++ b/crates/transport/operator/tests/editor.rs
@@ -11,6 +11,7 @@
 use marjoramwing_operator::row;
 use marjoramwing_standins::platform;
 use marjoramwing_store_client::client;
+use marjoramwing_store_client::dialect;
 use marjoramwing_tables::document;
 
 /// What goes wrong with the first write that arrives.
@@ -79,7 +80,13 @@
 }
 
 fn team(rate: f64) -> document::TeamDocument {
-    document::TeamDocument { name: "etna".into(), rate, burst: 4 }
+    document::TeamDocument {
+        name: "etna".into(),
+        rate,
+        burst: 4,
+        priority: None,
+        regions: Vec::new(),
+    }
 }
 
 fn team_text(rate: f64) -> bytes::Bytes {
@@ -88,7 +95,11 @@
 }
 
 fn make_editor(address: net::SocketAddr, policy: editor::LostAnswerPolicy) -> editor::TableEditor {
-    let client = client::StoreClient::new(address, time::Duration::from_secs(30));
+    let client = client::StoreClient::new(
+        address,
+        time::Duration::from_secs(30),
+        dialect::StoreDialect::Native,
+    );
     editor::TableEditor::new(client, policy)
 }
 
--- a/crates/transport/store-client/src/client.rs
+++ b/crates/transport/store-client/src/client.rs
@@ -10,16 +10,27 @@
 use hyper_util::client::legacy;
 use hyper_util::rt;
 use marjoramwing_derives as derives;
+use marjoramwing_object_api::call;
 use marjoramwing_object_api::listing;
+use marjoramwing_object_api::native;
 use marjoramwing_object_api::path;
-use marjoramwing_object_api::version;
-use marjoramwing_object_api::watch;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
+use marjoramwing_platform::store as platform;
+
+use crate::dialect;
 
 type RequestBody = http_body_util::Full<bytes::Bytes>;
 type HttpClient = legacy::Client<legacy::connect::HttpConnector, RequestBody>;
 
+/// Time after which a silent connection is probed, and between two probes.
+///
+/// A watch waits for long, and something between may forget its connection.
+const KEEPALIVE_PERIOD: time::Duration = time::Duration::from_secs(1);
+/// Probes without an answer after which a connection counts as dead.
+const KEEPALIVE_PROBES: u32 = 2;
+/// Pages of one list; more than that would be a store that repeats itself.
+const MAX_PAGES: usize = 1_000;
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -47,6 +58,18 @@
         /// Status of the answer.
         status: u16,
     },
+    /// The answer's body cannot be read.
+    #[display("object API at {address} gave an answer that cannot be read; check the address")]
+    Unreadable {
+        /// Address that was tried.
+        address: net::SocketAddr,
+    },
+    /// The changes asked for are no longer known.
+    #[display("object API at {address} no longer knows these changes; list the objects")]
+    HistoryGone {
+        /// Address that was tried.
+        address: net::SocketAddr,
+    },
 }
 
 /// A client of one object API.
@@ -55,42 +78,54 @@
     http: HttpClient,
     address: net::SocketAddr,
     timeout: time::Duration,
-}
-
-/// An answer whose body was read whole.
-struct WholeAnswer {
-    status: http::StatusCode,
-    version: Option<object::ObjectVersion>,
-    body: bytes::Bytes,
+    dialect: dialect::StoreDialect,
 }
 
 impl StoreClient {
     /// Makes a client that waits at most `timeout` for each call.
     #[must_use]
-    pub fn new(address: net::SocketAddr, timeout: time::Duration) -> Self {
+    pub fn new(
+        address: net::SocketAddr,
+        timeout: time::Duration,
+        dialect: dialect::StoreDialect,
+    ) -> Self {
         let mut connector = legacy::connect::HttpConnector::new();
         connector.set_connect_timeout(Some(timeout));
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(KEEPALIVE_PERIOD));
+        connector.set_keepalive_interval(Some(KEEPALIVE_PERIOD));
+        connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
         let http = legacy::Client::builder(rt::TokioExecutor::new())
             .retry_canceled_requests(false)
             .build(connector);
-        Self { http, address, timeout }
+        Self { http, address, timeout, dialect }
     }
 
     /// Carries out one operation.
     pub async fn run(&self, operation: &operation::StoreOperation) -> operation::StoreAnswer {
-        let answer = match operation {
-            operation::StoreOperation::Read(name) => self.read(name).await,
-            operation::StoreOperation::Write(write) => self.write(write).await,
-        };
-        answer.unwrap_or_else(|error| match error {
+        self.try_run(operation).await.unwrap_or_else(|error| match error {
             StoreError::Unreachable { .. } => operation::StoreAnswer::Rejected,
-            StoreError::NoAnswer { .. } | StoreError::Status { .. } => {
-                operation::StoreAnswer::Unknown
-            }
+            StoreError::NoAnswer { .. }
+            | StoreError::Status { .. }
+            | StoreError::Unreadable { .. }
+            | StoreError::HistoryGone { .. } => operation::StoreAnswer::Unknown,
         })
     }
 
+    /// Carries out one operation, or tells why it gave no usable answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store gave no usable answer; a write may then
+    /// have taken effect unless the error is [`StoreError::Unreachable`].
+    pub async fn try_run(
+        &self,
+        operation: &operation::StoreOperation,
+    ) -> Result<operation::StoreAnswer, StoreError> {
+        let answer = self.call(self.dialect.encode(operation), self.timeout).await?;
+        self.dialect.decode(operation, &answer).map_err(|fault| self.unusable(fault))
+    }
+
     /// Reads one object.
     ///
     /// # Errors
@@ -100,55 +135,25 @@
         &self,
         name: &object::ObjectName,
     ) -> Result<operation::StoreAnswer, StoreError> {
-        let request = self.request(http::Method::GET, &path::object(name));
-        let answer = self.call(request, bytes::Bytes::new(), self.timeout).await?;
-        match (answer.status, answer.version) {
-            (http::StatusCode::OK, Some(version)) => {
-                let stored = operation::StoredObject { version, value: answer.body };
-                Ok(operation::StoreAnswer::Found(stored))
-            }
-            (http::StatusCode::NOT_FOUND, _) => Ok(operation::StoreAnswer::Missing),
-            (status, _) => Err(self.unexpected(status)),
-        }
+        self.try_run(&operation::StoreOperation::Read(name.clone())).await
     }
 
     /// Writes one object if its version is as expected.
     ///
     /// # Errors
     ///
-    /// Returns an error when the store gave no usable answer; the write may
-    /// then have taken effect unless the error is [`StoreError::Unreachable`].
+    /// Returns an error as [`Self::try_run`] does.
     pub async fn write(
         &self,
         write: &operation::ConditionalWrite,
     ) -> Result<operation::StoreAnswer, StoreError> {
-        let request = self.request(http::Method::PUT, &path::object(&write.name));
-        let request = match write.expected {
-            Some(expected) => {
-                request.header(http::header::IF_MATCH, version::to_entity_tag(expected))
-            }
-            None => request.header(http::header::IF_NONE_MATCH, "*"),
-        };
-        let answer = self.call(request, write.value.clone(), self.timeout).await?;
-        match (answer.status, answer.version) {
-            (http::StatusCode::OK | http::StatusCode::CREATED, Some(version)) => {
-                Ok(operation::StoreAnswer::Written(version))
-            }
-            (http::StatusCode::PRECONDITION_FAILED, current) => {
-                Ok(operation::StoreAnswer::Conflict(current))
-            }
-            (
-                http::StatusCode::TOO_MANY_REQUESTS
-                | http::StatusCode::PAYLOAD_TOO_LARGE
-                | http::StatusCode::BAD_REQUEST,
-                _,
-            ) => Ok(operation::StoreAnswer::Rejected),
-            (status, _) => Err(self.unexpected(status)),
-        }
+        self.try_run(&operation::StoreOperation::Write(write.clone())).await
     }
 
     /// Waits for changes of one kind of object.
     ///
+    /// Answers at once with all objects where the changes are not known.
+    ///
     /// # Errors
     ///
     /// Returns an error when the store gave no usable answer.
@@ -156,10 +161,15 @@
         &self,
         request: &operation::WatchRequest,
     ) -> Result<operation::WatchAnswer, StoreError> {
-        let get = self.request(http::Method::GET, &path::watch(request));
-        let answer = self.call(get, bytes::Bytes::new(), request.wait + self.timeout).await?;
-        let document: watch::WatchDocument = self.parse(&answer)?;
-        Ok(document.into_answer(request.kind))
+        if self.dialect.lists_first() && request.after == 0 {
+            return self.list(request.kind).await;
+        }
+        let call = self.dialect.encode_watch(request);
+        let answer = self.call(call, request.wait + self.timeout).await?;
+        match self.dialect.decode_watch(request.kind, &answer) {
+            Err(call::CallFault::HistoryGone) => self.list(request.kind).await,
+            decoded => decoded.map_err(|fault| self.unusable(fault)),
+        }
     }
 
     /// Reads the lagging list of instances.
@@ -168,27 +178,56 @@
     ///
     /// Returns an error when the store gave no usable answer.
     pub async fn list_instances(&self) -> Result<listing::InstanceListing, StoreError> {
-        let get = self.request(http::Method::GET, path::INSTANCES);
-        let answer = self.call(get, bytes::Bytes::new(), self.timeout).await?;
-        self.parse(&answer)
+        match self.dialect {
+            dialect::StoreDialect::Platform => {
+                let answer = self.list(object::ObjectKind::Instances).await?;
+                Ok(platform::read_instances(&answer))
+            }
+            dialect::StoreDialect::Native => {
+                let call = call::StoreCall::get(path::INSTANCES.to_owned());
+                let answer = self.call(call, self.timeout).await?;
+                native::parse(&answer).map_err(|fault| self.unusable(fault))
+            }
+        }
     }
 
-    fn request(&self, method: http::Method, path: &str) -> http::request::Builder {
-        let uri = format!("http://{}{path}", self.address);
-        http::Request::builder()
-            .method(method)
-            .uri(uri)
-            .header(http::header::CONTENT_TYPE, "application/json")
+    /// Reads all objects of a kind, page by page.
+    async fn list(&self, kind: object::ObjectKind) -> Result<operation::WatchAnswer, StoreError> {
+        let mut whole: Option<operation::WatchAnswer> = None;
+        let mut after = None;
+        for _ in 0..MAX_PAGES {
+            let call = platform::encode_list(kind, after.as_deref());
+            let answer = self.call(call, self.timeout).await?;
+            let page = platform::decode_list(kind, &answer);
+            let page = page.map_err(|fault| self.unusable(fault))?;
+            match &mut whole {
+                // Changes during the list are told again by the next watch.
+                Some(whole) => whole.changes.extend(page.answer.changes),
+                None => whole = Some(page.answer),
+            }
+            after = page.next_after;
+            if after.is_none() {
+                break;
+            }
+        }
+        whole.ok_or(StoreError::NoAnswer { address: self.address })
     }
 
     async fn call(
         &self,
-        request: http::request::Builder,
-        body: bytes::Bytes,
+        call: call::StoreCall,
         timeout: time::Duration,
-    ) -> Result<WholeAnswer, StoreError> {
+    ) -> Result<call::CallAnswer, StoreError> {
+        let uri = format!("http://{}{}", self.address, call.path);
+        let mut request = http::Request::builder()
+            .method(call.method)
+            .uri(uri)
+            .header(http::header::CONTENT_TYPE, "application/json");
+        for (name, value) in call.headers {
+            request = request.header(name, value);
+        }
         let request = request
-            .body(http_body_util::Full::new(body))
+            .body(http_body_util::Full::new(call.body))
             .expect("paths and versions make a valid request");
         match tokio::time::timeout(timeout, self.exchange(request)).await {
             Ok(answer) => answer,
@@ -199,7 +238,7 @@
     async fn exchange(
         &self,
         request: http::Request<RequestBody>,
-    ) -> Result<WholeAnswer, StoreError> {
+    ) -> Result<call::CallAnswer, StoreError> {
         let address = self.address;
         let response = self.http.request(request).await.map_err(|error| {
             if error.is_connect() {
@@ -208,22 +247,18 @@
                 StoreError::NoAnswer { address }
             }
         })?;
-        let status = response.status();
-        let tag = response.headers().get(http::header::ETAG);
-        let version = tag.and_then(|tag| version::from_entity_tag(tag.to_str().ok()?));
-        let limited = http_body_util::Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let (head, body) = response.into_parts();
+        let limited = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
         let body = limited.collect().await.map_err(|_| StoreError::NoAnswer { address })?;
-        Ok(WholeAnswer { status, version, body: body.to_bytes() })
+        Ok(call::CallAnswer { status: head.status, headers: head.headers, body: body.to_bytes() })
     }
 
-    fn parse<T: serde::de::DeserializeOwned>(&self, answer: &WholeAnswer) -> Result<T, StoreError> {
-        if answer.status != http::StatusCode::OK {
-            return Err(self.unexpected(answer.status));
+    fn unusable(&self, fault: call::CallFault) -> StoreError {
+        let address = self.address;
+        match fault {
+            call::CallFault::Status(status) => StoreError::Status { address, status },
+            call::CallFault::Body => StoreError::Unreadable { address },
+            call::CallFault::HistoryGone => StoreError::HistoryGone { address },
         }
-        serde_json::from_slice(&answer.body).map_err(|_| self.unexpected(answer.status))
-    }
-
-    fn unexpected(&self, status: http::StatusCode) -> StoreError {
-        StoreError::Status { address: self.address, status: status.as_u16() }
     }
 }
