Split team limits by demand; keep sessions at one server

Ruled out: a holder in each region (asks stay), larger loans (refused bursts of small teams). Change: ledger::split, a bucket at the part of the demand that all instances report; rendezvous hashing of sessions over the servers of a region, with the price of an unknown session. The holder's ledger stays for the product's own interface. Not run on this state: the whole test suite.

--- a/crates/coordination/dispatch/benches/choice.rs
+++ b/crates/coordination/dispatch/benches/choice.rs
@@ -31,7 +31,7 @@
     for (index, address) in addresses.into_iter().enumerate() {
         let latency = duration::Duration::from_micros(1_000 + index as u64 % 7);
         let result = picker::ReportedResult::Answered(latency);
-        picker.begin(address, time::Timestamp::ZERO);
+        picker.begin(address, None, time::Timestamp::ZERO);
         let report = picker::AttemptReport { result, open_requests: Some(index as u32 % 9) };
         picker.finish(address, report, time::Timestamp::ZERO);
     }
@@ -48,7 +48,7 @@
                 seed += 1;
                 let server =
                     picker.pick(&picker::ServerWish::default(), seed, now).expect("a slot is free");
-                picker.begin(server, now);
+                picker.begin(server, None, now);
                 let report = picker::AttemptReport {
                     result: picker::ReportedResult::Cancelled,
                     open_requests: None,
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`policy`]: what a deployment weighs more.
 //! - [`queue`]: requests that wait, in a line for each team.
 //! - [`service`]: the dispatch of one service.
+//! - [`session`]: which server a session's requests go to.
 
 pub mod budget;
 pub mod claim;
@@ -25,3 +26,4 @@
 pub mod policy;
 pub mod queue;
 pub mod service;
+pub mod session;
--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -20,6 +20,7 @@
 use crate::health;
 use crate::mechanism;
 use crate::policy;
+use crate::session;
 
 /// One server in this many may be ejected.
 const EJECTED_DIVISOR: usize = 3;
@@ -43,6 +44,10 @@
 const SILENCE_WORKS: u64 = 3;
 /// Part of the usual work that a wholly taken server counts more than an idle one.
 const CROWDING_DIVISOR: u64 = 8;
+/// Part of the usual work that a server other than a session's own counts more.
+const KNOWN_DIVISOR: u64 = 4;
+/// Times the usual work that a session takes more at a server that does not know it.
+const UNKNOWN_WORKS: u64 = 2;
 /// Work that is assumed before the first answer, in microseconds.
 const FIRST_WORK_US: u64 = 200_000;
 /// Answers over which a server's usual work is averaged.
@@ -81,6 +86,8 @@
     pub avoided: &'a [net::SocketAddr],
     /// The only regions in which the request may be served.
     pub regions: Option<&'a [Arc<str>]>,
+    /// Session whose requests are best sent to the same server.
+    pub session: Option<session::SessionKey>,
 }
 
 impl ServerWish<'_> {
@@ -110,6 +117,8 @@
     region: Option<Arc<str>>,
     registered: Option<pool::ServerIdentity>,
     distance: distance::ServerDistance,
+    seed: session::ServerSeed,
+    sessions: session::SessionMemory,
     cold: cold::ColdPace,
     /// Usual time at this server, in microseconds; 0 before its first answer.
     work_us: u64,
@@ -227,7 +236,10 @@
                 usable.take(MAX_SCORED).min_by_key(|server| self.score(server, now))
             }
             policy::ChoiceRule::ExpectedDelay => {
-                usable.min_by_key(|server| server.expected_us(self.work_us, now))
+                let home = self.session_home(wish);
+                usable.min_by_key(|server| {
+                    server.expected_us(self.work_us, now) + self.session_us(server, wish, home)
+                })
             }
         };
         chosen.map(|server| server.address)
@@ -241,13 +253,19 @@
     }
 
     /// Records the start of a request at a server.
-    pub fn begin(&mut self, address: net::SocketAddr, now: time::Timestamp) {
+    pub fn begin(
+        &mut self,
+        address: net::SocketAddr,
+        session: Option<session::SessionKey>,
+        now: time::Timestamp,
+    ) {
         if let Some(server) = self.server_mut(address) {
             if server.in_flight == 0 {
                 server.silent_since = now;
             }
             server.in_flight += 1;
             server.cold.record(now);
+            session.into_iter().for_each(|session| server.sessions.note(session));
         }
     }
 
@@ -325,6 +343,35 @@
         if ages && is_old && server.in_flight == 0 { 0 } else { server.score(now) }
     }
 
+    /// Returns the server that all instances prefer for the session of a request.
+    ///
+    /// Whether it has room does not count, so that it stays the same one.
+    fn session_home(&self, wish: &ServerWish<'_>) -> Option<net::SocketAddr> {
+        let session = wish.session?;
+        let staying = self.servers.iter().filter(|server| {
+            server.listed && !server.leaving && wish.admits(server.address, &server.region)
+        });
+        let is_near =
+            |server: &ServerState| server.distance.place != distance::ServerPlace::Elsewhere;
+        let rank = |server: &&ServerState| (is_near(server), session.score(server.seed));
+        staying.max_by_key(rank).map(|server| server.address)
+    }
+
+    /// Returns the time that a server needs more for a session that it does not know.
+    fn session_us(
+        &self,
+        server: &ServerState,
+        wish: &ServerWish<'_>,
+        home: Option<net::SocketAddr>,
+    ) -> u64 {
+        match wish.session {
+            None => 0,
+            Some(_) if home == Some(server.address) => 0,
+            Some(session) if server.sessions.holds(session) => self.work_us / KNOWN_DIVISOR,
+            Some(_) => self.work_us * UNKNOWN_WORKS,
+        }
+    }
+
     fn pick_of_two<'a>(
         &self,
         usable: impl Iterator<Item = &'a ServerState>,
@@ -366,6 +413,8 @@
             region: None,
             registered: None,
             distance: distance::ServerDistance::default(),
+            seed: server_seed(server),
+            sessions: session::SessionMemory::default(),
             cold: cold::ColdPace::WARM,
             work_us: 0,
             slots: server.slots,
@@ -490,6 +539,14 @@
     }
 }
 
+/// Hashes what all instances know a server by.
+fn server_seed(server: &pool::BackendServer) -> session::ServerSeed {
+    match &server.registered {
+        Some(registered) => session::ServerSeed::of(&registered.id),
+        None => session::ServerSeed::of(&server.address.to_string()),
+    }
+}
+
 /// Moves a mean towards a new value by one part in `divisor`.
 const fn smooth(mean: u64, value: u64, divisor: u64) -> u64 {
     (mean * (divisor - 1) + value) / divisor
--- a/crates/coordination/dispatch/src/queue.rs
+++ b/crates/coordination/dispatch/src/queue.rs
@@ -13,6 +13,7 @@
 use crate::mechanism;
 use crate::picker;
 use crate::policy;
+use crate::session;
 
 /// Number of a queued request; never reused within a queue.
 #[derives::value]
@@ -31,13 +32,19 @@
     pub avoided: Vec<net::SocketAddr>,
     /// The only regions in which the request may be served.
     pub regions: Option<Arc<[Arc<str>]>>,
+    /// Session whose requests are best sent to the same server.
+    pub session: Option<session::SessionKey>,
 }
 
 impl SlotRequest {
     /// Returns which servers the request may go to.
     #[must_use]
     pub fn wish(&self) -> picker::ServerWish<'_> {
-        picker::ServerWish { avoided: &self.avoided, regions: self.regions.as_deref() }
+        picker::ServerWish {
+            avoided: &self.avoided,
+            regions: self.regions.as_deref(),
+            session: self.session,
+        }
     }
 }
 
--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -20,6 +20,7 @@
 use crate::picker;
 use crate::policy;
 use crate::queue;
+use crate::session;
 
 /// A slot for a request.
 #[derives::value]
@@ -28,6 +29,8 @@
     pub ticket: queue::TicketKey,
     /// Server that it goes to.
     pub server: net::SocketAddr,
+    /// Session of the request.
+    pub session: Option<session::SessionKey>,
 }
 
 /// What came of asking for a slot.
@@ -147,7 +150,7 @@
         now: time::Timestamp,
     ) -> Option<net::SocketAddr> {
         let server = self.picker.pick(wish, seed, now)?;
-        self.picker.begin(server, now);
+        self.picker.begin(server, wish.session, now);
         Some(server)
     }
 
@@ -188,7 +191,7 @@
         let mut granted = Vec::new();
         while let Some(grant) = self.next_grant(seed.wrapping_add(granted.len() as u64), now) {
             self.queue.take(grant.ticket);
-            self.picker.begin(grant.server, now);
+            self.picker.begin(grant.server, grant.session, now);
             granted.push(grant);
         }
         QueueTurn { granted, expired }
@@ -215,7 +218,7 @@
     fn next_grant(&self, seed: u64, now: time::Timestamp) -> Option<SlotGrant> {
         self.queue.heads().find_map(|queued| {
             let server = self.picker.pick(&queued.request.wish(), seed, now)?;
-            Some(SlotGrant { ticket: queued.ticket, server })
+            Some(SlotGrant { ticket: queued.ticket, server, session: queued.request.session })
         })
     }
 }
--- a/crates/coordination/dispatch/tests/fleet/trial.rs
+++ b/crates/coordination/dispatch/tests/fleet/trial.rs
@@ -182,6 +182,7 @@
             bytes: 0,
             avoided: Vec::new(),
             regions: None,
+            session: None,
         };
         let (seed, now) = (self.rng.random(), self.now());
         match self.instances[instance].dispatcher.submit(slot_request, seed, now) {
--- a/crates/coordination/dispatch/tests/service.rs
+++ b/crates/coordination/dispatch/tests/service.rs
@@ -60,6 +60,7 @@
         bytes: 1,
         avoided: Vec::new(),
         regions: None,
+        session: None,
     }
 }
 
@@ -133,7 +134,7 @@
     let now = time::Timestamp::from_millis(1);
     for server in servers {
         for _ in 0..3 {
-            picker.begin(address(server), now);
+            picker.begin(address(server), None, now);
             picker.finish(address(server), report(Failed), now);
         }
     }
@@ -153,7 +154,7 @@
     picker.set_servers(&make_pool(&[1, 2, 3], &[], 3), time::Timestamp::ZERO);
     let fail = |picker: &mut picker::BackendPicker, at_ms| {
         let now = time::Timestamp::from_millis(at_ms);
-        picker.begin(address(1), now);
+        picker.begin(address(1), None, now);
         picker.finish(address(1), report(Failed), now);
     };
     (0..3).for_each(|_| fail(&mut picker, 1));
@@ -170,13 +171,13 @@
     let mut picker = picker::BackendPicker::new(policy::ChoiceRule::SoonestAnswer, Nothing);
     picker.set_servers(&make_pool(&[1, 2], &[], 30), time::Timestamp::ZERO);
     for (server, latency_ms) in [(1, 1), (2, 20)] {
-        picker.begin(address(server), time::Timestamp::ZERO);
+        picker.begin(address(server), None, time::Timestamp::ZERO);
         let answered = Answered(duration::Duration::from_millis(latency_ms));
         picker.finish(address(server), report(answered), time::Timestamp::ZERO);
     }
     let now = time::Timestamp::from_millis(1);
     assert_eq!(picker.pick(&picker::ServerWish::default(), 1, now), Some(address(1)));
-    picker.begin(address(1), now);
+    picker.begin(address(1), None, now);
     assert_eq!(
         picker.pick(&picker::ServerWish::default(), 1, time::Timestamp::from_millis(40)),
         Some(address(2))
@@ -190,7 +191,7 @@
     picker.set_servers(&make_pool(&[1, 2, 3], &[], 3), time::Timestamp::ZERO);
     let now = time::Timestamp::from_millis(1);
     for server in [1, 2, 3] {
-        picker.begin(address(server), now);
+        picker.begin(address(server), None, now);
         let answered = Answered(duration::Duration::from_micros(5_000 + u64::from(server)));
         picker.finish(address(server), report(answered), now);
     }
--- a/crates/coordination/ledger/src/demand.rs
+++ b/crates/coordination/ledger/src/demand.rs
@@ -10,16 +10,28 @@
 
 /// A decaying count of requests per second.
 #[derives::measure]
-#[derive(Default)]
 pub struct DemandMeter {
+    decay: duration::Duration,
     per_second: f64,
     at: time::Timestamp,
 }
 
+impl Default for DemandMeter {
+    fn default() -> Self {
+        Self::new(DECAY)
+    }
+}
+
 impl DemandMeter {
+    /// Makes a count that forgets over a time.
+    #[must_use]
+    pub const fn new(decay: duration::Duration) -> Self {
+        Self { decay, per_second: 0.0, at: time::Timestamp::ZERO }
+    }
+
     /// Counts requests.
     pub fn add(&mut self, amount: u32, now: time::Timestamp) {
-        self.per_second = self.per_second(now) + f64::from(amount) / DECAY.as_secs_f64();
+        self.per_second = self.per_second(now) + f64::from(amount) / self.decay.as_secs_f64();
         self.at = self.at.max(now);
     }
 
@@ -27,6 +39,6 @@
     #[must_use]
     pub fn per_second(&self, now: time::Timestamp) -> f64 {
         let elapsed = now.since(self.at).as_secs_f64();
-        self.per_second * (-elapsed / DECAY.as_secs_f64()).exp()
+        self.per_second * (-elapsed / self.decay.as_secs_f64()).exp()
     }
 }
--- a/crates/coordination/ledger/src/lib.rs
+++ b/crates/coordination/ledger/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`mechanism`]: mechanisms that a test switches off.
 //! - [`message`]: what the ledgers of two instances tell each other.
 //! - [`share`]: shares of a limit, in integer units.
+//! - [`split`]: limits split by demand, without a holder.
 //! - [`takeover`]: ending the lease of a holder that no longer answers.
 
 pub mod action;
@@ -32,4 +33,5 @@
 pub mod mechanism;
 pub mod message;
 pub mod share;
+pub mod split;
 pub mod takeover;
--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -93,6 +93,8 @@
     CALLER_CONNECTION_REFUSED = 3002, WARN, "caller connection refused; too many are open", "raise callers.max_connections or look for callers that open too many";
     /// A caller's connection ended.
     CALLER_CONNECTION_ENDED = 3003, DEBUG, "caller connection ended", "none";
+    /// A request was answered or refused.
+    REQUEST_DECIDED = 3010, INFO, "request decided", "docs/OPERATIONS.md tells how to read the fields";
 
     /// A backend server could not be reached.
     BACKEND_CONNECT_FAILED = 4001, WARN, "backend server refused the connection; trying another", "check the backend server or remove it from its pool";
--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -5,6 +5,7 @@
 //! deployment's secret; only then are other messages accepted.
 //!
 //! - [`configuration`]: messages about the configuration.
+//! - [`demand`]: demand under limits.
 //! - [`frame`]: the codec of frames.
 //! - [`handshake`]: proof of the deployment's secret.
 //! - [`ledger`]: messages of the ledger of limits.
@@ -13,6 +14,7 @@
 //! - [`report`]: messages about traffic between regions.
 
 pub mod configuration;
+pub mod demand;
 pub mod frame;
 pub mod handshake;
 pub mod ledger;
--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -1,6 +1,7 @@
 //! The messages between instances.
 
 use crate::configuration;
+use crate::demand;
 use crate::ledger;
 use crate::membership;
 use crate::report;
@@ -12,7 +13,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// What the frame carries.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 7")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 7, 8")]
     pub body: Option<Body>,
 }
 
@@ -37,6 +38,9 @@
     /// About traffic between regions.
     #[prost(message, tag = "7")]
     Report(report::Report),
+    /// About demand under limits.
+    #[prost(message, tag = "8")]
+    Demand(demand::Demand),
 }
 
 /// Introduces an end of a link.
--- a/crates/transport/node/src/admission/control.rs
+++ b/crates/transport/node/src/admission/control.rs
@@ -14,6 +14,7 @@
 use marjoramwing_ledger::ledger;
 use marjoramwing_ledger::limit;
 use marjoramwing_ledger::mechanism;
+use marjoramwing_ledger::split;
 use marjoramwing_settings::settings;
 use marjoramwing_tables::snapshot;
 use marjoramwing_tables::team;
@@ -29,6 +30,8 @@
 #[derive(Debug)]
 pub struct AdmissionControl {
     state: sync::Mutex<AdmissionState>,
+    /// Limits split by demand, where the deployment keeps them so.
+    split: Option<sync::Mutex<split::DemandSplit>>,
     outbox: mpsc::UnboundedSender<action::LedgerAction>,
     carried: sync::Mutex<Option<ActionReceiver>>,
 }
@@ -60,12 +63,22 @@
         let ledger = ledger::ShareLedger::new(own, mechanism::MechanismSet::default());
         let state = AdmissionState { ledger, waiting: collections::HashMap::new() };
         let (outbox, carried) = mpsc::unbounded_channel();
-        Self { state: sync::Mutex::new(state), outbox, carried: sync::Mutex::new(Some(carried)) }
+        let splits = settings.dialect == settings::InterfaceDialect::Platform;
+        Self {
+            state: sync::Mutex::new(state),
+            split: splits.then(sync::Mutex::default),
+            outbox,
+            carried: sync::Mutex::new(Some(carried)),
+        }
     }
 
     /// Sets the limits of a snapshot.
     pub fn set_limits(&self, tables: &snapshot::TableSnapshot, now: time::Timestamp) {
         let limits = collect_limits(tables);
+        if let Some(mut split) = self.lock_split() {
+            split.set_limits(&limits, now);
+            return;
+        }
         let ledger = &mut self.lock().ledger;
         let known: Vec<_> = ledger.limit_ids().collect();
         for id in known.into_iter().filter(|id| !limits.contains_key(id)) {
@@ -78,6 +91,9 @@
 
     /// Admits or refuses one request.
     pub async fn admit(&self, id: limit::LimitId, now: time::Timestamp) -> action::TicketOutcome {
+        if let Some(mut split) = self.lock_split() {
+            return split.admit(id, now);
+        }
         let settled = match self.begin(id, now) {
             Ok(outcome) => return outcome,
             Err(settled) => settled,
@@ -88,6 +104,25 @@
         settled.ok().and_then(Result::ok).unwrap_or(ended)
     }
 
+    /// Takes in the demand that another instance sees.
+    pub fn receive_demand(
+        &self,
+        from: incarnation::Incarnation,
+        demands: Vec<split::LimitDemand>,
+        now: time::Timestamp,
+    ) {
+        if let Some(mut split) = self.lock_split() {
+            split.receive(from, demands, now);
+        }
+    }
+
+    /// Computes the parts of split limits anew and returns the own demand.
+    pub fn step_split(&self, others: usize, now: time::Timestamp) -> Vec<split::LimitDemand> {
+        let Some(mut split) = self.lock_split() else { return Vec::new() };
+        split.set_others(others);
+        split.step(now)
+    }
+
     /// Handles an event and sends on what the ledger asks for.
     pub fn handle(&self, event: action::LedgerEvent, now: time::Timestamp) {
         let mut actions = Vec::new();
@@ -150,6 +185,11 @@
         }
     }
 
+    fn lock_split(&self) -> Option<sync::MutexGuard<'_, split::DemandSplit>> {
+        let split = self.split.as_ref()?;
+        Some(split.lock().expect("no task panics while it holds the limits"))
+    }
+
     fn lock(&self) -> sync::MutexGuard<'_, AdmissionState> {
         self.state.lock().expect("no task panics while it holds the ledger")
     }
--- a/crates/transport/node/src/admission/driver.rs
+++ b/crates/transport/node/src/admission/driver.rs
@@ -6,6 +6,7 @@
 use marjoramwing_ledger::action;
 use marjoramwing_ledger::ledger;
 use marjoramwing_objects::operation;
+use marjoramwing_peer::demand;
 use marjoramwing_peer::ledger as wire;
 use marjoramwing_peer::message;
 use marjoramwing_store_client::client;
@@ -64,6 +65,11 @@
         self.handle(action::LedgerEvent::Received { from, message });
     }
 
+    /// Takes in the demand that a peer sees.
+    pub fn receive_demand(&self, from: incarnation::Incarnation, raw: demand::Demand) {
+        self.shared.admission.receive_demand(from, raw.into(), self.shared.now());
+    }
+
     fn carry(&self, action: action::LedgerAction) {
         match action {
             action::LedgerAction::Send { to, message } => {
--- a/crates/transport/node/src/admission/mod.rs
+++ b/crates/transport/node/src/admission/mod.rs
@@ -3,7 +3,9 @@
 //! - [`control`]: the ledger and the requests that wait for it.
 //! - [`driver`]: carries out what the ledger asks for.
 //! - [`members`]: tells the ledger which instances are there.
+//! - [`sharing`]: tells other instances the demand.
 
 pub mod control;
 pub mod driver;
 pub mod members;
+pub mod sharing;
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -13,6 +13,7 @@
 use marjoramwing_dispatch::mechanism;
 use marjoramwing_dispatch::picker;
 use marjoramwing_dispatch::queue;
+use marjoramwing_dispatch::session;
 use marjoramwing_entity::primary;
 use marjoramwing_entity::time;
 use marjoramwing_events::catalogue;
@@ -25,6 +26,7 @@
 use crate::callers::answer;
 use crate::callers::attempt;
 use crate::callers::request;
+use crate::callers::trace;
 use crate::shared;
 
 /// Part of a route's deadline after which a silent backend server is left.
@@ -41,6 +43,8 @@
     pub team: &'a str,
     /// The only regions in which the request may be served.
     pub regions: Option<&'a sync::Arc<[sync::Arc<str>]>>,
+    /// Session whose requests are best sent to the same server.
+    pub session: Option<session::SessionKey>,
     /// Route of the request.
     pub route: &'a route::Route,
     /// The request.
@@ -49,6 +53,8 @@
     pub deadline: time::Timestamp,
     /// Time up to which the instance may start work under its limits.
     pub send_before: time::Timestamp,
+    /// What is told of the request in the log.
+    pub trace: &'a trace::RequestTrace,
 }
 
 /// The answer of a backend server, whose head has arrived.
@@ -102,7 +108,8 @@
 
 impl AttemptContext<'_> {
     fn wish<'a>(&'a self, failed: &'a [net::SocketAddr]) -> picker::ServerWish<'a> {
-        picker::ServerWish { avoided: failed, regions: self.regions.map(|regions| &**regions) }
+        let regions = self.regions.map(|regions| &**regions);
+        picker::ServerWish { avoided: failed, regions, session: self.session }
     }
 
     /// Waits for a slot of the route's first service, or takes one of another
@@ -125,6 +132,7 @@
                 bytes: self.request.source.kept_bytes(),
                 avoided: failed.to_vec(),
                 regions: self.regions.map(sync::Arc::clone),
+                session: self.session,
             };
             match service.wait_slot(request).await {
                 Err(service::SlotFault::NoServer) => {}
@@ -197,6 +205,7 @@
 
     fn begin(&mut self, guard: service::ServerGuard) {
         let address = guard.address();
+        self.context.trace.note_granted(self.now());
         // An attempt that is not shed sends the next one elsewhere.
         self.failed.push(address);
         let cancel = cancellation::CancellationToken::new();
@@ -269,6 +278,7 @@
             attempt::AttemptResult::Abandoned(_) => "abandoned",
         };
         self.context.shared.metrics.attempts.with_label_values(&[label]).inc();
+        self.context.trace.note_tried(address.to_string().into(), label);
     }
 
     /// Refuses an answer whose end could not be told from a break.
--- a/crates/transport/node/src/callers/mod.rs
+++ b/crates/transport/node/src/callers/mod.rs
@@ -15,6 +15,7 @@
 //! - [`request`]: a request made ready to be sent.
 //! - [`server`]: connections of callers.
 //! - [`target`]: the one form of a request's path and host.
+//! - [`trace`]: what decided a request, for the log.
 
 pub mod answer;
 mod attempt;
@@ -31,3 +32,4 @@
 pub mod request;
 pub mod server;
 pub mod target;
+pub mod trace;
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -7,6 +7,7 @@
 use axum::extract;
 use axum::response::IntoResponse;
 use marjoramwing_dispatch::claim;
+use marjoramwing_dispatch::session;
 use marjoramwing_entity::time;
 use marjoramwing_exchange::names;
 use marjoramwing_ledger::action;
@@ -27,6 +28,7 @@
 use crate::callers::exposure;
 use crate::callers::headers;
 use crate::callers::request;
+use crate::callers::trace;
 use crate::shared;
 
 /// Answers one request of a caller.
@@ -39,14 +41,21 @@
     let home = shared.steering.note_arrival(peer.ip());
     let arrived = shared.now();
     let tables = sync::Arc::clone(&shared.tables.load().snapshot);
+    let trace = trace::RequestTrace::begin(&shared, request.headers(), arrived);
     let route = find_route(&tables, &request);
     let result = match &route {
         Ok(key) => {
             let route = &tables.routes[*key];
             let told = caller_deadline(request.headers(), shared.names);
             let deadline = arrived + told.map_or(route.deadline, |told| told.min(route.deadline));
-            let path =
-                RequestPath { shared: &shared, tables: &tables, route, deadline, home: &home };
+            let path = RequestPath {
+                shared: &shared,
+                tables: &tables,
+                route,
+                deadline,
+                home: &home,
+                trace: &trace,
+            };
             path.run(request).await
         }
         Err(refusal) => Err(refusal.clone()),
@@ -54,7 +63,10 @@
     let route_name = route.as_ref().map_or("", |key| tables.routes[*key].name.as_str());
     let outcome = result.as_ref().map_or_else(answer::Refusal::label, |_| "answered");
     shared.metrics.requests.with_label_values(&[route_name, outcome]).inc();
-    result.unwrap_or_else(IntoResponse::into_response)
+    let answer = result.unwrap_or_else(IntoResponse::into_response);
+    shared.metrics.request_seconds.observe(shared.now().since(arrived).as_secs_f64());
+    trace.log(&shared, route_name, outcome, answer.status().as_u16());
+    answer
 }
 
 /// Counts a request while it is open.
@@ -142,6 +154,7 @@
     deadline: time::Timestamp,
     /// Home region of the client, if its address has one.
     home: &'a Option<name::RegionName>,
+    trace: &'a trace::RequestTrace,
 }
 
 /// Who sent a request, as its key tells.
@@ -160,6 +173,8 @@
         let team = sender.as_ref().map(|sender| sender.team);
         self.check_body(request.headers())?;
         let send_before = self.admit(team).await?;
+        let name = team.map_or("", |team| self.tables.teams[team].name.as_str());
+        self.trace.note_admitted(name, self.shared.now());
         let services = self.find_services()?;
         let request = self.prepare(request, team, &services[0].body_memory).await?;
         let regions = home_regions(self.route, team.map(|team| &self.tables.teams[team]));
@@ -167,11 +182,13 @@
             shared: self.shared,
             services: &services,
             regions: regions.as_ref(),
+            session: self.session(request.headers()),
             team: team.map_or("", |team| self.tables.teams[team].name.as_str()),
             route: self.route,
             request: &request,
             deadline: self.deadline,
             send_before,
+            trace: self.trace,
         };
         let claim = self.claim(&request, context.team).await?;
         let result = attempts::run_attempts(context).await;
@@ -186,6 +203,16 @@
         Ok(pass_on(open, watch, sync::Arc::clone(self.shared)))
     }
 
+    /// Finds the session of a request on a route that keeps sessions together.
+    fn session(&self, headers: &http::HeaderMap) -> Option<session::SessionKey> {
+        let name = self.shared.names.session_cookie.filter(|_| self.route.sticky)?;
+        let cookies = headers.get_all(http::header::COOKIE).into_iter();
+        let texts = cookies.filter_map(|value| value.to_str().ok());
+        let mut pairs =
+            texts.flat_map(|text| text.split(';')).filter_map(|text| text.trim().split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| session::SessionKey::of(value))
+    }
+
     /// Claims the idempotency key of a request that must not run twice.
     async fn claim(
         &self,
--- /dev/null
+++ b/crates/transport/node/src/callers/trace.rs
@@ -0,0 +1,119 @@
+//! What decided a request, for the log.
+//!
+//! One line for each request, with its number, the inputs of the decision and
+//! their versions. The lines of one second are bounded; a counter tells how
+//! many were left out.
+
+use std::sync;
+use std::sync::atomic;
+
+use marjoramwing_entity::time;
+use marjoramwing_events::catalogue;
+use marjoramwing_events::emit;
+
+use crate::shared;
+
+/// Lines on requests that one instance writes in a second.
+const MAX_LINES_PER_SECOND: u64 = 400;
+/// Longest number of a request that is logged, in bytes.
+const MAX_ID_BYTES: usize = 64;
+
+/// What is known of one request while it is answered.
+#[derive(Debug)]
+pub struct RequestTrace {
+    id: String,
+    arrived: time::Timestamp,
+    steps: sync::Mutex<TraceSteps>,
+}
+
+#[derive(Debug, Default, Clone)]
+struct TraceSteps {
+    team: sync::Arc<str>,
+    admitted_us: u64,
+    /// Time at which the last attempt was given its slot.
+    granted_us: u64,
+    attempts: u32,
+    /// Servers that were tried, with what came of each.
+    tried: Vec<TriedServer>,
+}
+
+#[derive(Debug, Clone)]
+struct TriedServer {
+    server: sync::Arc<str>,
+    result: &'static str,
+}
+
+impl RequestTrace {
+    /// Begins the trace of a request.
+    #[must_use]
+    pub fn begin(
+        shared: &shared::SharedTables,
+        headers: &http::HeaderMap,
+        arrived: time::Timestamp,
+    ) -> Self {
+        let id = headers.get(&shared.names.request_id).and_then(|value| value.to_str().ok());
+        let id = id.filter(|id| id.len() <= MAX_ID_BYTES).unwrap_or_default().to_owned();
+        Self { id, arrived, steps: sync::Mutex::default() }
+    }
+
+    /// Notes that the request is within its limits.
+    pub fn note_admitted(&self, team: &str, now: time::Timestamp) {
+        let mut steps = self.lock();
+        steps.team = team.into();
+        steps.admitted_us = self.since_arrival(now);
+    }
+
+    /// Notes that an attempt has a slot.
+    pub fn note_granted(&self, now: time::Timestamp) {
+        let mut steps = self.lock();
+        steps.granted_us = self.since_arrival(now);
+        steps.attempts += 1;
+    }
+
+    /// Notes what came of an attempt.
+    pub fn note_tried(&self, server: sync::Arc<str>, result: &'static str) {
+        self.lock().tried.push(TriedServer { server, result });
+    }
+
+    /// Writes the line of a request that was decided.
+    pub fn log(&self, shared: &shared::SharedTables, route: &str, outcome: &str, status: u16) {
+        if !shared.lines.take(shared.now()) {
+            shared.metrics.lines_left_out.inc();
+            return;
+        }
+        let steps = self.lock().clone();
+        let tried = steps.tried.iter().map(|tried| format!("{}:{}", tried.server, tried.result));
+        let tried = tried.collect::<Vec<_>>().join(" ");
+        emit!(catalogue::REQUEST_DECIDED, request = %self.id, route, team = %steps.team, outcome,
+            status, tables = shared.tables.load().versions.routes,
+            servers = shared.dispatch.registered_revision(), admitted_us = steps.admitted_us,
+            granted_us = steps.granted_us, attempts = steps.attempts, tried = %tried,
+            took_us = self.since_arrival(shared.now()));
+    }
+
+    fn since_arrival(&self, now: time::Timestamp) -> u64 {
+        u64::try_from(now.since(self.arrived).as_micros()).unwrap_or(u64::MAX)
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, TraceSteps> {
+        self.steps.lock().expect("no task panics while it holds a trace")
+    }
+}
+
+/// Bounds the lines of one second.
+#[derive(Debug, Default)]
+pub struct LineBudget {
+    second: atomic::AtomicU64,
+    lines: atomic::AtomicU64,
+}
+
+impl LineBudget {
+    /// Takes the place of one line, if the second has one left.
+    pub fn take(&self, now: time::Timestamp) -> bool {
+        let second = now.as_micros() / 1_000_000;
+        if self.second.swap(second, atomic::Ordering::Relaxed) != second {
+            self.lines.store(0, atomic::Ordering::Relaxed);
+        }
+        self.lines.fetch_add(1, atomic::Ordering::Relaxed) < MAX_LINES_PER_SECOND
+    }
+}
--- a/crates/transport/node/src/dispatch.rs
+++ b/crates/transport/node/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 
 use marjoramwing_dispatch::cold;
 use marjoramwing_dispatch::distance;
@@ -38,6 +39,7 @@
     topology: topology::FleetTopology,
     services: arc_swap::ArcSwap<ServiceTable>,
     sources: sync::Mutex<PoolSources>,
+    registered_revision: atomic::AtomicU64,
     /// Claims of idempotency keys.
     pub claims: sync::Arc<claims::ClaimControl>,
 }
@@ -86,6 +88,7 @@
             identity: settings.identity.clone(),
             topology: settings.topology.clone(),
             services: arc_swap::ArcSwap::default(),
+            registered_revision: atomic::AtomicU64::new(0),
             sources: sync::Mutex::new(PoolSources::new(settings.bounds)),
             claims,
         }
@@ -119,8 +122,15 @@
         self.rebuild(&sources);
     }
 
+    /// Returns the revision of the store up to which registrations are known.
+    #[must_use]
+    pub fn registered_revision(&self) -> u64 {
+        self.registered_revision.load(atomic::Ordering::Relaxed)
+    }
+
     /// Takes over the servers that registered themselves.
     pub fn set_registered(&self, registered: registry::RegistryView) {
+        self.registered_revision.store(registered.revision, atomic::Ordering::Relaxed);
         let mut sources = self.lock();
         sources.registered = registered;
         self.rebuild(&sources);
--- a/crates/transport/node/src/inbox.rs
+++ b/crates/transport/node/src/inbox.rs
@@ -47,6 +47,7 @@
                 let _ = routes.configuration.try_send(event);
             }
             message::Body::Ledger(raw) => routes.ledger.receive(envelope.from, raw),
+            message::Body::Demand(raw) => routes.ledger.receive_demand(envelope.from, raw),
             message::Body::Report(raw) => {
                 let Ok(message) = raw.try_into() else { continue };
                 let event = report::ReportEvent::Received { from: envelope.from, message };
--- a/crates/transport/node/src/metrics.rs
+++ b/crates/transport/node/src/metrics.rs
@@ -31,6 +31,10 @@
     pub tables_age_ms: prometheus::IntGauge,
     /// Whether keyed requests are served.
     pub keys_trusted: prometheus::IntGauge,
+    /// Log lines on requests left out since a second had too many.
+    pub lines_left_out: prometheus::IntCounter,
+    /// Time from a request's arrival to its decision, in seconds.
+    pub request_seconds: prometheus::Histogram,
     /// Frames carried between instances.
     pub peer_frames: prometheus::IntCounterVec,
     /// Bytes of the frames carried between instances.
@@ -89,6 +93,14 @@
                 &registry,
                 gauge("keys_trusted", "Whether keyed requests are served."),
             ),
+            lines_left_out: register(
+                &registry,
+                counter("lines_left_out_total", "Log lines on requests left out."),
+            ),
+            request_seconds: register(
+                &registry,
+                histogram("request_seconds", "Time from arrival to decision.", LATENCY_BUCKETS),
+            ),
             peer_frames: register(
                 &registry,
                 counters("peer_frames_total", "Frames between instances.", &["direction"]),
@@ -189,6 +201,15 @@
     prometheus::IntCounterVec::new(options(name, help), labels)
 }
 
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: &[f64] =
+    &[0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 20.0];
+
+fn histogram(name: &str, help: &str, buckets: &[f64]) -> prometheus::Result<prometheus::Histogram> {
+    let options = prometheus::HistogramOpts::from(options(name, help)).buckets(buckets.to_vec());
+    prometheus::Histogram::with_opts(options)
+}
+
 fn gauge(name: &str, help: &str) -> prometheus::Result<prometheus::IntGauge> {
     prometheus::IntGauge::with_opts(options(name, help))
 }
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -16,6 +16,7 @@
 
 use crate::admin;
 use crate::admission::driver as ledger_driver;
+use crate::admission::sharing;
 use crate::callers::server;
 use crate::control::announcement;
 use crate::control::configuration;
@@ -130,7 +131,9 @@
         steering_driver::SteeringDriver::new(sync::Arc::clone(shared), mesh.clone(), report_events);
     tokio::spawn(steering.run());
     let ledger = ledger_driver::LedgerDriver::new(sync::Arc::clone(shared), mesh.clone(), client);
-    if let Some(actions) = shared.admission.take_actions() {
+    if shared.settings.dialect == settings::InterfaceDialect::Platform {
+        tokio::spawn(sharing::share_demand(sync::Arc::clone(shared), mesh.clone()));
+    } else if let Some(actions) = shared.admission.take_actions() {
         tokio::spawn(ledger.clone().run(actions));
     }
     let routes =
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use crate::admission::control;
+use crate::callers::trace;
 use crate::clock;
 use crate::control::dump;
 use crate::dispatch;
@@ -48,6 +49,8 @@
     pub control: dump::ControlBoard,
     /// Steering of callers.
     pub steering: steering::SteeringControl,
+    /// Bounds the log lines on requests.
+    pub lines: trace::LineBudget,
     /// Metrics of the instance.
     pub metrics: metrics::InstanceMetrics,
     clock: clock::MonotonicClock,
@@ -72,6 +75,7 @@
             settings,
             member_changes: watch::Sender::default(),
             steering: steering::SteeringControl::default(),
+            lines: trace::LineBudget::default(),
             metrics: metrics::InstanceMetrics::new(),
             clock,
             leaving: atomic::AtomicBool::new(false),
