Long watches that tell values; 503 before the keys are known; sooner doubt of lapsed entries

Change: watch of 15 s, values from the watch, 150 ms between watches; keyed routes answer 503 until the keys are known; a deletion told after the first answer is believed after 0.8 s.

--- a/crates/coordination/configuration/src/settings.rs
+++ b/crates/coordination/configuration/src/settings.rs
@@ -84,3 +84,18 @@
         }
     }
 }
+
+impl ConfigurationSettings {
+    /// For a store that counts each call, a long watch as one, and tells values.
+    #[must_use]
+    pub fn priced_calls() -> Self {
+        Self {
+            watch_wait: time::Duration::from_secs(15),
+            retry: time::Duration::from_millis(250),
+            max_retry: time::Duration::from_secs(1),
+            start_spread: time::Duration::from_millis(100),
+            start_poll: time::Duration::from_millis(500),
+            ..Self::default()
+        }
+    }
+}
--- a/crates/coordination/registry/src/registry.rs
+++ b/crates/coordination/registry/src/registry.rs
@@ -18,6 +18,10 @@
 
 /// Time after the store's return within which servers that live register again.
 const LAPSE_GRACE: duration::Duration = duration::Duration::from_millis(2_200);
+/// Time for which a server is kept whose entry goes within that time.
+///
+/// It may have lapsed or left; a leaving server must get no work for long.
+const DOUBT_GRACE: duration::Duration = duration::Duration::from_millis(800);
 
 /// What happened.
 #[derive(Debug, Clone)]
@@ -26,7 +30,7 @@
     Servers(operation::WatchAnswer),
     /// The store told of drained failure domains.
     Drains(operation::WatchAnswer),
-    /// The store did not answer.
+    /// The store did not answer on registrations.
     Failed,
     /// Time has passed.
     Tick,
@@ -62,13 +66,14 @@
         let mut changes = Vec::new();
         match event {
             RegistryEvent::Servers(answer) => {
-                self.note_answer(now);
-                self.take_servers(answer, now, &mut changes);
-            }
-            RegistryEvent::Drains(answer) => {
-                self.note_answer(now);
-                self.take_drains(&answer, &mut changes);
+                let returns = std::mem::take(&mut self.failing);
+                if returns {
+                    self.lapse_until = Some(now + LAPSE_GRACE);
+                }
+                let keep = if returns { LAPSE_GRACE } else { DOUBT_GRACE };
+                self.take_servers(answer, now + keep, now, &mut changes);
             }
+            RegistryEvent::Drains(answer) => self.take_drains(&answer, &mut changes),
             RegistryEvent::Failed => self.failing = true,
             RegistryEvent::Tick => self.drop_missing(now, &mut changes),
         }
@@ -100,15 +105,10 @@
         view
     }
 
-    fn note_answer(&mut self, now: time::Timestamp) {
-        if std::mem::take(&mut self.failing) {
-            self.lapse_until = Some(now + LAPSE_GRACE);
-        }
-    }
-
     fn take_servers(
         &mut self,
         answer: operation::WatchAnswer,
+        keep_until: time::Timestamp,
         now: time::Timestamp,
         changes: &mut Vec<change::RegistryChange>,
     ) {
@@ -121,16 +121,17 @@
                 answer.changes.iter().map(|change| Arc::clone(&change.name.name)).collect();
             let missing: Vec<_> =
                 self.servers.keys().filter(|id| !told.contains(*id)).map(Arc::clone).collect();
-            missing.into_iter().for_each(|id| self.remove(&id, now, changes));
+            missing.into_iter().for_each(|id| self.remove(&id, keep_until, now, changes));
         }
         for told in answer.changes {
-            self.take_server(told, now, changes);
+            self.take_server(told, keep_until, now, changes);
         }
     }
 
     fn take_server(
         &mut self,
         told: operation::ObjectChange,
+        keep_until: time::Timestamp,
         now: time::Timestamp,
         changes: &mut Vec<change::RegistryChange>,
     ) {
@@ -138,7 +139,7 @@
         let known_revision = self.servers.get(&id).map_or(0, |known| known.revision);
         let value = match told.value {
             operation::ChangedValue::Told(value) => value,
-            operation::ChangedValue::Deleted => return self.remove(&id, now, changes),
+            operation::ChangedValue::Deleted => return self.remove(&id, keep_until, now, changes),
             operation::ChangedValue::Unreadable(reason) => {
                 return self.refuse(id, reason, changes);
             }
@@ -192,15 +193,16 @@
     fn remove(
         &mut self,
         id: &Arc<str>,
+        keep_until: time::Timestamp,
         now: time::Timestamp,
         changes: &mut Vec<change::RegistryChange>,
     ) {
-        let lapse_until = self.lapse_until.filter(|until| now < *until);
+        let may_lapse = self.lapse_until.is_some_and(|until| now < until);
         let Some(known) = self.servers.get_mut(id) else { return };
-        match lapse_until {
-            Some(until) if !known.registration.draining => {
+        match may_lapse {
+            true if !known.registration.draining => {
                 if known.gone_at.is_none() {
-                    known.gone_at = Some(until);
+                    known.gone_at = Some(keep_until);
                     changes.push(change::RegistryChange::Missing(Arc::clone(id)));
                 }
             }
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -40,7 +40,8 @@
     let _open = OpenRequest::begin(&shared);
     let home = shared.steering.note_arrival(peer.ip());
     let arrived = shared.now();
-    let tables = sync::Arc::clone(&shared.tables.load().snapshot);
+    let applied = shared.tables.load_full();
+    let tables = sync::Arc::clone(&applied.snapshot);
     let trace = trace::RequestTrace::begin(&shared, request.headers(), arrived);
     let route = find_route(&tables, &request);
     let result = match &route {
@@ -51,6 +52,7 @@
             let path = RequestPath {
                 shared: &shared,
                 tables: &tables,
+                knows_keys: applied.versions.keys > 0,
                 route,
                 deadline,
                 home: &home,
@@ -150,6 +152,8 @@
 struct RequestPath<'a> {
     shared: &'a sync::Arc<shared::SharedTables>,
     tables: &'a snapshot::TableSnapshot,
+    /// Whether any version of the keys is known.
+    knows_keys: bool,
     route: &'a route::Route,
     deadline: time::Timestamp,
     /// Home region of the client, if its address has one.
@@ -252,6 +256,9 @@
         if !self.shared.keys_trusted() {
             return Err(answer::Refusal::not_run(answer::RefusalKind::KeysUnconfirmed));
         }
+        if !self.knows_keys {
+            return Err(answer::Refusal::not_run(answer::RefusalKind::NotReady));
+        }
         let missing = answer::Refusal::not_run(answer::RefusalKind::KeyMissing);
         let text = credential::find_key(headers)?.ok_or(missing)?;
         let refused = answer::Refusal::not_run(answer::RefusalKind::KeyRefused);
--- a/crates/transport/node/src/control/configuration.rs
+++ b/crates/transport/node/src/control/configuration.rs
@@ -53,7 +53,7 @@
         let keeper = keeper::ConfigurationKeeper::new(
             shared.incarnation,
             shared.settings.identity.region.text(),
-            make_settings(shared.settings.keys),
+            make_settings(&shared.settings),
             shared.now(),
             &mut rng,
         );
@@ -171,11 +171,15 @@
     }
 }
 
-fn make_settings(keys: instance::KeyTrustSettings) -> settings::ConfigurationSettings {
-    let undecided = if keys.serve_undecided {
+fn make_settings(settings: &instance::InstanceSettings) -> settings::ConfigurationSettings {
+    let undecided = if settings.keys.serve_undecided {
         settings::UndecidedKeys::Serve
     } else {
         settings::UndecidedKeys::Refuse
     };
-    settings::ConfigurationSettings { max_age: keys.max_age, undecided, ..Default::default() }
+    let periods = match settings.dialect {
+        instance::InterfaceDialect::Native => settings::ConfigurationSettings::default(),
+        instance::InterfaceDialect::Platform => settings::ConfigurationSettings::priced_calls(),
+    };
+    settings::ConfigurationSettings { max_age: settings.keys.max_age, undecided, ..periods }
 }
--- a/crates/transport/node/src/control/listing.rs
+++ b/crates/transport/node/src/control/listing.rs
@@ -7,6 +7,7 @@
 
 use marjoramwing_membership::keeper;
 use marjoramwing_object_api::listing;
+use marjoramwing_settings::settings;
 use marjoramwing_store_client::client;
 use tokio::sync::mpsc;
 
@@ -17,6 +18,9 @@
 /// Time between two reads otherwise.
 const LISTING_PERIOD: time::Duration = time::Duration::from_secs(3);
 
+/// Time between two reads where each is priced; members tell each other of new ones.
+const PRICED_PERIOD: time::Duration = time::Duration::from_secs(20);
+
 /// Reads the list now and then until the task is cancelled.
 pub async fn follow_listing(
     shared: sync::Arc<shared::SharedTables>,
@@ -35,7 +39,12 @@
             return;
         }
         let knows_others = shared.members.load().members.len() > 1;
-        let period = if knows_others { LISTING_PERIOD } else { JOIN_PERIOD };
+        let is_priced = shared.settings.dialect == settings::InterfaceDialect::Platform;
+        let period = match (knows_others, is_priced) {
+            (false, _) => JOIN_PERIOD,
+            (true, false) => LISTING_PERIOD,
+            (true, true) => PRICED_PERIOD,
+        };
         tokio::time::sleep(period.mul_f64(rand::random_range(0.75..1.25))).await;
     }
 }
--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -18,9 +18,11 @@
 const WATCH_WAIT: time::Duration = time::Duration::from_secs(15);
 /// Time after which a failed call is tried again, at first and at most.
 const FIRST_RETRY: time::Duration = time::Duration::from_millis(250);
-const MAX_RETRY: time::Duration = time::Duration::from_secs(2);
+const MAX_RETRY: time::Duration = time::Duration::from_secs(1);
 /// Time between two looks for servers whose time to return has passed.
 const TICK_PERIOD: time::Duration = time::Duration::from_millis(200);
+/// Pause between two watches, so that changes close together cost one call.
+const WATCH_PAUSE: time::Duration = time::Duration::from_millis(150);
 /// Answers that wait for the registry.
 const EVENT_QUEUE: usize = 64;
 
@@ -71,12 +73,16 @@
                 emit!(catalogue::STORE_CALL_FAILED, kind = %kind, after, error = %error);
                 tokio::time::sleep(retry.mul_f64(rand::random_range(0.75..1.25))).await;
                 retry = (retry * 2).min(MAX_RETRY);
+                if kind != object::ObjectKind::Servers {
+                    continue;
+                }
                 registry::RegistryEvent::Failed
             }
         };
         if events.send(event).await.is_err() {
             return;
         }
+        tokio::time::sleep(WATCH_PAUSE).await;
     }
 }
 
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -16,6 +16,7 @@
 use marjoramwing_membership::view;
 use marjoramwing_settings::settings;
 use marjoramwing_tables::credential;
+use marjoramwing_tables::route;
 use marjoramwing_tables::snapshot;
 use tokio::sync::watch;
 
@@ -181,10 +182,15 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let was_confirmed = self.was_confirmed.load(atomic::Ordering::Acquire);
-        !self.is_leaving()
-            && was_confirmed
-            && self.tables.load().versions.routes > 0
-            && self.steering.table().is_some()
+        !self.is_leaving() && was_confirmed && self.has_tables() && self.steering.table().is_some()
+    }
+
+    /// Tells whether the routes are known, and the keys if a route needs one.
+    fn has_tables(&self) -> bool {
+        let applied = self.tables.load();
+        let mut routes = applied.snapshot.routes.values();
+        let needs_keys = routes.any(|route| route.access == route::RouteAccess::Keyed);
+        applied.versions.routes > 0 && (applied.versions.keys > 0 || !needs_keys)
     }
 
     fn record_versions(&self, versions: &snapshot::TableVersions) {
