Count instances that were not heard when limits are split

Change: an instance that has just started, or hears nobody, goes by the platform's list (16 before it is known), and takes unheard instances to see as much as it does.

--- a/crates/coordination/ledger/src/split.rs
+++ b/crates/coordination/ledger/src/split.rs
@@ -31,6 +31,10 @@
 ///
 /// The first requests of a team at another instance find some tokens there.
 const LEAST_PART: f64 = 0.1;
+/// Time after the start in which instances that are only listed have a part.
+const START_CAUTION: duration::Duration = duration::Duration::from_secs(3);
+/// Instances that are assumed before the platform's list is known.
+const UNKNOWN_FLEET: usize = 16;
 /// Demand below which nothing is reported, in requests per second.
 const LEAST_REPORTED: f64 = 0.05;
 /// Tokens beyond the burst that all instances together may hold.
@@ -48,12 +52,15 @@
 }
 
 /// The limits of one instance.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DemandSplit {
     limits: collections::BTreeMap<limit::LimitId, SplitLimit>,
     peers: collections::BTreeMap<incarnation::Incarnation, PeerReport>,
     /// Other instances that are known to run.
     others: usize,
+    /// Instances that the platform lists, running or not.
+    listed: usize,
+    started_at: time::Timestamp,
 }
 
 #[derive(Debug)]
@@ -73,6 +80,23 @@
 }
 
 impl DemandSplit {
+    /// Makes the limits of an instance that starts now and knows no other.
+    #[must_use]
+    pub const fn new(now: time::Timestamp) -> Self {
+        Self {
+            limits: collections::BTreeMap::new(),
+            peers: collections::BTreeMap::new(),
+            others: 0,
+            listed: UNKNOWN_FLEET,
+            started_at: now,
+        }
+    }
+
+    /// Notes how many instances the platform lists, running or not.
+    pub fn set_listed(&mut self, listed: usize) {
+        self.listed = listed.max(1);
+    }
+
     /// Sets the limits in force; an edit gives no tokens.
     pub fn set_limits(
         &mut self,
@@ -80,7 +104,7 @@
         now: time::Timestamp,
     ) {
         self.limits.retain(|id, _| limits.contains_key(id));
-        let instances = self.others + 1;
+        let instances = self.instances(now);
         for (id, limit) in limits {
             let known = self.limits.entry(*id).or_insert_with(|| SplitLimit {
                 limit: *limit,
@@ -114,14 +138,16 @@
     /// Computes the parts anew and returns the demand to report.
     pub fn step(&mut self, now: time::Timestamp) -> Vec<LimitDemand> {
         self.forget_silent(now);
-        let instances = self.others.max(self.peers.len()) + 1;
+        let instances = self.instances(now);
+        let unheard = (instances - 1).saturating_sub(self.peers.len()) as f64;
         let mut report = Vec::new();
         for (id, split) in &mut self.limits {
             split.fill(instances, now);
             let own = split.demand.per_second(now);
             let told = self.peers.values().filter_map(|peer| peer.demands.get(id)).sum::<f64>();
             let least = LEAST_PART * split.limit.rate / instances as f64;
-            let all = own + told + least * instances as f64;
+            // Instances that were not heard from may see as much as this one.
+            let all = own * (1.0 + unheard) + told + least * instances as f64;
             split.part = (own + least) / all;
             if own >= LEAST_REPORTED {
                 report.push(LimitDemand { id: *id, per_second: own });
@@ -132,7 +158,7 @@
 
     /// Admits or refuses one request.
     pub fn admit(&mut self, id: limit::LimitId, now: time::Timestamp) -> action::TicketOutcome {
-        let instances = self.others.max(self.peers.len()) + 1;
+        let instances = self.instances(now);
         let Some(split) = self.limits.get_mut(&id) else {
             return action::TicketOutcome::Admitted { valid_until: time::Timestamp::NEVER };
         };
@@ -151,6 +177,15 @@
         self.limits.get(&id).map(|split| split.part)
     }
 
+    /// Returns the instances among which the limits are split.
+    ///
+    /// An instance that has just started, or hears no other, goes by the list.
+    fn instances(&self, now: time::Timestamp) -> usize {
+        let known = self.others.max(self.peers.len()) + 1;
+        let is_new = now.since(self.started_at) < START_CAUTION;
+        if is_new || self.peers.is_empty() { known.max(self.listed) } else { known }
+    }
+
     /// Forgets instances that are silent, unless most are.
     fn forget_silent(&mut self, now: time::Timestamp) {
         let is_heard = |peer: &PeerReport| now.since(peer.heard_at) <= REPORT_LIFE;
--- a/crates/transport/node/src/admission/control.rs
+++ b/crates/transport/node/src/admission/control.rs
@@ -66,7 +66,7 @@
         let splits = settings.dialect == settings::InterfaceDialect::Platform;
         Self {
             state: sync::Mutex::new(state),
-            split: splits.then(sync::Mutex::default),
+            split: splits.then(|| sync::Mutex::new(split::DemandSplit::new(time::Timestamp::ZERO))),
             outbox,
             carried: sync::Mutex::new(Some(carried)),
         }
@@ -116,6 +116,13 @@
         }
     }
 
+    /// Notes how many instances the platform lists.
+    pub fn set_listed(&self, listed: usize) {
+        if let Some(mut split) = self.lock_split() {
+            split.set_listed(listed);
+        }
+    }
+
     /// Computes the parts of split limits anew and returns the own demand.
     pub fn step_split(&self, others: usize, now: time::Timestamp) -> Vec<split::LimitDemand> {
         let Some(mut split) = self.lock_split() else { return Vec::new() };
--- a/crates/transport/node/src/control/listing.rs
+++ b/crates/transport/node/src/control/listing.rs
@@ -31,6 +31,7 @@
     loop {
         if let Ok(list) = client.list_instances().await {
             shared.dispatch.set_leaving(leaving_servers(&list));
+            shared.admission.set_listed(list.instances.len());
             addresses.clone_from(&shared.settings.contacts);
             addresses.extend(list.instances.into_iter().map(|listed| listed.peers));
         }
