--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -18,7 +18,7 @@
 const WATCH_WAIT: time::Duration = time::Duration::from_secs(15);
 /// Time after which a failed call is tried again, at first and at most.
 const FIRST_RETRY: time::Duration = time::Duration::from_millis(250);
-const MAX_RETRY: time::Duration = time::Duration::from_secs(1);
+const MAX_RETRY: time::Duration = time::Duration::from_millis(500);
 /// Time between two looks for servers whose time to return has passed.
 const TICK_PERIOD: time::Duration = time::Duration::from_millis(200);
 /// Pause between two watches, so that changes close together cost one call.
--- a/crates/transport/store-client/src/client.rs
+++ b/crates/transport/store-client/src/client.rs
@@ -23,6 +23,8 @@
 type RequestBody = http_body_util::Full<bytes::Bytes>;
 type HttpClient = legacy::Client<legacy::connect::HttpConnector, RequestBody>;
 
+/// Longest wait for a connection; a packet that was lost is not sent again sooner.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 /// Time after which a silent connection is probed, and between two probes.
 ///
 /// A watch waits for long, and something between may forget its connection.
@@ -90,7 +92,7 @@
         dialect: dialect::StoreDialect,
     ) -> Self {
         let mut connector = legacy::connect::HttpConnector::new();
-        connector.set_connect_timeout(Some(timeout));
+        connector.set_connect_timeout(Some(timeout.min(CONNECT_TIMEOUT)));
         connector.set_nodelay(true);
         connector.set_keepalive(Some(KEEPALIVE_PERIOD));
         connector.set_keepalive_interval(Some(KEEPALIVE_PERIOD));
