--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -98,7 +98,7 @@
     /// Work that is cut at the deadline is lost to everyone.
     fn ends_in_time(&self, server: &ServerState, now: time::Timestamp) -> bool {
         let Some(deadline) = self.deadline else { return true };
-        let least_us = server.distance.round_trip_us() + server.work_us / 2;
+        let least_us = server.distance.round_trip_us() + server.work_us;
         let left_us = deadline.as_micros().saturating_sub(now.as_micros());
         server.believed_open(now) == 0 || least_us <= left_us
     }
