--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -36,10 +36,13 @@
 const LATENCY_LIFE: duration::Duration = duration::Duration::from_secs(30);
 /// Usable servers that one choice scores, from a place that differs each time.
 const MAX_SCORED: usize = 128;
-/// Time for which a server's report of its load counts.
-const REPORT_LIFE: duration::Duration = duration::Duration::from_millis(300);
-/// Requests that may wait at a server, as a part of its slots.
-const QUEUE_DIVISOR: u32 = 3;
+/// Least and longest time for which a server's report of its load counts.
+const MIN_REPORT_LIFE: duration::Duration = duration::Duration::from_millis(30);
+const MAX_REPORT_LIFE: duration::Duration = duration::Duration::from_millis(300);
+/// Time to the next free slot up to which a request is sent ahead of it.
+const SLOT_BRIDGE_US: u64 = 60_000;
+/// Part of the usual work for which a report counts.
+const REPORT_DIVISOR: u64 = 2;
 /// Times the usual work after which a server counts as silent.
 const SILENCE_WORKS: u64 = 3;
 /// Part of the usual work that a wholly taken server counts more than an idle one.
@@ -332,7 +335,7 @@
     pub fn next_change(&self, now: time::Timestamp) -> Option<time::Timestamp> {
         let reports_count = self.rule == policy::ChoiceRule::ExpectedDelay;
         let ends = self.servers.iter().flat_map(|server| {
-            let report_end = (server.reported_at + REPORT_LIFE).as_micros();
+            let report_end = (server.reported_at + server.report_life()).as_micros();
             let report_end = if reports_count { report_end } else { 0 };
             let report_end = time::Timestamp::from_micros(report_end);
             [server.blocked_until, server.cold.next_at(), report_end]
@@ -454,9 +457,13 @@
                 || self.in_flight < self.health.usable_slots(self.slots, now))
     }
 
-    /// Tells whether the server's own queue would be short, for all instances.
+    /// Tells whether a slot is free, for all instances and as far as is known.
+    ///
+    /// One request may wait at the server for a slot that is due soon, since this
+    /// instance hears late of the slots that others leave.
     fn has_room(&self, now: time::Timestamp) -> bool {
-        let queue = self.slots.div_ceil(QUEUE_DIVISOR);
+        let slot_due_us = self.work_us / u64::from(self.slots.max(1));
+        let queue = u32::from(slot_due_us < SLOT_BRIDGE_US);
         self.believed_open(now) < self.slots + queue
     }
 
@@ -480,9 +487,15 @@
         }
     }
 
+    /// Returns how long a report counts: a part of the work that it tells of.
+    fn report_life(&self) -> duration::Duration {
+        let life = duration::Duration::from_micros(self.work_us / REPORT_DIVISOR);
+        life.clamp(MIN_REPORT_LIFE, MAX_REPORT_LIFE)
+    }
+
     /// Returns the requests that the server holds, from all instances.
     fn believed_open(&self, now: time::Timestamp) -> u32 {
-        let is_fresh = now.since(self.reported_at) < REPORT_LIFE;
+        let is_fresh = now.since(self.reported_at) < self.report_life();
         self.in_flight + if is_fresh { self.others } else { 0 }
     }
 
