--- /dev/null
+++ b/crates/coordination/dispatch/tests/delay.rs
@@ -0,0 +1,195 @@
+//! The choice by expected delay: near servers, sessions, slots and cold servers.
+
+use std::net;
+use std::sync::Arc;
+use std::time as duration;
+
+use marjoramwing_dispatch::cold;
+use marjoramwing_dispatch::distance;
+use marjoramwing_dispatch::mechanism;
+use marjoramwing_dispatch::picker;
+use marjoramwing_dispatch::policy;
+use marjoramwing_dispatch::session;
+use marjoramwing_entity::primary;
+use marjoramwing_entity::time;
+use marjoramwing_tables::name;
+use marjoramwing_tables::pool;
+
+const SLOTS: u32 = 3;
+
+fn text<T: for<'a> TryFrom<&'a Arc<str>>>(text: &str) -> T {
+    T::try_from(&Arc::from(text)).ok().expect("the text is a name")
+}
+
+fn address(number: u8) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 0, 0, number], 80))
+}
+
+fn at(millis: u64) -> time::Timestamp {
+    time::Timestamp::from_millis(millis)
+}
+
+/// One registered server: its number, failure domain and time of being cold.
+type Registered = (u8, &'static str, u64);
+
+fn make_pool(servers: &[Registered], started_ms: u64) -> pool::Pool {
+    let servers: primary::PrimaryMap<pool::ServerKey, _> = servers
+        .iter()
+        .map(|(number, domain, cold_ms)| pool::BackendServer {
+            address: address(*number),
+            failure_domain: text(domain),
+            slots: SLOTS,
+            draining: false,
+            registered: Some(pool::ServerIdentity {
+                id: format!("i-{number}").into(),
+                started_ms,
+                cold_for: duration::Duration::from_millis(*cold_ms),
+            }),
+        })
+        .collect();
+    pool::Pool { name: text("web"), servers, cold_start: None }
+}
+
+fn place_of(domain: &name::DomainName) -> distance::DomainPlace {
+    let place = match domain.as_str() {
+        "west-a" => distance::ServerPlace::SameDomain,
+        "west-b" => distance::ServerPlace::SameRegion,
+        _ => distance::ServerPlace::Elsewhere,
+    };
+    let region = domain.as_str().split('-').next().map(Arc::from);
+    distance::DomainPlace { place, region }
+}
+
+fn make_picker(servers: &[Registered]) -> picker::BackendPicker {
+    let disabled = mechanism::DisabledMechanism::Nothing;
+    let mut picker = picker::BackendPicker::new(policy::ChoiceRule::ExpectedDelay, disabled);
+    picker.set_servers(&make_pool(servers, 1), at(0));
+    picker.set_places(&place_of);
+    picker
+}
+
+fn pick(picker: &picker::BackendPicker, wish: &picker::ServerWish<'_>, now: u64) -> Option<u8> {
+    match picker.pick(wish, now, at(now))? {
+        net::SocketAddr::V4(address) => Some(address.ip().octets()[3]),
+        net::SocketAddr::V6(_) => None,
+    }
+}
+
+fn wish(session: &str) -> picker::ServerWish<'static> {
+    let session = Some(session::SessionKey::of(session));
+    picker::ServerWish { session, ..Default::default() }
+}
+
+#[test]
+fn near_server_is_chosen_first() {
+    let picker = make_picker(&[(1, "east-a", 0), (2, "west-b", 0), (3, "west-a", 0)]);
+    assert_eq!(pick(&picker, &picker::ServerWish::default(), 1), Some(3));
+}
+
+#[test]
+fn regions_of_a_request_bind_also_when_they_are_far() {
+    let picker = make_picker(&[(1, "east-a", 0), (2, "west-b", 0)]);
+    let east = [Arc::from("east")];
+    let wish = picker::ServerWish { regions: Some(&east), ..Default::default() };
+    assert_eq!(pick(&picker, &wish, 1), Some(1));
+    let none = picker::ServerWish { regions: Some(&[]), ..Default::default() };
+    assert_eq!(pick(&picker, &none, 1), None);
+    assert!(!picker.has_server(&none));
+}
+
+#[test]
+fn instances_of_a_region_send_a_session_to_one_server() {
+    let servers = [(1, "west-a", 0), (2, "west-b", 0), (3, "west-a", 0), (4, "west-b", 0)];
+    let picker = make_picker(&servers);
+    let mut reversed = servers;
+    reversed.reverse();
+    let other = make_picker(&reversed);
+    let chosen = |picker, name: &str| pick(picker, &wish(name), 1);
+    let names: Vec<_> = (0..64).map(|name| name.to_string()).collect();
+    assert!(names.iter().all(|name| chosen(&picker, name) == chosen(&other, name)));
+    let used =
+        (1..=4).filter(|number| names.iter().any(|name| chosen(&picker, name) == Some(*number)));
+    assert_eq!(used.count(), servers.len());
+}
+
+#[test]
+fn session_waits_for_its_server_rather_than_go_where_it_is_unknown() {
+    let mut picker = make_picker(&[(1, "west-a", 0), (2, "west-a", 0)]);
+    let home = picker.pick(&wish("7"), 1, at(1)).unwrap();
+    for _ in 0..=SLOTS {
+        picker.begin(home, None, at(1));
+    }
+    assert_eq!(pick(&picker, &wish("7"), 2), None);
+    assert!(pick(&picker, &picker::ServerWish::default(), 2).is_some());
+}
+
+#[test]
+fn server_that_leaves_passes_its_sessions_on() {
+    let mut picker = make_picker(&[(1, "west-a", 0), (2, "west-a", 0)]);
+    let home = picker.pick(&wish("7"), 1, at(1)).unwrap();
+    picker.set_leaving(&[home].into());
+    let next = picker.pick(&wish("7"), 1, at(2));
+    assert!(next.is_some_and(|next| next != home));
+}
+
+#[test]
+fn busy_server_gets_nothing_that_it_cannot_end_in_time() {
+    let mut picker = make_picker(&[(1, "west-a", 0)]);
+    picker.begin(address(1), None, at(0));
+    let latency = duration::Duration::from_millis(800);
+    let result = picker::ReportedResult::Answered(latency);
+    picker.finish(address(1), picker::AttemptReport { result, open_requests: None }, at(800));
+    picker.begin(address(1), None, at(800));
+    let due = |millis| picker::ServerWish { deadline: Some(at(millis)), ..Default::default() };
+    assert_eq!(pick(&picker, &due(1_500), 800), None);
+    assert_eq!(pick(&picker, &due(1_700), 800), Some(1));
+}
+
+#[test]
+fn cold_server_gets_what_this_instance_may_send() {
+    let mut picker = make_picker(&[(1, "west-a", 3_000)]);
+    picker.set_cold_rates(&|_| 2);
+    let mut sent = Vec::new();
+    for now in 0..5_000 {
+        if pick(&picker, &picker::ServerWish::default(), now).is_some() {
+            picker.begin(address(1), None, at(now));
+            let result = picker::ReportedResult::Answered(duration::Duration::from_millis(1));
+            let report = picker::AttemptReport { result, open_requests: None };
+            picker.finish(address(1), report, at(now));
+            sent.push(now);
+        }
+    }
+    let cold: Vec<_> = sent.iter().take_while(|now| **now < 3_000).collect();
+    let most = cold
+        .iter()
+        .map(|from| cold.iter().filter(|now| (**from..**from + 1_000).contains(*now)).count());
+    assert_eq!(most.max(), Some(2));
+    assert!(sent.len() > 1_000, "warm afterwards");
+}
+
+#[test]
+fn another_run_at_the_address_is_known_by_its_own_name() {
+    let mut picker = make_picker(&[(1, "west-a", 0)]);
+    picker.begin(address(1), None, at(0));
+    let mut pool = make_pool(&[(1, "west-a", 0)], 2);
+    let server = pool.servers.iter_mut().next().unwrap().1;
+    server.registered.as_mut().unwrap().id = "i-9".into();
+    picker.set_servers(&pool, at(1));
+    assert_eq!(picker.identity(address(1)).as_deref(), Some("i-9"));
+    assert_eq!(picker.in_flight(address(1)), 1);
+}
+
+/// Adds up the parts of all instances of a fleet.
+fn check_allowance(rate: f64, overage: f64, slack: f64, fleet_size: usize) {
+    let allowance = cold::ColdAllowance::new(rate, overage, slack);
+    let sum: u32 = (0..fleet_size).map(|rank| allowance.share(rank, fleet_size)).sum();
+    assert!(f64::from(sum) <= rate * overage + slack, "{sum}");
+    assert!(sum >= 1);
+}
+
+marjoramwing_testing::cases! { check_allowance:
+    seven_instances => (7.1, 1.5, 5.0, 7);
+    more_instances_than_requests => (4.0, 1.5, 8.0, 31);
+    many_instances => (7.1, 1.5, 5.0, 450);
+    one_instance => (7.1, 1.0, 0.0, 1);
+}
--- /dev/null
+++ b/crates/transport/node/tests/pipeline/main.rs
@@ -0,0 +1,3 @@
+//! Requests that a caller sends ahead of answers on one connection.
+
+mod framing;
