Read small answers whole before passing them on; apply one version of all tables

Change: answers of up to 64 KiB are read to their end first, so that a broken one can be sent again; where all tables come from one object of the store, only those of one version are applied. Decision lines name the team also of a request over its limit.

--- a/crates/coordination/configuration/src/keeper.rs
+++ b/crates/coordination/configuration/src/keeper.rs
@@ -141,9 +141,11 @@
         rng: &mut impl rand::Rng,
     ) -> Self {
         let first_call = now + settings.start_spread.mul_f64(rng.random_range(0.0..1.0));
+        let rules =
+            selector::SelectorRules { one_source: settings.one_source, ..Default::default() };
         Self {
             settings,
-            selector: selector::VersionSelector::default(),
+            selector: selector::VersionSelector::new(rules),
             fleet: fleet::FleetPlaces::new(own, region),
             sight: sight::StoreSight::default(),
             witnesses: trust::WitnessTable::default(),
--- a/crates/coordination/configuration/src/selector.rs
+++ b/crates/coordination/configuration/src/selector.rs
@@ -18,18 +18,29 @@
 /// The steering of an instance that knows none.
 const NO_STEERING: &str = r#"{"sites": []}"#;
 
-/// Which rules hold; only tests switch any off.
+/// The objects that one object of the store holds together.
+const ONE_SOURCE: [candidate::TableObject; 4] = [
+    candidate::TableObject::Routes,
+    candidate::TableObject::Pools,
+    candidate::TableObject::Teams,
+    candidate::TableObject::Keys,
+];
+
+/// Which rules hold; only tests switch the first two off.
 #[derive(Debug, Clone, Copy)]
 pub struct SelectorRules {
     /// Whether older versions than the applied are left out.
     pub never_lower: bool,
     /// Whether groups are applied apart.
     pub apart: bool,
+    /// Whether all tables but steering come from one object, so that only those
+    /// of one version are applied.
+    pub one_source: bool,
 }
 
 impl Default for SelectorRules {
     fn default() -> Self {
-        Self { never_lower: true, apart: true }
+        Self { never_lower: true, apart: true, one_source: false }
     }
 }
 
@@ -138,8 +149,12 @@
     pub fn select(&mut self) -> Option<configuration::AppliedTables> {
         let before = self.applied();
         let mut consistent = true;
-        for group in group::TableGroup::ALL {
-            consistent &= self.select_group(group);
+        if self.rules.one_source {
+            self.select_one_version();
+        } else {
+            for group in group::TableGroup::ALL {
+                consistent &= self.select_group(group);
+            }
         }
         if self.applied() == before || !(consistent || self.rules.apart) {
             return None;
@@ -150,6 +165,24 @@
         Some(configuration::AppliedTables { versions, snapshot: Arc::new(snapshot) })
     }
 
+    /// Applies the greatest version of which all objects are at hand and fit.
+    fn select_one_version(&mut self) {
+        let waiting = &self.history(ONE_SOURCE[0]).waiting;
+        let versions: Vec<_> = waiting.iter().rev().map(|waiting| waiting.version).collect();
+        for version in versions {
+            let choices = ONE_SOURCE.map(|object| {
+                let mut waiting = self.history(object).waiting.iter();
+                (object, waiting.find(|waiting| waiting.version == version))
+            });
+            let is_whole = choices.iter().all(|(_, choice)| choice.is_some());
+            if is_whole && self.check(&choices).is_empty() {
+                ONE_SOURCE.into_iter().for_each(|object| self.history_mut(object).apply(version));
+                return;
+            }
+        }
+        group::TableGroup::ALL.into_iter().for_each(|group| self.note_faults(group));
+    }
+
     /// Applies a group's greatest versions and tells whether they are its newest.
     fn select_group(&mut self, group: group::TableGroup) -> bool {
         let Some(chosen) = self.greatest(group) else { return false };
--- a/crates/coordination/configuration/src/settings.rs
+++ b/crates/coordination/configuration/src/settings.rs
@@ -50,6 +50,8 @@
     pub witness_memory: time::Duration,
     /// What happens when an outage cannot be told from being cut off.
     pub undecided: UndecidedKeys,
+    /// Whether routes, pools, teams and keys come from one object of the store.
+    pub one_source: bool,
     /// Whether a new object is announced; only tests switch it off.
     pub notices: bool,
     /// Whether digests and early polls repair misses; only tests switch it off.
@@ -78,6 +80,7 @@
             max_age: time::Duration::from_secs(15),
             witness_memory: time::Duration::from_secs(10),
             undecided: UndecidedKeys::Refuse,
+            one_source: false,
             notices: true,
             repairs: true,
             witnesses: true,
@@ -95,6 +98,7 @@
             max_retry: time::Duration::from_secs(1),
             start_spread: time::Duration::from_millis(100),
             start_poll: time::Duration::from_millis(500),
+            one_source: true,
             ..Self::default()
         }
     }
--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -102,6 +102,8 @@
     BACKEND_EXCHANGE_FAILED = 4002, WARN, "backend server broke off the exchange", "check the backend server";
     /// A backend server gave the answer to another request.
     BACKEND_ANSWER_CROSSED = 4003, WARN, "backend server gave the answer to another request; discarded", "check the backend server";
+    /// A backend server broke off an answer that was not passed on yet.
+    BACKEND_ANSWER_CUT = 4004, WARN, "backend server broke off its answer; none of it was passed on", "check the backend server";
 
     /// A peer link was opened.
     PEER_CONNECTED = 5001, DEBUG, "peer link opened", "none";
--- a/crates/transport/node/src/backends/answer.rs
+++ b/crates/transport/node/src/backends/answer.rs
@@ -16,6 +16,7 @@
 
 use crate::backends::connection;
 use crate::backends::service;
+use crate::backends::whole;
 use crate::callers::credential;
 use crate::callers::headers;
 use crate::shared;
@@ -40,7 +41,7 @@
 /// Streams an answer and frees its backend server at the end.
 #[derive(Debug)]
 pub struct AnswerBody {
-    body: hyper::body::Incoming,
+    body: whole::ReadBody,
     exchange: Option<OpenExchange>,
     credential: Option<credential::KeyWatch>,
     check: Option<pin::Pin<Box<tokio::time::Sleep>>>,
@@ -62,7 +63,7 @@
     /// Wraps the body of an open answer.
     #[must_use]
     pub fn new(
-        body: hyper::body::Incoming,
+        body: whole::ReadBody,
         exchange: OpenExchange,
         credential: Option<credential::KeyWatch>,
         shared: sync::Arc<shared::SharedTables>,
--- a/crates/transport/node/src/backends/mod.rs
+++ b/crates/transport/node/src/backends/mod.rs
@@ -6,6 +6,7 @@
 //! - [`replay`]: the body of a request that may be sent more than once.
 //! - [`service`]: slots, queue and connections of one service.
 //! - [`stream`]: the socket behind the gate.
+//! - [`whole`]: answers that are read whole before they are passed on.
 
 pub mod answer;
 pub mod connection;
@@ -13,3 +14,4 @@
 pub mod replay;
 pub mod service;
 pub mod stream;
+pub mod whole;
--- a/crates/transport/node/src/callers/attempt.rs
+++ b/crates/transport/node/src/callers/attempt.rs
@@ -10,12 +10,15 @@
 use marjoramwing_dispatch::exchange;
 use marjoramwing_dispatch::gate;
 use marjoramwing_dispatch::picker;
+use marjoramwing_events::catalogue;
+use marjoramwing_events::emit;
 use marjoramwing_exchange::names;
 use tokio_util::sync as cancellation;
 
 use crate::backends::answer as backend_answer;
 use crate::backends::connection;
 use crate::backends::service;
+use crate::backends::whole;
 use crate::callers::attempts;
 use crate::callers::request;
 
@@ -103,6 +106,22 @@
                 AttemptResult::Crossed
             }
             exchange::AttemptState::Answered => {
+                let (head, body) = response.into_parts();
+                let read = tokio::select! {
+                    biased;
+                    read = whole::ReadBody::read(body) => Some(read),
+                    () = self.cancel.cancelled() => None,
+                };
+                let body = match read {
+                    None => return self.abandon(&gate, guard),
+                    Some(Err(error)) => {
+                        emit!(catalogue::BACKEND_ANSWER_CUT, server = %self.address, error = %error);
+                        guard.note(picker::ReportedResult::Failed, None);
+                        return AttemptResult::Failed(gate.reached());
+                    }
+                    Some(Ok(body)) => body,
+                };
+                let response = http::Response::from_parts(head, body);
                 guard.note(picker::ReportedResult::Answered(guard.age()), open_requests);
                 let exchange = backend_answer::OpenExchange { connection, guard };
                 AttemptResult::Answered(Box::new(attempts::OpenAnswer { response, exchange }))
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -23,6 +23,7 @@
 
 use crate::backends::answer as backend_answer;
 use crate::backends::service;
+use crate::backends::whole;
 use crate::callers::answer;
 use crate::callers::attempt;
 use crate::callers::request;
@@ -62,8 +63,8 @@
 /// The answer of a backend server, whose head has arrived.
 #[derive(Debug)]
 pub struct OpenAnswer {
-    /// Head and unread body.
-    pub response: http::Response<hyper::body::Incoming>,
+    /// Head, and the body as far as it was read.
+    pub response: http::Response<whole::ReadBody>,
     /// Connection and place at the backend server.
     pub exchange: backend_answer::OpenExchange,
 }
@@ -213,7 +214,7 @@
 
     fn begin(&mut self, guard: service::ServerGuard) {
         let address = guard.address();
-        self.context.trace.note_granted(self.now());
+        self.context.trace.note_granted(address, guard.identity(), self.now());
         // An attempt that is not shed sends the next one elsewhere.
         self.failed.push(address);
         let cancel = cancellation::CancellationToken::new();
@@ -286,7 +287,7 @@
             attempt::AttemptResult::Abandoned(_) => "abandoned",
         };
         self.context.shared.metrics.attempts.with_label_values(&[label]).inc();
-        self.context.trace.note_tried(address.to_string().into(), label);
+        self.context.trace.note_ended(address, label);
     }
 
     /// Refuses an answer whose end could not be told from a break.
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -177,10 +177,10 @@
         let sender = self.authenticate(request.headers())?;
         exposure::check_exposure(self.tables, &request)?;
         let team = sender.as_ref().map(|sender| sender.team);
+        self.trace.note_team(team.map_or("", |team| self.tables.teams[team].name.as_str()));
         self.check_body(request.headers())?;
         let send_before = self.admit(team).await?;
-        let name = team.map_or("", |team| self.tables.teams[team].name.as_str());
-        self.trace.note_admitted(name, self.shared.now());
+        self.trace.note_admitted(self.shared.now());
         let services = self.find_services()?;
         let request = self.prepare(request, team, &services[0].body_memory).await?;
         let regions = home_regions(self.route, team.map(|team| &self.tables.teams[team]));
--- a/crates/transport/node/src/callers/trace.rs
+++ b/crates/transport/node/src/callers/trace.rs
@@ -4,6 +4,7 @@
 //! their versions. The lines of one second are bounded; a counter tells how
 //! many were left out.
 
+use std::net;
 use std::sync;
 use std::sync::atomic;
 
@@ -32,14 +33,15 @@
     admitted_us: u64,
     /// Time at which the last attempt was given its slot.
     granted_us: u64,
-    attempts: u32,
     /// Servers that were tried, with what came of each.
     tried: Vec<TriedServer>,
 }
 
 #[derive(Debug, Clone)]
 struct TriedServer {
-    server: sync::Arc<str>,
+    address: net::SocketAddr,
+    /// Identifier of a server that registered itself; empty for others.
+    identity: sync::Arc<str>,
     result: &'static str,
 }
 
@@ -56,39 +58,56 @@
         Self { id, arrived, steps: sync::Mutex::default() }
     }
 
+    /// Notes whose request it is.
+    pub fn note_team(&self, team: &str) {
+        self.lock().team = team.into();
+    }
+
     /// Notes that the request is within its limits.
-    pub fn note_admitted(&self, team: &str, now: time::Timestamp) {
-        let mut steps = self.lock();
-        steps.team = team.into();
-        steps.admitted_us = self.since_arrival(now);
+    pub fn note_admitted(&self, now: time::Timestamp) {
+        self.lock().admitted_us = self.since_arrival(now);
     }
 
-    /// Notes that an attempt has a slot.
-    pub fn note_granted(&self, now: time::Timestamp) {
+    /// Notes that an attempt has a slot of a server.
+    pub fn note_granted(
+        &self,
+        address: net::SocketAddr,
+        identity: Option<&str>,
+        now: time::Timestamp,
+    ) {
         let mut steps = self.lock();
         steps.granted_us = self.since_arrival(now);
-        steps.attempts += 1;
+        let identity = identity.unwrap_or_default().into();
+        steps.tried.push(TriedServer { address, identity, result: "open" });
     }
 
-    /// Notes what came of an attempt.
-    pub fn note_tried(&self, server: sync::Arc<str>, result: &'static str) {
-        self.lock().tried.push(TriedServer { server, result });
+    /// Notes what came of the attempt at a server.
+    pub fn note_ended(&self, address: net::SocketAddr, result: &'static str) {
+        let mut steps = self.lock();
+        let tried = steps.tried.iter_mut().rev().find(|tried| tried.address == address);
+        if let Some(tried) = tried {
+            tried.result = result;
+        }
     }
 
     /// Writes the line of a request that was decided.
     pub fn log(&self, shared: &shared::SharedTables, route: &str, outcome: &str, status: u16) {
-        if !shared.lines.take(shared.now()) {
+        let now = shared.now();
+        if !shared.lines.take(now) {
             shared.metrics.lines_left_out.inc();
             return;
         }
         let steps = self.lock().clone();
-        let tried = steps.tried.iter().map(|tried| format!("{}:{}", tried.server, tried.result));
+        let tried = steps
+            .tried
+            .iter()
+            .map(|tried| format!("{}@{}={}", tried.identity, tried.address, tried.result));
         let tried = tried.collect::<Vec<_>>().join(" ");
         emit!(catalogue::REQUEST_DECIDED, request = %self.id, route, team = %steps.team, outcome,
             status, tables = shared.tables.load().versions.routes,
+            tables_age_ms = shared.metrics.tables_age_ms.get(),
             servers = shared.dispatch.registered_revision(), admitted_us = steps.admitted_us,
-            granted_us = steps.granted_us, attempts = steps.attempts, tried = %tried,
-            took_us = self.since_arrival(shared.now()));
+            granted_us = steps.granted_us, tried = %tried, took_us = self.since_arrival(now));
     }
 
     fn since_arrival(&self, now: time::Timestamp) -> u64 {
