--- a/crates/coordination/dispatch/src/queue.rs
+++ b/crates/coordination/dispatch/src/queue.rs
@@ -172,7 +172,8 @@
         lines.into_iter().flat_map(|line| line.waiting.values().take(MAX_CANDIDATES))
     }
 
-    /// Puts requests that can no longer be answered by their target behind the others.
+    /// Puts requests that can no longer be answered by their target behind the
+    /// others, the newest first.
     pub fn demote_late(&mut self, reachable_from: time::Timestamp) {
         if self.order != policy::QueueOrder::ReachableTarget {
             return;
@@ -182,7 +183,9 @@
                 line.waiting.keys().take_while(|rank| !rank.is_late && rank.due < reachable_from);
             for rank in late.copied().collect::<Vec<_>>() {
                 let Some(queued) = line.waiting.remove(&rank) else { continue };
-                let due = queued.request.deadline;
+                // The newest has the most time left for work that must not be cut.
+                let left = u64::MAX - queued.request.deadline.as_micros();
+                let due = time::Timestamp::from_micros(left);
                 let behind = LineRank { is_late: true, due, ticket: rank.ticket };
                 line.waiting.insert(behind, queued);
                 if let Some(place) = self.owners.get_mut(&rank.ticket) {
