--- a/crates/coordination/configuration/tests/selector.rs
+++ b/crates/coordination/configuration/tests/selector.rs
@@ -244,3 +244,38 @@
     let rules = selector::SelectorRules { never_lower: false, ..Default::default() };
     assert!(falls_under_stale_reads(rules));
 }
+
+fn offer_version(selector: &mut selector::VersionSelector, object: Object, version: u64) {
+    let text = match object {
+        Object::Routes => support::routes(&["web"]),
+        Object::Pools => support::pools(&["web"]),
+        Object::Teams => support::teams(&["one"]),
+        Object::Keys => support::keys(&["one"]),
+        Object::Steering => support::steering(),
+    };
+    selector.offer(object, version, text);
+}
+
+/// Peers send one object at a time; routes of one version must not be in force
+/// beside keys of an older one (mycotrail-gslb, scale-1, seed 398729627951).
+fn check_one_source(one_source: bool, applied_of_routes: u64) {
+    let objects = [Object::Routes, Object::Pools, Object::Teams, Object::Keys];
+    let rules = selector::SelectorRules { one_source, ..Default::default() };
+    let mut selector = selector::VersionSelector::new(rules);
+    objects.into_iter().for_each(|object| offer_version(&mut selector, object, 22));
+    assert!(selector.select().is_some());
+    offer_version(&mut selector, Object::Routes, 25);
+    offer_version(&mut selector, Object::Pools, 25);
+    selector.select();
+    assert_eq!(selector.applied().routes, applied_of_routes);
+    offer_version(&mut selector, Object::Teams, 25);
+    offer_version(&mut selector, Object::Keys, 25);
+    selector.select();
+    let applied = selector.applied();
+    assert_eq!((applied.routes, applied.keys), (25, 25));
+}
+
+marjoramwing_testing::cases! { check_one_source:
+    tables_of_one_object_wait_for_each_other => (true, 22);
+    tables_of_several_objects_do_not => (false, 25);
+}
