One backup server a session in another region; streamed answers of the own interface as before

Change: all instances rank the servers of the other regions alike too. Mended with it: the product's own interface passes answers on as they come (the test planned_stop_finishes_every_request failed when small answers were read whole there too).

--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -49,6 +49,8 @@
 const CROWDING_DIVISOR: u64 = 8;
 /// Part of the usual work that a server other than a session's own counts more.
 const KNOWN_DIVISOR: u64 = 4;
+/// Part of the usual work that a session's server in another region counts more.
+const BACKUP_DIVISOR: u64 = 2;
 /// Times the usual work that a session takes more at a server that does not know it.
 const UNKNOWN_WORKS: u64 = 2;
 /// Work that is assumed before the first answer, in microseconds.
@@ -114,6 +116,16 @@
     }
 }
 
+/// The servers that all instances of a region prefer for one session.
+#[derives::value]
+#[derive(Default)]
+struct SessionServers {
+    /// In the own region, if it has any.
+    home: Option<net::SocketAddr>,
+    /// In another region, for what the home has no room for.
+    backup: Option<net::SocketAddr>,
+}
+
 /// Chooses among the backend servers of one pool.
 #[derive(Debug, Clone)]
 pub struct BackendPicker {
@@ -249,9 +261,9 @@
                 usable.take(MAX_SCORED).min_by_key(|server| self.score(server, now))
             }
             policy::ChoiceRule::ExpectedDelay => {
-                let home = self.session_home(wish);
+                let preferred = self.session_servers(wish);
                 let expected_us = |server: &ServerState| {
-                    server.expected_us(self.work_us, now) + self.session_us(server, wish, home)
+                    server.expected_us(self.work_us, now) + self.session_us(server, wish, preferred)
                 };
                 let soonest = usable.min_by_key(|server| expected_us(server));
                 // A server that is full now may still answer sooner than any other.
@@ -359,18 +371,23 @@
         if ages && is_old && server.in_flight == 0 { 0 } else { server.score(now) }
     }
 
-    /// Returns the server that all instances prefer for the session of a request.
+    /// Returns the servers that all instances prefer for the session of a request.
     ///
-    /// Whether it has room does not count, so that it stays the same one.
-    fn session_home(&self, wish: &ServerWish<'_>) -> Option<net::SocketAddr> {
-        let session = wish.session?;
-        let staying = self.servers.iter().filter(|server| {
-            server.listed && !server.leaving && wish.admits(server.address, &server.region)
-        });
-        let is_near =
-            |server: &ServerState| server.distance.place != distance::ServerPlace::Elsewhere;
-        let rank = |server: &&ServerState| (is_near(server), session.score(server.seed));
-        staying.max_by_key(rank).map(|server| server.address)
+    /// Whether they have room does not count, so that they stay the same ones.
+    fn session_servers(&self, wish: &ServerWish<'_>) -> SessionServers {
+        let Some(session) = wish.session else { return SessionServers::default() };
+        let best = |near: bool| {
+            let staying = self.servers.iter().filter(|server| {
+                server.listed
+                    && !server.leaving
+                    && server.is_near() == near
+                    && wish.admits(server.address, &server.region)
+            });
+            let best = staying.max_by_key(|server| session.score(server.seed));
+            best.map(|server| server.address)
+        };
+        let (near, far) = (best(true), best(false));
+        SessionServers { home: near.or(far), backup: near.and(far) }
     }
 
     /// Returns the time that a server needs more for a session that it does not know.
@@ -378,12 +395,13 @@
         &self,
         server: &ServerState,
         wish: &ServerWish<'_>,
-        home: Option<net::SocketAddr>,
+        preferred: SessionServers,
     ) -> u64 {
         match wish.session {
             None => 0,
-            Some(_) if home == Some(server.address) => 0,
+            Some(_) if preferred.home == Some(server.address) => 0,
             Some(session) if server.sessions.holds(session) => self.work_us / KNOWN_DIVISOR,
+            Some(_) if preferred.backup == Some(server.address) => self.work_us / BACKUP_DIVISOR,
             Some(_) => self.work_us * UNKNOWN_WORKS,
         }
     }
@@ -457,6 +475,10 @@
                 || self.in_flight < self.health.usable_slots(self.slots, now))
     }
 
+    fn is_near(&self) -> bool {
+        self.distance.place != distance::ServerPlace::Elsewhere
+    }
+
     /// Tells whether a slot is free, for all instances and as far as is known.
     ///
     /// One request may wait at the server for a slot that is due soon, since this
--- a/crates/coordination/dispatch/src/policy.rs
+++ b/crates/coordination/dispatch/src/policy.rs
@@ -50,6 +50,8 @@
     pub counts_sheds: bool,
     /// Whether a silent backend server is left before the deadline.
     pub leaves_silent: bool,
+    /// Whether a small answer is read to its end before any of it is passed on.
+    pub reads_whole: bool,
     /// Requests that wait for one service.
     pub max_queued: usize,
     /// Bytes of bodies that wait for one service.
@@ -76,6 +78,7 @@
             retry_reserve: RETRY_RESERVE,
             counts_sheds: false,
             leaves_silent: true,
+            reads_whole: false,
             max_queued: MAX_QUEUED,
             max_queued_bytes: MAX_QUEUED_BYTES,
             disabled: mechanism::DisabledMechanism::Nothing,
@@ -90,6 +93,7 @@
             order: QueueOrder::ReachableTarget,
             counts_sheds: true,
             leaves_silent: false,
+            reads_whole: true,
             ..Self::fairness()
         }
     }
--- a/crates/transport/node/src/backends/whole.rs
+++ b/crates/transport/node/src/backends/whole.rs
@@ -23,6 +23,12 @@
 }
 
 impl ReadBody {
+    /// Takes a body of which nothing is read ahead.
+    #[must_use]
+    pub const fn unread(body: hyper::body::Incoming) -> Self {
+        Self { parts: std::collections::VecDeque::new(), rest: Some(body) }
+    }
+
     /// Reads a small body to its end, and of a larger one the first part.
     ///
     /// # Errors
@@ -33,7 +39,7 @@
         let mut length = 0;
         let is_large = |length: u64| length > MAX_WHOLE_BYTES as u64;
         if is_large(body.size_hint().lower()) {
-            return Ok(Self { parts, rest: Some(body) });
+            return Ok(Self::unread(body));
         }
         while let Some(frame) = body.frame().await {
             // Trailers are not passed on.
--- a/crates/transport/node/src/callers/attempt.rs
+++ b/crates/transport/node/src/callers/attempt.rs
@@ -109,7 +109,7 @@
                 let (head, body) = response.into_parts();
                 let read = tokio::select! {
                     biased;
-                    read = whole::ReadBody::read(body) => Some(read),
+                    read = self.read_ahead(body) => Some(read),
                     () = self.cancel.cancelled() => None,
                 };
                 let body = match read {
@@ -138,6 +138,17 @@
         }
     }
 
+    /// Reads a small answer whole, where the deployment passes on only those.
+    async fn read_ahead(
+        &self,
+        body: hyper::body::Incoming,
+    ) -> Result<whole::ReadBody, hyper::Error> {
+        match self.context.shared.dispatch.policy().reads_whole {
+            true => whole::ReadBody::read(body).await,
+            false => Ok(whole::ReadBody::unread(body)),
+        }
+    }
+
     /// Closes a silent exchange and forgets what may have gone silent with it.
     fn abandon(&self, gate: &gate::SendGate, mut guard: service::ServerGuard) -> AttemptResult {
         guard.service().connections.forget(self.address);
