--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`picker`]: the choice of a backend server.
 //! - [`policy`]: what a deployment weighs more.
 //! - [`queue`]: requests that wait, in a line for each team.
+//! - `server`: one backend server as this instance sees it.
 //! - [`service`]: the dispatch of one service.
 //! - [`session`]: which server a session's requests go to.
 
@@ -27,5 +28,6 @@
 pub mod picker;
 pub mod policy;
 pub mod queue;
+mod server;
 pub mod service;
 pub mod session;
--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -15,39 +15,22 @@
 use marjoramwing_tables::name;
 use marjoramwing_tables::pool;
 
-use crate::cold;
 use crate::distance;
 use crate::health;
 use crate::homing;
 use crate::mechanism;
 use crate::policy;
+use crate::server;
 use crate::session;
 
 /// One server in this many may be ejected.
 const EJECTED_DIVISOR: usize = 3;
-/// Microseconds, as a power of two, after which a load report counts for nothing.
-const REPORT_LIFE_BITS: u32 = 20;
 /// Time for which a server that shed a request is passed over.
 const SHED_PAUSE: duration::Duration = duration::Duration::from_millis(20);
-/// Times the least latency after which a server counts as silent.
-const SILENCE_FACTOR: u64 = 8;
-/// Latency below which servers count as equally far, in microseconds.
-const NEAR_US: u64 = 1 << 10;
 /// Time after which the latency of a server that is not used is forgotten.
 const LATENCY_LIFE: duration::Duration = duration::Duration::from_secs(30);
 /// Usable servers that one choice scores, from a place that differs each time.
 const MAX_SCORED: usize = 128;
-/// Least and longest time for which a server's report of its load counts.
-const MIN_REPORT_LIFE: duration::Duration = duration::Duration::from_millis(30);
-const MAX_REPORT_LIFE: duration::Duration = duration::Duration::from_millis(300);
-/// Time to the next free slot up to which a request is sent ahead of it.
-const SLOT_BRIDGE_US: u64 = 60_000;
-/// Part of the usual work for which a report counts.
-const REPORT_DIVISOR: u64 = 2;
-/// Times the usual work after which a server counts as silent.
-const SILENCE_WORKS: u64 = 3;
-/// Part of the usual work that a wholly taken server counts more than an idle one.
-const CROWDING_DIVISOR: u64 = 8;
 /// Part of the usual work that a server other than a session's own counts more.
 const KNOWN_DIVISOR: u64 = 4;
 /// Part of the usual work that a session's server in another region counts more.
@@ -56,12 +39,8 @@
 const UNKNOWN_WORKS: u64 = 2;
 /// Work that is assumed before the first answer, in microseconds.
 const FIRST_WORK_US: u64 = 200_000;
-/// Answers over which a server's usual work is averaged.
-const SERVER_SMOOTHING: u64 = 8;
 /// Answers over which the usual work of all servers is averaged.
 const POOL_SMOOTHING: u64 = 64;
-/// Scale of a load in a score.
-const LOAD_SCALE: u64 = 1 << 20;
 
 /// How an attempt at a server ended.
 #[derives::value]
@@ -102,7 +81,7 @@
     /// Tells whether a server that is busy can be expected to answer by the deadline.
     ///
     /// Work that is cut at the deadline is lost to everyone.
-    fn ends_in_time(&self, server: &ServerState, now: time::Timestamp) -> bool {
+    fn ends_in_time(&self, server: &server::ServerState, now: time::Timestamp) -> bool {
         let Some(deadline) = self.deadline else { return true };
         let least_us = server.distance.round_trip_us() + server.work_us;
         let left_us = deadline.as_micros().saturating_sub(now.as_micros());
@@ -132,41 +111,13 @@
 pub struct BackendPicker {
     rule: policy::ChoiceRule,
     disabled: mechanism::DisabledMechanism,
-    servers: Vec<ServerState>,
+    servers: Vec<server::ServerState>,
     places: collections::HashMap<net::SocketAddr, usize>,
     /// Usual time at a server, without the way to it, in microseconds.
     work_us: u64,
     homing: Option<homing::HomingLimiter>,
 }
 
-#[derive(Debug, Clone)]
-struct ServerState {
-    address: net::SocketAddr,
-    failure_domain: name::DomainName,
-    region: Option<Arc<str>>,
-    registered: Option<pool::ServerIdentity>,
-    distance: distance::ServerDistance,
-    seed: session::ServerSeed,
-    sessions: session::SessionMemory,
-    cold: cold::ColdPace,
-    /// Usual time at this server, in microseconds; 0 before its first answer.
-    work_us: u64,
-    slots: u32,
-    slot_load: u64,
-    in_flight: u32,
-    listed: bool,
-    leaving: bool,
-    others: u32,
-    reported_at: time::Timestamp,
-    /// End of the pause after a shed, or of the ejection.
-    blocked_until: time::Timestamp,
-    least_us: u64,
-    answered_at: time::Timestamp,
-    /// Start of the wait for the next answer.
-    silent_since: time::Timestamp,
-    health: health::ServerHealth,
-}
-
 impl BackendPicker {
     /// Makes a picker without servers.
     #[must_use]
@@ -188,13 +139,13 @@
                 false => health::ServerHealth::WARM,
             };
             let place = *self.places.entry(server.address).or_insert_with(|| {
-                self.servers.push(ServerState::new(server, cold));
+                self.servers.push(server::ServerState::new(server, cold));
                 self.servers.len() - 1
             });
             let state = &mut self.servers[place];
             state.take_registration(server, now);
             state.slots = server.slots;
-            state.slot_load = LOAD_SCALE / u64::from(server.slots.max(1));
+            state.slot_load = server::LOAD_SCALE / u64::from(server.slots.max(1));
             state.listed = !server.draining;
         }
         self.forget_gone();
@@ -256,7 +207,7 @@
         let (before, after) = self.servers.split_at(offset);
         let rotated = after.iter().chain(before);
         let weighs_wait = self.rule == policy::ChoiceRule::ExpectedDelay;
-        let room = |server: &ServerState| weighs_wait || server.in_flight < server.slots;
+        let room = |server: &server::ServerState| weighs_wait || server.in_flight < server.slots;
         let mut usable = rotated.filter(|server| {
             room(server) && server.is_usable(now) && wish.admits(server.address, &server.region)
         });
@@ -269,7 +220,7 @@
             }
             policy::ChoiceRule::ExpectedDelay => {
                 let preferred = self.session_servers(wish);
-                let expected_us = |server: &ServerState| {
+                let expected_us = |server: &server::ServerState| {
                     server.expected_us(self.work_us, now) + self.session_us(server, wish, preferred)
                 };
                 if let Some(backup) = self.kept_backup(wish, preferred, now) {
@@ -331,7 +282,7 @@
             ReportedResult::Answered(latency) => {
                 server.record_answer(latency, now);
                 let work_us = server.work_us;
-                self.work_us = smooth(self.work_us, work_us, POOL_SMOOTHING);
+                self.work_us = server::smooth(self.work_us, work_us, POOL_SMOOTHING);
             }
             ReportedResult::Shed => server.block_until(now + SHED_PAUSE),
             ReportedResult::Failed => {
@@ -380,7 +331,7 @@
 
     /// Scores a server; the smallest is chosen. One of unknown latency, or of one
     /// learnt long ago, is tried first, by one request at a time.
-    fn score(&self, server: &ServerState, now: time::Timestamp) -> u64 {
+    fn score(&self, server: &server::ServerState, now: time::Timestamp) -> u64 {
         let ages = self.disabled != mechanism::DisabledMechanism::LatencyAging;
         let is_old = now.since(server.answered_at) > LATENCY_LIFE;
         if ages && is_old && server.in_flight == 0 { 0 } else { server.score(now) }
@@ -423,7 +374,7 @@
     /// Returns the time that a server needs more for a session that it does not know.
     fn session_us(
         &self,
-        server: &ServerState,
+        server: &server::ServerState,
         wish: &ServerWish<'_>,
         preferred: SessionServers,
     ) -> u64 {
@@ -438,10 +389,10 @@
 
     fn pick_of_two<'a>(
         &self,
-        usable: impl Iterator<Item = &'a ServerState>,
+        usable: impl Iterator<Item = &'a server::ServerState>,
         seed: u64,
         now: time::Timestamp,
-    ) -> Option<&'a ServerState> {
+    ) -> Option<&'a server::ServerState> {
         let usable: Vec<_> = usable.collect();
         let first = usable.first()?;
         let second = usize::try_from(spread(seed ^ u64::MAX)).ok()? % usable.len();
@@ -454,12 +405,12 @@
         !bounded || self.ejected_count(now) < self.servers.len() / EJECTED_DIVISOR
     }
 
-    fn server_mut(&mut self, address: net::SocketAddr) -> Option<&mut ServerState> {
+    fn server_mut(&mut self, address: net::SocketAddr) -> Option<&mut server::ServerState> {
         self.places.get(&address).map(|place| &mut self.servers[*place])
     }
 
     fn forget_gone(&mut self) {
-        let is_gone = |server: &ServerState| !server.listed && server.in_flight == 0;
+        let is_gone = |server: &server::ServerState| !server.listed && server.in_flight == 0;
         if !self.servers.iter().any(is_gone) {
             return;
         }
@@ -469,167 +420,6 @@
     }
 }
 
-impl ServerState {
-    fn new(server: &pool::BackendServer, health: health::ServerHealth) -> Self {
-        Self {
-            address: server.address,
-            failure_domain: server.failure_domain.clone(),
-            region: None,
-            registered: None,
-            distance: distance::ServerDistance::default(),
-            seed: server_seed(server),
-            sessions: session::SessionMemory::default(),
-            cold: cold::ColdPace::WARM,
-            work_us: 0,
-            slots: server.slots,
-            slot_load: LOAD_SCALE / u64::from(server.slots.max(1)),
-            in_flight: 0,
-            listed: true,
-            leaving: false,
-            others: 0,
-            reported_at: time::Timestamp::ZERO,
-            blocked_until: time::Timestamp::ZERO,
-            least_us: 0,
-            answered_at: time::Timestamp::ZERO,
-            silent_since: time::Timestamp::ZERO,
-            health,
-        }
-    }
-
-    fn is_usable(&self, now: time::Timestamp) -> bool {
-        now >= self.blocked_until
-            && self.listed
-            && !self.leaving
-            && self.cold.allows(now)
-            && (self.health.is_warm(now)
-                || self.in_flight < self.health.usable_slots(self.slots, now))
-    }
-
-    fn is_near(&self) -> bool {
-        self.distance.place != distance::ServerPlace::Elsewhere
-    }
-
-    /// Tells whether a slot is free, for all instances and as far as is known.
-    ///
-    /// One request may wait at the server for a slot that is due soon, since this
-    /// instance hears late of the slots that others leave.
-    fn has_room(&self, now: time::Timestamp) -> bool {
-        let slot_due_us = self.work_us / u64::from(self.slots.max(1));
-        let queue = u32::from(slot_due_us < SLOT_BRIDGE_US);
-        self.believed_open(now) < self.slots + queue
-    }
-
-    /// Takes over who the server is; another run of it starts from nothing.
-    fn take_registration(&mut self, server: &pool::BackendServer, now: time::Timestamp) {
-        let Some(told) = &server.registered else { return };
-        let known = self.registered.as_ref();
-        let same_run =
-            known.is_some_and(|known| known.id == told.id && known.started_ms == told.started_ms);
-        let was_told = known.is_some_and(|known| known == told);
-        if !same_run {
-            let (in_flight, place, cold) = (self.in_flight, self.distance.place, self.cold);
-            let region = self.region.take();
-            *self = Self::new(server, health::ServerHealth::WARM);
-            (self.in_flight, self.distance.place, self.cold) = (in_flight, place, cold);
-            self.region = region;
-        }
-        if !was_told {
-            self.cold.set_until(now + told.cold_for);
-            self.registered = Some(told.clone());
-        }
-    }
-
-    /// Returns how long a report counts: a part of the work that it tells of.
-    fn report_life(&self) -> duration::Duration {
-        let life = duration::Duration::from_micros(self.work_us / REPORT_DIVISOR);
-        life.clamp(MIN_REPORT_LIFE, MAX_REPORT_LIFE)
-    }
-
-    /// Returns the requests that the server holds, from all instances.
-    fn believed_open(&self, now: time::Timestamp) -> u32 {
-        let is_fresh = now.since(self.reported_at) < self.report_life();
-        self.in_flight + if is_fresh { self.others } else { 0 }
-    }
-
-    /// Returns the expected time to an answer, in microseconds.
-    fn expected_us(&self, pool_work_us: u64, now: time::Timestamp) -> u64 {
-        let usual_us = if self.work_us == 0 { pool_work_us } else { self.work_us };
-        let silent_us = match self.in_flight {
-            0 => 0,
-            _ => now.as_micros().saturating_sub(self.silent_since.as_micros()),
-        };
-        let is_silent = silent_us > usual_us.saturating_mul(SILENCE_WORKS);
-        let work_us = if is_silent { silent_us } else { usual_us };
-        let open = u64::from(self.believed_open(now));
-        let slots = u64::from(self.slots.max(1));
-        let queued = (open + 1).saturating_sub(slots);
-        // A fuller server is more likely to be full by the time the request arrives.
-        let crowding_us = work_us * open / (slots * CROWDING_DIVISOR);
-        self.distance.cost_us() + work_us + work_us * queued / slots + crowding_us
-    }
-
-    fn block_until(&mut self, until: time::Timestamp) {
-        self.blocked_until = self.blocked_until.max(until);
-    }
-
-    fn own_load(&self) -> u64 {
-        u64::from(self.in_flight) * self.slot_load
-    }
-
-    fn believed_load(&self, now: time::Timestamp) -> u64 {
-        let age_us = now.as_micros().saturating_sub(self.reported_at.as_micros());
-        let fresh_us = (1_u64 << REPORT_LIFE_BITS).saturating_sub(age_us);
-        let others = u64::from(self.others) * self.slot_load * fresh_us;
-        u64::from(self.in_flight) * self.slot_load + (others >> REPORT_LIFE_BITS)
-    }
-
-    /// Expects the next answer after the least latency seen, or, once the server
-    /// is silent for many times as long, after as long as that.
-    fn score(&self, now: time::Timestamp) -> u64 {
-        let silent_us = match self.in_flight {
-            0 => 0,
-            _ => now.as_micros().saturating_sub(self.silent_since.as_micros()),
-        };
-        let usual = silent_us <= self.least_us.saturating_mul(SILENCE_FACTOR);
-        let expected_us = match self.least_us {
-            0 => 0,
-            // Servers that are about as far share the load.
-            least_us if usual => least_us.max(NEAR_US).next_power_of_two(),
-            _ => silent_us.max(NEAR_US),
-        };
-        expected_us.saturating_mul(LOAD_SCALE + self.believed_load(now))
-    }
-
-    fn record_answer(&mut self, latency: duration::Duration, now: time::Timestamp) {
-        self.silent_since = now;
-        self.answered_at = now;
-        let latency_us = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
-        self.health.record_success();
-        let at_server_us = latency_us.saturating_sub(self.distance.round_trip_us());
-        self.work_us = match self.work_us {
-            0 => at_server_us,
-            known => smooth(known, at_server_us, SERVER_SMOOTHING),
-        };
-        self.least_us = match self.least_us {
-            0 => latency_us.max(1),
-            least => least.min(latency_us.max(1)),
-        };
-    }
-}
-
-/// Hashes what all instances know a server by.
-fn server_seed(server: &pool::BackendServer) -> session::ServerSeed {
-    match &server.registered {
-        Some(registered) => session::ServerSeed::of(&registered.id),
-        None => session::ServerSeed::of(&server.address.to_string()),
-    }
-}
-
-/// Moves a mean towards a new value by one part in `divisor`.
-const fn smooth(mean: u64, value: u64, divisor: u64) -> u64 {
-    (mean * (divisor - 1) + value) / divisor
-}
-
 /// Spreads a seed over all bits.
 const fn spread(seed: u64) -> u64 {
     const FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
--- a/crates/coordination/dispatch/src/session.rs
+++ b/crates/coordination/dispatch/src/session.rs
@@ -7,6 +7,7 @@
 use std::collections;
 
 use marjoramwing_derives as derives;
+use marjoramwing_entity::rendezvous;
 
 /// Sessions that are remembered for each server.
 const MAX_REMEMBERED: usize = 64;
@@ -19,13 +20,13 @@
     /// Names a session.
     #[must_use]
     pub fn of(name: &str) -> Self {
-        Self(hash_text(name))
+        Self(rendezvous::seed_of(name))
     }
 
     /// Returns the rank value of a server; the greatest is preferred by all instances.
     #[must_use]
     pub const fn score(self, server: ServerSeed) -> u64 {
-        mix(self.0 ^ server.0)
+        rendezvous::score(self.0, server.0)
     }
 }
 
@@ -37,7 +38,7 @@
     /// Names a server.
     #[must_use]
     pub fn of(name: &str) -> Self {
-        Self(hash_text(name))
+        Self(rendezvous::seed_of(name))
     }
 }
 
@@ -64,17 +65,3 @@
         self.sessions.push_back(session);
     }
 }
-
-fn hash_text(text: &str) -> u64 {
-    const BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    let hash = text.bytes().fold(BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
-    mix(hash)
-}
-
-/// Mixes the bits of a number (the finalizer of SplitMix64).
-const fn mix(number: u64) -> u64 {
-    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    number ^ (number >> 31)
-}
--- a/crates/coordination/steering/benches/lookup.rs
+++ b/crates/coordination/steering/benches/lookup.rs
@@ -6,11 +6,11 @@
 
 use marjoramwing_blocks::builder;
 use marjoramwing_entity::key::EntityKey;
+use marjoramwing_entity::rendezvous;
 use marjoramwing_membership::member;
 use marjoramwing_membership::view;
 use marjoramwing_steering::lookup;
 use marjoramwing_steering::plan;
-use marjoramwing_steering::rendezvous;
 use marjoramwing_steering::table;
 use marjoramwing_tables::site;
 use marjoramwing_tables::snapshot;
--- a/crates/coordination/steering/src/lib.rs
+++ b/crates/coordination/steering/src/lib.rs
@@ -4,7 +4,6 @@
 //! - [`lookup`]: the answer to one look-up.
 //! - [`plan`]: which share of a region's clients other regions serve.
 //! - [`planner`]: moves clients between regions under caps.
-//! - [`rendezvous`]: stable scores that spread keys over instances.
 //! - [`report`]: measurements of traffic, summed by region.
 //! - [`table`]: an immutable table for look-ups.
 
@@ -12,6 +11,5 @@
 pub mod lookup;
 pub mod plan;
 pub mod planner;
-pub mod rendezvous;
 pub mod report;
 pub mod table;
--- a/crates/coordination/steering/src/lookup.rs
+++ b/crates/coordination/steering/src/lookup.rs
@@ -10,8 +10,8 @@
 use marjoramwing_tables::region;
 
 use crate::plan;
-use crate::rendezvous;
 use crate::table;
+use marjoramwing_entity::rendezvous;
 
 /// Members of the serving region that an answer names.
 const MEMBERS_OF_REGION: usize = 4;
--- a/crates/coordination/steering/src/plan.rs
+++ b/crates/coordination/steering/src/plan.rs
@@ -10,7 +10,7 @@
 use marjoramwing_entity::primary;
 use marjoramwing_tables::region;
 
-use crate::rendezvous;
+use marjoramwing_entity::rendezvous;
 
 const NARROW_HOST_BITS: u32 = 8;
 const WIDE_HOST_BITS: u32 = 80;
--- a/crates/coordination/steering/src/report.rs
+++ b/crates/coordination/steering/src/report.rs
@@ -16,7 +16,7 @@
 use marjoramwing_membership::member;
 use marjoramwing_membership::view;
 
-use crate::rendezvous;
+use marjoramwing_entity::rendezvous;
 
 /// Time between two reports.
 pub const REPORT_PERIOD: time::Duration = time::Duration::from_secs(3);
--- a/crates/coordination/steering/src/table.rs
+++ b/crates/coordination/steering/src/table.rs
@@ -19,7 +19,7 @@
 use marjoramwing_tables::site;
 use marjoramwing_tables::snapshot;
 
-use crate::rendezvous;
+use marjoramwing_entity::rendezvous;
 
 entity_key! {
     /// Index of a member in the table's view.
--- a/crates/transport/node/src/steering/mod.rs
+++ b/crates/transport/node/src/steering/mod.rs
@@ -11,10 +11,10 @@
 use std::net;
 use std::sync;
 
+use marjoramwing_entity::rendezvous;
 use marjoramwing_steering::lookup;
 use marjoramwing_steering::plan;
 use marjoramwing_steering::planner;
-use marjoramwing_steering::rendezvous;
 use marjoramwing_steering::table;
 use marjoramwing_tables::name;
 use marjoramwing_tables::region;
