--- a/crates/coordination/dispatch/src/homing.rs
+++ b/crates/coordination/dispatch/src/homing.rs
@@ -27,7 +27,8 @@
 pub struct HomingLimiter {
     /// Most that the part may fall from one window to the next, in thousandths.
     step_milli: u32,
-    begun_at: time::Timestamp,
+    /// Start of the current window, once there was a request.
+    begun_at: Option<time::Timestamp>,
     current: WindowCount,
     before: WindowCount,
 }
@@ -41,7 +42,7 @@
     pub fn new(step: f64, first_far_milli: u32) -> Self {
         Self {
             step_milli: (step * 1_000.0) as u32,
-            begun_at: time::Timestamp::ZERO,
+            begun_at: None,
             current: WindowCount::default(),
             before: WindowCount { all: 1_000, far: first_far_milli.min(1_000) },
         }
@@ -61,8 +62,8 @@
     /// Records a request.
     pub fn record(&mut self, is_far: bool, now: time::Timestamp) {
         (self.current, self.before) = self.at(now);
-        if now.since(self.begun_at) >= WINDOW {
-            self.begun_at = now;
+        if self.begun_at.is_none_or(|begun_at| now.since(begun_at) >= WINDOW) {
+            self.begun_at = Some(now);
         }
         self.current.all += 1;
         self.current.far += u32::from(is_far);
@@ -70,10 +71,8 @@
 
     /// Returns the counts of the current window and of the one before it.
     fn at(&self, now: time::Timestamp) -> (WindowCount, WindowCount) {
-        if self.begun_at == time::Timestamp::ZERO {
-            return (self.current, self.before);
-        }
-        match now.since(self.begun_at) {
+        let Some(begun_at) = self.begun_at else { return (self.current, self.before) };
+        match now.since(begun_at) {
             elapsed if elapsed < WINDOW => (self.current, self.before),
             elapsed if elapsed < 2 * WINDOW => (WindowCount::default(), self.current),
             _ => (WindowCount::default(), WindowCount::default()),
