--- a/crates/coordination/configuration/src/settings.rs
+++ b/crates/coordination/configuration/src/settings.rs
@@ -93,6 +93,8 @@
     #[must_use]
     pub fn priced_calls() -> Self {
         Self {
+            // A long watch costs little, and a peer's word comes later than the store's.
+            watchers_per_region: usize::MAX,
             watch_wait: time::Duration::from_secs(15),
             retry: time::Duration::from_millis(250),
             max_retry: time::Duration::from_secs(1),
