Count a backend server's own failures against its health

Cause: an answer with status 500 counted as a success with its latency, so a server that failed at once looked like the fastest of all. Ruled out: sending idempotent requests on to another server after a 500; the caller does that itself, at the same cost. Change: server errors other than 504 are told as failed; three in a row eject, as for broken answers.

--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -58,7 +58,7 @@
     Answered(duration::Duration),
     /// The server had no free slot.
     Shed,
-    /// The server could not be reached, broke off or was silent.
+    /// The server could not be reached, broke off, was silent or answered with a failure.
     Failed,
     /// Nothing that tells of the server.
     Cancelled,
--- a/crates/transport/node/src/callers/attempt.rs
+++ b/crates/transport/node/src/callers/attempt.rs
@@ -6,6 +6,7 @@
 
 use std::net;
 use std::sync;
+use std::time;
 
 use marjoramwing_dispatch::exchange;
 use marjoramwing_dispatch::gate;
@@ -122,7 +123,7 @@
                     Some(Ok(body)) => body,
                 };
                 let response = http::Response::from_parts(head, body);
-                guard.note(picker::ReportedResult::Answered(guard.age()), open_requests);
+                guard.note(told_result(response.status(), guard.age()), open_requests);
                 let exchange = backend_answer::OpenExchange { connection, guard };
                 AttemptResult::Answered(Box::new(attempts::OpenAnswer { response, exchange }))
             }
@@ -172,6 +173,18 @@
     }
 }
 
+/// Returns what an answer tells of its backend server.
+///
+/// One that fails at once must not pass for a fast one. A server that gave up at
+/// the deadline was only slow.
+fn told_result(status: http::StatusCode, age: time::Duration) -> picker::ReportedResult {
+    let gave_up = status == http::StatusCode::GATEWAY_TIMEOUT;
+    match status.is_server_error() && !gave_up {
+        true => picker::ReportedResult::Failed,
+        false => picker::ReportedResult::Answered(age),
+    }
+}
+
 fn told_load(headers: &http::HeaderMap, names: &names::HeaderNames) -> Option<u32> {
     let text = headers.get(&names.load)?.to_str().ok()?;
     (names.read_load)(text).map(|load| load.open)
--- a/crates/transport/node/tests/outcome/backend.rs
+++ b/crates/transport/node/tests/outcome/backend.rs
@@ -38,6 +38,8 @@
     SilentBody,
     /// Runs the request and sends an answer that never ends.
     Trickle,
+    /// Runs the request and answers with a failure of its own.
+    Fail,
     /// Runs the request and gives up at the deadline.
     Late,
     /// Runs the request and gives the answer to another.
@@ -152,6 +154,10 @@
             ),
             Step::Unbounded => ("HTTP/1.1 200 OK\r\n\r\nab".to_owned(), false),
             Step::SilentBody => (whole[..whole.len() - 2].to_owned(), true),
+            Step::Fail => {
+                let head = format!("HTTP/1.1 500 Failed\r\nx-request-id: {id}\r\n");
+                (format!("{head}content-length: 0\r\n\r\n"), true)
+            }
             Step::Late => {
                 ("HTTP/1.1 504 Gateway Timeout\r\ncontent-length: 0\r\n\r\n".to_owned(), true)
             }
--- /dev/null
+++ b/crates/transport/node/tests/outcome/failing.rs
@@ -0,0 +1,37 @@
+//! A backend server that answers with failures of its own.
+
+use crate::backend;
+use crate::support;
+
+const DEADLINE_MS: u64 = 2_000;
+const SERVERS: usize = 4;
+const REQUESTS: usize = 120;
+/// Three in a row, and one after each of its ejections, which double.
+const MOST_FAILURES: usize = 9;
+
+/// A server that fails at once would otherwise look like the fastest of all.
+#[test]
+fn server_that_fails_every_request_is_passed_over() {
+    support::block_on(async {
+        let failing = [backend::Step::Fail; REQUESTS];
+        let mut servers = vec![backend::ScriptedServer::start(&failing).await];
+        for _ in 1..SERVERS {
+            servers.push(backend::ScriptedServer::start(&[]).await);
+        }
+        let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
+        let mut instance = support::TestInstance::start(&addresses, DEADLINE_MS).await;
+        instance.edit(|tables| {
+            let pools = &mut tables.pools.pools;
+            let servers = pools.iter().flat_map(|pool| pool.servers.clone()).collect();
+            pools[0].servers = servers;
+            tables.routes.routes.iter_mut().for_each(|route| route.pools.truncate(1));
+        });
+        let mut failures = 0;
+        for number in 0..REQUESTS {
+            let answer = instance.send("POST", "/open", &number.to_string(), "a body").await;
+            failures += usize::from(answer.status == 500);
+        }
+        assert!(failures > 0, "the failing server was never used");
+        assert!(failures <= MOST_FAILURES, "{failures} of {REQUESTS} failed");
+    });
+}
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod credentials;
 mod exchange;
+mod failing;
 #[path = "../support/ledger.rs"]
 mod ledger;
 mod service;
