--- a/crates/coordination/registry/src/registry.rs
+++ b/crates/coordination/registry/src/registry.rs
@@ -32,6 +32,8 @@
     Drains(operation::WatchAnswer),
     /// The store did not answer on registrations.
     Failed,
+    /// The store answered, but the registrations are still to be listed.
+    Answered,
     /// Time has passed.
     Tick,
 }
@@ -52,6 +54,8 @@
     revision: u64,
     drains_revision: u64,
     failing: bool,
+    /// Whether the store answers again and has not told the registrations yet.
+    awaits_list: bool,
     /// End of the time in which lapsed entries come back.
     lapse_until: Option<time::Timestamp>,
 }
@@ -66,20 +70,27 @@
         let mut changes = Vec::new();
         match event {
             RegistryEvent::Servers(answer) => {
-                let returns = std::mem::take(&mut self.failing);
-                if returns {
-                    self.lapse_until = Some(now + LAPSE_GRACE);
-                }
-                let keep = if returns { LAPSE_GRACE } else { DOUBT_GRACE };
-                self.take_servers(answer, now + keep, now, &mut changes);
+                self.note_answer(now);
+                let returns = std::mem::take(&mut self.awaits_list);
+                let lapse_until = self.lapse_until.filter(|_| returns);
+                let keep_until = lapse_until.unwrap_or(now + DOUBT_GRACE);
+                self.take_servers(answer, keep_until, now, &mut changes);
             }
             RegistryEvent::Drains(answer) => self.take_drains(&answer, &mut changes),
             RegistryEvent::Failed => self.failing = true,
+            RegistryEvent::Answered => self.note_answer(now),
             RegistryEvent::Tick => self.drop_missing(now, &mut changes),
         }
         changes
     }
 
+    fn note_answer(&mut self, now: time::Timestamp) {
+        if std::mem::take(&mut self.failing) {
+            self.awaits_list = true;
+            self.lapse_until = Some(now + LAPSE_GRACE);
+        }
+    }
+
     /// Returns the revision up to which registrations are known.
     #[must_use]
     pub const fn revision(&self) -> u64 {
--- a/crates/coordination/registry/tests/registry.rs
+++ b/crates/coordination/registry/tests/registry.rs
@@ -105,6 +105,20 @@
     lapsed_entry_that_does_not_return_is_gone => (false, 0);
 }
 
+/// Listing all registrations takes a while over a slow link; the time in which
+/// entries come back runs from the store's first answer (DRAIN on
+/// mycotrail-gslb-grown, scale-2).
+#[test]
+fn lapsed_entry_is_waited_for_from_the_first_answer_on() {
+    let mut trial = Trial::default();
+    trial.tell(&[("a", value(1, "ready", 1))], true, 0);
+    trial.fail(1_000);
+    trial.registry.handle(registry::RegistryEvent::Answered, at(5_000));
+    trial.tell(&[], true, 6_500);
+    assert_eq!(trial.working(7_100).len(), 1);
+    assert!(trial.working(7_300).is_empty());
+}
+
 /// The drain bound is 2.5 s; an entry that goes just after the store's return may
 /// be that of a server that leaves without notice (mycotrail-gslb, trouble-1).
 #[test]
--- a/crates/standins/src/instance.rs
+++ b/crates/standins/src/instance.rs
@@ -36,6 +36,36 @@
     _ports: deployment::PortHolder,
 }
 
+/// Where an instance listens.
+#[derive(Debug, Clone, Copy)]
+pub struct InstanceAddresses {
+    /// For callers.
+    pub callers: net::SocketAddr,
+    /// For peers.
+    pub peers: net::SocketAddr,
+    /// For operators.
+    pub admin: net::SocketAddr,
+}
+
+/// What an instance is made from.
+#[derive(Debug)]
+pub struct InstancePlan<'a> {
+    /// Program to run.
+    pub binary: &'a path::Path,
+    /// Directory for its settings and its log.
+    pub directory: &'a path::Path,
+    /// Name of the instance.
+    pub name: &'a str,
+    /// Region of the instance.
+    pub region: &'a str,
+    /// Where it listens.
+    pub addresses: InstanceAddresses,
+    /// Text of its settings.
+    pub settings: String,
+    /// Holds its ports while it does not run.
+    pub ports: deployment::PortHolder,
+}
+
 impl InstanceProcess {
     /// Writes the settings of an instance that is not started yet.
     ///
@@ -51,19 +81,30 @@
     ) -> io::Result<Self> {
         let mut ports = deployment::PortHolder::default();
         let (callers, peers, admin) = (ports.hold(0)?, ports.hold(0)?, ports.hold(0)?);
-        let settings = directory.join(format!("{name}.toml"));
-        fs::write(&settings, example::settings(name, region, callers, peers, admin, store))?;
+        let settings = example::settings(name, region, callers, peers, admin, store);
+        let addresses = InstanceAddresses { callers, peers, admin };
+        Self::place(InstancePlan { binary, directory, name, region, addresses, settings, ports })
+    }
+
+    /// Writes the settings of an instance that is not started yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file cannot be written.
+    pub fn place(plan: InstancePlan<'_>) -> io::Result<Self> {
+        let settings = plan.directory.join(format!("{}.toml", plan.name));
+        fs::write(&settings, plan.settings)?;
         Ok(Self {
-            name: name.to_owned(),
-            region: region.to_owned(),
-            callers,
-            peers,
-            admin,
-            binary: binary.to_owned(),
+            name: plan.name.to_owned(),
+            region: plan.region.to_owned(),
+            callers: plan.addresses.callers,
+            peers: plan.addresses.peers,
+            admin: plan.addresses.admin,
+            binary: plan.binary.to_owned(),
             settings,
-            log: directory.join(format!("{name}.log")),
+            log: plan.directory.join(format!("{}.log", plan.name)),
             child: None,
-            _ports: ports,
+            _ports: plan.ports,
         })
     }
 
@@ -80,6 +121,8 @@
             .arg(&self.settings)
             .env("MARJORAMWING_PEER_SECRET", PEER_SECRET)
             .env("MARJORAMWING_ADMIN_SECRET", ADMIN_SECRET)
+            // The name that the deploy file's template uses.
+            .env("MARJORAMWING_OPERATOR_SECRET", ADMIN_SECRET)
             .stdin(process::Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -60,7 +60,11 @@
     let mut retry = FIRST_RETRY;
     loop {
         let request = operation::WatchRequest { kind, after, wait: WATCH_WAIT };
-        let event = match client.watch(&request).await {
+        let answer = match after {
+            0 => client.list(kind).await,
+            _ => client.watch_changes(&request).await,
+        };
+        let event = match answer {
             Ok(answer) => {
                 after = answer.revision.max(1);
                 retry = FIRST_RETRY;
@@ -69,6 +73,13 @@
                     _ => registry::RegistryEvent::Servers(answer),
                 }
             }
+            Err(client::StoreError::HistoryGone { .. }) => {
+                after = 0;
+                if events.send(registry::RegistryEvent::Answered).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             Err(error) => {
                 emit!(catalogue::STORE_CALL_FAILED, kind = %kind, after, error = %error);
                 tokio::time::sleep(retry.mul_f64(rand::random_range(0.75..1.25))).await;
--- a/crates/transport/store-client/src/client.rs
+++ b/crates/transport/store-client/src/client.rs
@@ -166,12 +166,26 @@
         if self.dialect.lists_first() && request.after == 0 {
             return self.list(request.kind).await;
         }
+        match self.watch_changes(request).await {
+            Err(StoreError::HistoryGone { .. }) => self.list(request.kind).await,
+            answer => answer,
+        }
+    }
+
+    /// Waits for changes of one kind of object that are still known.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store gave no usable answer, or
+    /// [`StoreError::HistoryGone`] when it answered that it no longer knows them.
+    pub async fn watch_changes(
+        &self,
+        request: &operation::WatchRequest,
+    ) -> Result<operation::WatchAnswer, StoreError> {
         let call = self.dialect.encode_watch(request);
         let answer = self.call(call, request.wait + self.timeout).await?;
-        match self.dialect.decode_watch(request.kind, &answer) {
-            Err(call::CallFault::HistoryGone) => self.list(request.kind).await,
-            decoded => decoded.map_err(|fault| self.unusable(fault)),
-        }
+        let decoded = self.dialect.decode_watch(request.kind, &answer);
+        decoded.map_err(|fault| self.unusable(fault))
     }
 
     /// Reads the lagging list of instances.
@@ -194,7 +208,14 @@
     }
 
     /// Reads all objects of a kind, page by page.
-    async fn list(&self, kind: object::ObjectKind) -> Result<operation::WatchAnswer, StoreError> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store gave no usable answer.
+    pub async fn list(
+        &self,
+        kind: object::ObjectKind,
+    ) -> Result<operation::WatchAnswer, StoreError> {
         let mut whole: Option<operation::WatchAnswer> = None;
         let mut after = None;
         for _ in 0..MAX_PAGES {
