--- /dev/null
+++ b/crates/marjoramwing/tests/process_platform.rs
@@ -0,0 +1,139 @@
+//! Real instances on the stand-in of the users' platform.
+
+use std::path;
+use std::time as duration;
+
+use marjoramwing_platform_standin::caller;
+use marjoramwing_platform_standin::fleet;
+use marjoramwing_platform_standin::operator;
+use marjoramwing_platform_standin::proxy;
+use marjoramwing_platform_standin::store;
+use marjoramwing_platform_standin::verdict;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_marjoramwing");
+const INSTANCES: usize = 3;
+const SERVERS_EACH: usize = 3;
+const CALLERS_EACH: usize = 2;
+
+async fn start() -> (fleet::PlatformFleet, caller::CallerGroup) {
+    let path = path::Path::new(BINARY);
+    let fleet = fleet::PlatformFleet::start(path, INSTANCES, SERVERS_EACH).await;
+    let callers = caller::CallerGroup::start(&fleet.ports(), CALLERS_EACH);
+    wait_served(&callers, 100).await;
+    (fleet, callers)
+}
+
+/// Waits until so many more attempts were served.
+async fn wait_served(callers: &caller::CallerGroup, more: usize) {
+    let served = || {
+        let attempts = callers.attempts();
+        attempts.iter().filter(|attempt| attempt.end == verdict::AttemptEnd::Served).count()
+    };
+    let before = served();
+    fleet::wait_until("requests are served", async || served() >= before + more).await;
+}
+
+async fn finish(fleet: &fleet::PlatformFleet, callers: caller::CallerGroup) -> usize {
+    let attempts = callers.finish().await;
+    let mut broken = fleet.record.check(&attempts);
+    broken.extend(fleet.record.check_unsent(&attempts));
+    assert_eq!(broken, [] as [String; 0]);
+    attempts.iter().filter(|attempt| attempt.end != verdict::AttemptEnd::Served).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calm_fleet_serves_every_request() {
+    let (fleet, callers) = start().await;
+    wait_served(&callers, 300).await;
+    assert_eq!(finish(&fleet, callers).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changed_configuration_is_in_force_at_all_instances() {
+    let (mut fleet, callers) = start().await;
+    fleet.configure(&["further"]);
+    let path = operator::further_path("further");
+    for (further, status) in [(vec!["further"], 200), (vec![], 404)] {
+        fleet.configure(&further);
+        for index in 0..INSTANCES {
+            fleet::wait_until("a configuration is in force", async || {
+                fleet.status(index, &path).await == Some(status)
+            })
+            .await;
+        }
+    }
+    assert_eq!(finish(&fleet, callers).await, 0);
+}
+
+/// An instance that alone cannot reach the store hears of changes from the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_that_the_store_turns_away_follows_the_configuration() {
+    let (mut fleet, callers) = start().await;
+    fleet.instances[0].store_link.set_fault(proxy::LinkFault::Silent);
+    fleet.configure(&["further"]);
+    let path = operator::further_path("further");
+    fleet::wait_until("a configuration is in force", async || {
+        fleet.status(0, &path).await == Some(200)
+    })
+    .await;
+    assert_eq!(finish(&fleet, callers).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_server_is_left_by_all_instances() {
+    let (mut fleet, callers) = start().await;
+    fleet.servers[0].drain();
+    let server = fleet.servers[0].id().to_owned();
+    let quiet = duration::Duration::from_secs(2);
+    fleet::wait_until("a draining server gets nothing", async || {
+        fleet.record.last_run(&server).is_none_or(|last| last.elapsed() >= quiet)
+    })
+    .await;
+    wait_served(&callers, 100).await;
+    assert_eq!(finish(&fleet, callers).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_cuts_nothing() {
+    let (mut fleet, callers) = start().await;
+    fleet.instances[0].process.signal("TERM");
+    assert_eq!(fleet.wait_ended(0).await, 0, "{}", fleet.instances[0].process.log());
+    wait_served(&callers, 100).await;
+    let attempts = callers.finish().await;
+    let broken_off = attempts.iter().filter(|attempt| attempt.end == verdict::AttemptEnd::Broken);
+    assert_eq!(broken_off.count(), 0);
+    assert_eq!(fleet.record.check(&attempts), [] as [String; 0]);
+}
+
+/// Bytes that name no server, and a configuration that fits no form, change nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn faulty_objects_leave_the_good_state_in_force() {
+    let (fleet, callers) = start().await;
+    let garbage = serde_json::json!({"address": 7, "info": "none"});
+    fleet.store.put("servers", "i-garbage", garbage.clone(), serde_json::Value::Null);
+    let (kind, name) = operator::OBJECT;
+    fleet.store.put(kind, name, garbage, serde_json::Value::Null);
+    wait_logged(&fleet, "\"event\":2015").await;
+    wait_logged(&fleet, "\"event\":2002").await;
+    wait_served(&callers, 100).await;
+    assert_eq!(finish(&fleet, callers).await, 0);
+}
+
+/// Waits until every instance has logged a text.
+async fn wait_logged(fleet: &fleet::PlatformFleet, text: &str) {
+    for instance in &fleet.instances {
+        fleet::wait_until(text, async || instance.process.log().contains(text)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage_costs_no_request() {
+    let (fleet, callers) = start().await;
+    let refuses = store::StoreFault::Refuses(http::StatusCode::SERVICE_UNAVAILABLE);
+    fleet.store.set_fault(refuses);
+    wait_logged(&fleet, "\"event\":2003").await;
+    wait_served(&callers, 200).await;
+    fleet.store.set_fault(store::StoreFault::None);
+    wait_logged(&fleet, "\"event\":2004").await;
+    assert_eq!(finish(&fleet, callers).await, 0);
+}
--- a/crates/transport/node/src/directory.rs
+++ b/crates/transport/node/src/directory.rs
@@ -64,6 +64,10 @@
     let mut addresses = decision::find_instances(&view, &place);
     addresses.retain(takes_requests);
     addresses.truncate(directory::MAX_ADDRESSES);
+    // Membership hears a little later that this instance has become ready.
+    if addresses.is_empty() && shared.is_ready() {
+        addresses.push(own);
+    }
     if addresses.is_empty() {
         return http::StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
