See the store's return in any answer

Cause: the time in which lapsed registrations come back began with the first answer on registrations, which after a cut comes up to 1.8 s later than the answer on drained failure domains; a call sent before the return that failed after it put it off again. Ruled out: a shorter wait; the users say about two seconds. Change: answers on drains count too, and failures of calls sent before the last answer do not. Test: return_of_the_store_is_seen_in_any_answer.

--- a/crates/coordination/registry/src/registry.rs
+++ b/crates/coordination/registry/src/registry.rs
@@ -30,8 +30,8 @@
     Servers(operation::WatchAnswer),
     /// The store told of drained failure domains.
     Drains(operation::WatchAnswer),
-    /// The store did not answer on registrations.
-    Failed,
+    /// A call for registrations that was sent at this time got no answer.
+    Failed(time::Timestamp),
     /// The store answered, but the registrations are still to be listed.
     Answered,
     /// Time has passed.
@@ -54,6 +54,8 @@
     revision: u64,
     drains_revision: u64,
     failing: bool,
+    /// Time of the store's last answer of any kind.
+    answered_at: Option<time::Timestamp>,
     /// Whether the store answers again and has not told the registrations yet.
     awaits_list: bool,
     /// End of the time in which lapsed entries come back.
@@ -76,8 +78,14 @@
                 let keep_until = lapse_until.unwrap_or(now + DOUBT_GRACE);
                 self.take_servers(answer, keep_until, now, &mut changes);
             }
-            RegistryEvent::Drains(answer) => self.take_drains(&answer, &mut changes),
-            RegistryEvent::Failed => self.failing = true,
+            RegistryEvent::Drains(answer) => {
+                self.note_answer(now);
+                self.take_drains(&answer, &mut changes);
+            }
+            // A call that was sent before the store's return says nothing of it.
+            RegistryEvent::Failed(sent_at) => {
+                self.failing |= self.answered_at.is_none_or(|answered_at| answered_at <= sent_at);
+            }
             RegistryEvent::Answered => self.note_answer(now),
             RegistryEvent::Tick => self.drop_missing(now, &mut changes),
         }
@@ -85,6 +93,7 @@
     }
 
     fn note_answer(&mut self, now: time::Timestamp) {
+        self.answered_at = Some(now);
         if std::mem::take(&mut self.failing) {
             self.awaits_list = true;
             self.lapse_until = Some(now + LAPSE_GRACE);
--- a/crates/coordination/registry/tests/registry.rs
+++ b/crates/coordination/registry/tests/registry.rs
@@ -56,7 +56,7 @@
     }
 
     fn fail(&mut self, now: u64) {
-        self.registry.handle(registry::RegistryEvent::Failed, at(now));
+        self.registry.handle(registry::RegistryEvent::Failed(at(now)), at(now));
     }
 
     /// Returns the addresses that get new work after a tick.
@@ -119,6 +119,21 @@
     assert!(trial.working(7_300).is_empty());
 }
 
+/// The store's return shows first in the answer on drained failure domains; a call
+/// for registrations that was sent before it still fails after it.
+#[test]
+fn return_of_the_store_is_seen_in_any_answer() {
+    let mut trial = Trial::default();
+    trial.tell(&[("a", value(1, "ready", 1))], true, 0);
+    trial.fail(1_000);
+    trial.drain(operation::ChangedValue::Deleted, 5_000);
+    trial.registry.handle(registry::RegistryEvent::Failed(at(4_600)), at(5_300));
+    trial.registry.handle(registry::RegistryEvent::Answered, at(6_200));
+    trial.tell(&[], true, 6_900);
+    assert_eq!(trial.working(7_100).len(), 1);
+    assert!(trial.working(7_300).is_empty());
+}
+
 /// The drain bound is 2.5 s; an entry that goes just after the store's return may
 /// be that of a server that leaves without notice (mycotrail-gslb, trouble-1).
 #[test]
--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -30,7 +30,8 @@
 pub async fn follow_registry(shared: sync::Arc<shared::SharedTables>, client: client::StoreClient) {
     let (sender, mut events) = mpsc::channel(EVENT_QUEUE);
     for kind in [object::ObjectKind::Servers, object::ObjectKind::Drains] {
-        tokio::spawn(follow_kind(kind, client.clone(), sender.clone()));
+        let shared = sync::Arc::clone(&shared);
+        tokio::spawn(follow_kind(kind, shared, client.clone(), sender.clone()));
     }
     let mut registry = registry::ServerRegistry::default();
     let mut ticks = tokio::time::interval(TICK_PERIOD);
@@ -53,12 +54,14 @@
 /// Watches one kind of object and passes on every answer.
 async fn follow_kind(
     kind: object::ObjectKind,
+    shared: sync::Arc<shared::SharedTables>,
     client: client::StoreClient,
     events: mpsc::Sender<registry::RegistryEvent>,
 ) {
     let mut after = 0;
     let mut retry = FIRST_RETRY;
     loop {
+        let sent_at = shared.now();
         let request = operation::WatchRequest { kind, after, wait: WATCH_WAIT };
         let answer = match after {
             0 => client.list(kind).await,
@@ -87,7 +90,7 @@
                 if kind != object::ObjectKind::Servers {
                     continue;
                 }
-                registry::RegistryEvent::Failed
+                registry::RegistryEvent::Failed(sent_at)
             }
         };
         if events.send(event).await.is_err() {
