A session waits longer for its server before it runs cold elsewhere

Cause: a run at a server that does not know the session takes over three times as long and holds a slot all the while. Change: a server that does not know the session counts five usual works more, not two. Test: session_waits_for_its_server_rather_than_run_cold (fails with two).

--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -36,7 +36,7 @@
 /// Part of the usual work that a session's server in another region counts more.
 const BACKUP_DIVISOR: u64 = 2;
 /// Times the usual work that a session takes more at a server that does not know it.
-const UNKNOWN_WORKS: u64 = 2;
+const UNKNOWN_WORKS: u64 = 5;
 /// Work that is assumed before the first answer, in microseconds.
 const FIRST_WORK_US: u64 = 200_000;
 /// Answers over which the usual work of all servers is averaged.
--- a/crates/coordination/dispatch/tests/delay.rs
+++ b/crates/coordination/dispatch/tests/delay.rs
@@ -267,3 +267,20 @@
     first_requests_of_a_region_are_split_by_its_slots => (4);
     first_requests_are_split_by_the_slots_of_servers_that_register_later => (1);
 }
+
+/// A cold run takes the slot for several warm ones, so that a service short of slots
+/// fell behind for good once sessions left their servers (mycotrail-gslb, scale-2).
+#[test]
+fn session_waits_for_its_server_rather_than_run_cold() {
+    let mut picker = make_picker(&[(1, "west-a", 0), (2, "west-a", 0)]);
+    let wish = wish("7");
+    let home = picker.pick(&wish, 0, at(0)).unwrap();
+    for _ in 0..4 * SLOTS {
+        picker.begin(home, wish.session, at(0));
+    }
+    assert_eq!(picker.pick(&wish, 0, at(1)), None);
+    // One that nobody knows yet goes to the other.
+    assert!(
+        picker.pick(&picker::ServerWish::default(), 0, at(1)).is_some_and(|chosen| chosen != home)
+    );
+}
