--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -62,7 +62,9 @@
     let mut retry = FIRST_RETRY;
     loop {
         let sent_at = shared.now();
-        let request = operation::WatchRequest { kind, after, wait: WATCH_WAIT };
+        // After a failure the store's return is to be seen before anything changes.
+        let wait = if retry == FIRST_RETRY { WATCH_WAIT } else { time::Duration::ZERO };
+        let request = operation::WatchRequest { kind, after, wait };
         let answer = match after {
             0 => client.list(kind).await,
             _ => client.watch_changes(&request).await,
