One wait and one profile; silence of peers asked once a step

From the read of the whole change; behaviour stays. - The platform stand-in had its own copy of wait_until; it uses that of the stand-ins. - An instance's entry in the store is made from the profile that membership tells. - Whether a peer is silent was asked for each limit and peer; now once a step. - PeerReport::is_heard was not the opposite of is_silent: has_part. Two functions were called divide: part_by_demand is the free one.

--- a/crates/coordination/ledger/src/split.rs
+++ b/crates/coordination/ledger/src/split.rs
@@ -106,6 +106,8 @@
     leaves: bool,
     /// Whether it reported since the last step.
     has_news: bool,
+    /// Whether what it admits is not known any more, as of the last step.
+    is_silent: bool,
     limits: collections::BTreeMap<limit::LimitId, PeerLimit>,
 }
 
@@ -120,18 +122,13 @@
 impl PeerReport {
     const fn new(now: time::Timestamp) -> Self {
         let limits = collections::BTreeMap::new();
-        Self { heard_at: now, name: None, leaves: false, has_news: true, limits }
+        Self { heard_at: now, name: None, leaves: false, has_news: true, is_silent: false, limits }
     }
 
-    fn is_heard(&self, now: time::Timestamp) -> bool {
+    fn has_part(&self, now: time::Timestamp) -> bool {
         let life = if self.leaves { REPORT_LIFE } else { SILENT_LIFE };
         now.since(self.heard_at) <= life
     }
-
-    /// Tells whether what the instance admits is not known any more.
-    fn is_silent(&self, now: time::Timestamp) -> bool {
-        now.since(self.heard_at) > HEARD_LIFE
-    }
 }
 
 impl PeerLimit {
@@ -220,15 +217,18 @@
     /// every eighth report, which helps those that missed one.
     pub fn step(&mut self, now: time::Timestamp) -> Vec<LimitDemand> {
         self.forget_silent(now);
-        self.heard = self.peers.values().filter(|peer| !peer.is_silent(now)).count();
+        for peer in self.peers.values_mut() {
+            peer.is_silent = now.since(peer.heard_at) > HEARD_LIFE;
+        }
+        self.heard = self.peers.values().filter(|peer| !peer.is_silent).count();
         let fleet = self.fleet(now);
         let is_full = self.steps.is_multiple_of(FULL_REPORT_STEPS);
         self.steps = self.steps.wrapping_add(1);
         let mut report = Vec::new();
         for (id, part) in &mut self.limits {
             let own = part.demand(now);
-            let divided = divide(*id, part.limit(), own, &mut self.peers, fleet, now);
-            let was_asked = part.divide(divided, fleet, now);
+            let own_part = part_by_demand(*id, part.limit(), own, &mut self.peers, fleet);
+            let was_asked = part.divide(own_part, fleet, now);
             if was_asked || (is_full && own >= LEAST_REPORTED) {
                 let admitted = part.admitted();
                 report.push(LimitDemand { id: *id, per_second: own, admitted });
@@ -269,9 +269,9 @@
 
     /// Forgets instances that are silent, unless most are.
     fn forget_silent(&mut self, now: time::Timestamp) {
-        let heard = self.peers.values().filter(|peer| peer.is_heard(now)).count();
+        let heard = self.peers.values().filter(|peer| peer.has_part(now)).count();
         if heard * 2 >= self.peers.len() {
-            self.peers.retain(|_, peer| peer.is_heard(now));
+            self.peers.retain(|_, peer| peer.has_part(now));
         }
     }
 }
@@ -280,18 +280,17 @@
 /// the instances that it hears.
 ///
 /// A silent instance may only be cut off, so the part that it had is left to it.
-fn divide(
+fn part_by_demand(
     id: limit::LimitId,
     limit: team::RateLimit,
     own: f64,
     peers: &mut collections::BTreeMap<incarnation::Incarnation, PeerReport>,
     fleet: part::FleetShape,
-    now: time::Timestamp,
 ) -> f64 {
     let (mut told, mut left_to_silent, mut silent) = (0.0, 0.0, 0);
     for peer in peers.values() {
         let limit = peer.limits.get(&id);
-        if peer.is_silent(now) {
+        if peer.is_silent {
             silent += 1;
             left_to_silent += limit.map_or(0.0, |limit| limit.part);
         } else {
--- a/crates/marjoramwing/tests/process_platform.rs
+++ b/crates/marjoramwing/tests/process_platform.rs
@@ -9,6 +9,7 @@
 use marjoramwing_platform_standin::proxy;
 use marjoramwing_platform_standin::store;
 use marjoramwing_platform_standin::verdict;
+use marjoramwing_standins::fleet as standins_fleet;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_marjoramwing");
 const INSTANCES: usize = 3;
@@ -30,7 +31,7 @@
         attempts.iter().filter(|attempt| attempt.end == verdict::AttemptEnd::Served).count()
     };
     let before = served();
-    fleet::wait_until("requests are served", async || served() >= before + more).await;
+    standins_fleet::wait_until("requests are served", async || served() >= before + more).await;
 }
 
 async fn finish(fleet: &fleet::PlatformFleet, callers: caller::CallerGroup) -> usize {
@@ -56,7 +57,7 @@
     for (further, status) in [(vec!["further"], 200), (vec![], 404)] {
         fleet.configure(&further);
         for index in 0..INSTANCES {
-            fleet::wait_until("a configuration is in force", async || {
+            standins_fleet::wait_until("a configuration is in force", async || {
                 fleet.status(index, &path).await == Some(status)
             })
             .await;
@@ -72,7 +73,7 @@
     fleet.instances[0].store_link.set_fault(proxy::LinkFault::Silent);
     fleet.configure(&["further"]);
     let path = operator::further_path("further");
-    fleet::wait_until("a configuration is in force", async || {
+    standins_fleet::wait_until("a configuration is in force", async || {
         fleet.status(0, &path).await == Some(200)
     })
     .await;
@@ -85,7 +86,7 @@
     fleet.servers[0].drain();
     let server = fleet.servers[0].id().to_owned();
     let quiet = duration::Duration::from_secs(2);
-    fleet::wait_until("a draining server gets nothing", async || {
+    standins_fleet::wait_until("a draining server gets nothing", async || {
         fleet.record.last_run(&server).is_none_or(|last| last.elapsed() >= quiet)
     })
     .await;
@@ -122,7 +123,7 @@
 /// Waits until every instance has logged a text.
 async fn wait_logged(fleet: &fleet::PlatformFleet, text: &str) {
     for instance in &fleet.instances {
-        fleet::wait_until(text, async || instance.process.log().contains(text)).await;
+        standins_fleet::wait_until(text, async || instance.process.log().contains(text)).await;
     }
 }
 
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -26,7 +26,7 @@
 use crate::traffic;
 
 /// Longest wait for a condition before a test counts as hanging.
-const HANG_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+pub const HANG_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 const POLL_PERIOD: time::Duration = time::Duration::from_millis(10);
 /// Backend servers of each pool.
 const SERVERS: usize = 3;
--- a/crates/transport/node/src/control/announcement.rs
+++ b/crates/transport/node/src/control/announcement.rs
@@ -10,6 +10,7 @@
 use marjoramwing_objects::operation;
 use marjoramwing_store_client::client;
 
+use crate::control::membership;
 use crate::shared;
 
 /// Time after which a failed call is tried again, at first and at most.
@@ -54,14 +55,14 @@
 }
 
 fn own_entry(shared: &shared::SharedTables) -> listing::ListedInstance {
-    let settings = &shared.settings;
+    let profile = membership::own_profile(shared);
     listing::ListedInstance {
-        name: settings.identity.name.text(),
-        callers: settings.listen.callers,
-        peers: settings.listen.peers,
-        site: settings.identity.site.text(),
-        region: settings.identity.region.text(),
-        failure_domain: settings.identity.failure_domain.text(),
+        name: profile.name,
+        callers: profile.callers,
+        peers: profile.peers,
+        site: profile.site,
+        region: profile.region,
+        failure_domain: profile.failure_domain,
         state: listing::ListedState::Live,
     }
 }
--- a/crates/transport/node/src/control/membership.rs
+++ b/crates/transport/node/src/control/membership.rs
@@ -97,7 +97,8 @@
     }
 }
 
-fn own_profile(shared: &shared::SharedTables) -> member::MemberProfile {
+/// Returns what this instance tells of itself.
+pub(crate) fn own_profile(shared: &shared::SharedTables) -> member::MemberProfile {
     let settings = &shared.settings;
     member::MemberProfile {
         name: settings.identity.name.text(),
--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -63,7 +63,8 @@
     loop {
         let sent_at = shared.now();
         // After a failure the store's return is to be seen before anything changes.
-        let wait = if retry == FIRST_RETRY { WATCH_WAIT } else { time::Duration::ZERO };
+        let has_failed = retry != FIRST_RETRY;
+        let wait = if has_failed { time::Duration::ZERO } else { WATCH_WAIT };
         let request = operation::WatchRequest { kind, after, wait };
         let answer = match after {
             0 => client.list(kind).await,
