Node: bodies and heads without end are bounded in size and time

Causes, by reading and by tests: a malformed chunk behind a full channel of 8 parts, or a caller that closed in the middle of a chunked body, looked like the end of the body, so that a cut body counted as complete; trailers had a bound for a line and none in all; the time limit of a head began again with each read; a response that keeps sending held its slot without end, as only its idle time was bounded; informational responses before a head had no bound. Changes: a request body is complete only after an explicit end; trailers are bounded at 16 KiB; the wait for a head ends at a fixed time, restarted only by its first byte; a response that is not at its end by the request's deadline is aborted; at most 256 KiB are read before a response head, and the read buffer of a connection to a server is at most 64 KiB. Tests: outcome::endless (15 cases: heads, informational responses, chunk sizes, extensions, trailers, drips, bytes beyond the length), pipeline::bodies, pipeline::heads, trailers in pipeline::framing.

--- a/crates/transport/node/src/backends/buffered.rs
+++ b/crates/transport/node/src/backends/buffered.rs
@@ -55,6 +55,12 @@
         }
         Ok(Self { parts, rest: None })
     }
+
+    /// Returns true if the backend server has sent the whole body.
+    #[must_use]
+    pub fn is_buffered(&self) -> bool {
+        self.rest.as_ref().is_none_or(http_body::Body::is_end_stream)
+    }
 }
 
 impl http_body::Body for BufferedBody {
@@ -75,7 +81,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.parts.is_empty() && self.rest.as_ref().is_none_or(http_body::Body::is_end_stream)
+        self.parts.is_empty() && self.is_buffered()
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
--- a/crates/transport/node/src/backends/connection.rs
+++ b/crates/transport/node/src/backends/connection.rs
@@ -17,6 +17,13 @@
 use crate::backends::stream;
 use crate::clock;
 
+/// Largest response head, and size of the read buffer of a response body, in bytes.
+///
+/// A backend server that sends a head without end costs no more memory than this.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Bytes that may be read before the response head is complete: informational responses, the
+/// head, and the start of the body, which is read ahead.
+const MAX_READ_BEFORE_HEAD: u64 = 4 * READ_BUFFER_BYTES as u64;
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: duration::Duration = duration::Duration::from_secs(1);
 
@@ -25,6 +32,7 @@
 pub struct Connection {
     sender: http1::SendRequest<replay::RequestBody>,
     gate: sync::Arc<gate::SendGate>,
+    allowance: stream::ReadAllowance,
     task: tokio::task::AbortHandle,
     requests: u32,
     request_stream: Option<replay::SharedStream>,
@@ -43,10 +51,14 @@
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let gate = sync::Arc::new(gate::SendGate::default());
-        let gated = stream::GatedStream::new(stream, sync::Arc::clone(&gate), clock);
-        let (sender, driver) = http1::handshake(rt::TokioIo::new(gated)).await.ok()?;
+        let allowance = stream::ReadAllowance::default();
+        let gated =
+            stream::GatedStream::new(stream, sync::Arc::clone(&gate), allowance.clone(), clock);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_BUFFER_BYTES);
+        let (sender, driver) = builder.handshake(rt::TokioIo::new(gated)).await.ok()?;
         let task = tokio::spawn(driver).abort_handle();
-        Some(Self { sender, gate, task, requests: 0, request_stream: None })
+        Some(Self { sender, gate, allowance, task, requests: 0, request_stream: None })
     }
 
     /// Returns the number of requests sent on the connection.
@@ -92,6 +104,9 @@
         }
         self.requests += 1;
         self.request_stream = request.body().stream();
-        self.sender.send_request(request).await.map_err(|_| self.gate.close())
+        self.allowance.limit(MAX_READ_BEFORE_HEAD);
+        let sent = self.sender.send_request(request).await;
+        self.allowance.lift();
+        sent.map_err(|_| self.gate.close())
     }
 }
--- a/crates/transport/node/src/backends/response.rs
+++ b/crates/transport/node/src/backends/response.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariants: a response that the backend server truncates fails at the caller
 //! and never looks like a shorter complete one; a response is aborted when the
-//! key that authorized its request is withdrawn.
+//! key that authorized its request is withdrawn; a backend server that keeps sending
+//! holds its slot no longer than until the request's deadline.
 
 use std::future::Future;
 use std::pin;
@@ -35,6 +36,11 @@
     /// The backend server sent nothing for longer than the idle timeout of a body.
     #[display("the backend server stalled within its response; check the backend server")]
     IdleTimeout,
+    /// The backend server did not end its response by the deadline.
+    #[display(
+        "the response did not end by the deadline; check the backend server and the route's deadline"
+    )]
+    DeadlineExceeded,
     /// The key that authorized the request was withdrawn.
     #[display("the key was withdrawn; ask your operators for a new one")]
     KeyWithdrawn,
@@ -48,6 +54,7 @@
     body: buffered::BufferedBody,
     resources: Option<AttemptResources>,
     credential: Option<credential::AuthorizedKey>,
+    deadline: time::Timestamp,
     check_timer: Option<pin::Pin<Box<tokio::time::Sleep>>>,
     checked_at: time::Timestamp,
     last_frame_at: time::Timestamp,
@@ -64,20 +71,29 @@
 }
 
 impl ResponseBody {
-    /// Wraps the body of a response.
+    /// Wraps the body of a response, of which no part is read after `deadline` unless it
+    /// was buffered.
     #[must_use]
     pub fn new(
         body: buffered::BufferedBody,
         resources: AttemptResources,
         credential: Option<credential::AuthorizedKey>,
+        deadline: time::Timestamp,
         shared: sync::Arc<shared::InstanceState>,
     ) -> Self {
         let now = shared.now();
         let (checked_at, last_frame_at) = (now, now);
         let resources = Some(resources);
-        let check_timer = None;
-        let mut response =
-            Self { body, resources, credential, check_timer, checked_at, last_frame_at, shared };
+        let mut response = Self {
+            body,
+            resources,
+            credential,
+            deadline,
+            check_timer: None,
+            checked_at,
+            last_frame_at,
+            shared,
+        };
         if response.body.is_end_stream() {
             response.return_connection();
         }
@@ -116,13 +132,24 @@
         if is_idle { Err(ResponseError::IdleTimeout) } else { Ok(()) }
     }
 
+    /// Fails once the deadline has passed, unless the backend server owes no more bytes.
+    fn check_deadline(&self, now: time::Timestamp) -> Result<(), ResponseError> {
+        let is_late = now >= self.deadline && !self.body.is_buffered();
+        if is_late { Err(ResponseError::DeadlineExceeded) } else { Ok(()) }
+    }
+
     /// Registers a wake-up for the next check while the backend server sends nothing.
-    fn poll_check_timer(&mut self, context: &mut task::Context<'_>) -> task::Poll<()> {
+    fn poll_check_timer(
+        &mut self,
+        context: &mut task::Context<'_>,
+        now: time::Timestamp,
+    ) -> task::Poll<()> {
+        let until_check = CHECK_PERIOD.min(self.deadline.since(now));
         let timer =
-            self.check_timer.get_or_insert_with(|| Box::pin(tokio::time::sleep(CHECK_PERIOD)));
+            self.check_timer.get_or_insert_with(|| Box::pin(tokio::time::sleep(until_check)));
         let polled = timer.as_mut().poll(context);
         if polled.is_ready() {
-            timer.as_mut().reset(tokio::time::Instant::now() + CHECK_PERIOD);
+            timer.as_mut().reset(tokio::time::Instant::now() + until_check);
         }
         polled
     }
@@ -131,6 +158,7 @@
         loop {
             let now = self.shared.now();
             self.check_credential(now)?;
+            self.check_deadline(now)?;
             match pin::Pin::new(&mut self.body).poll_frame(context) {
                 task::Poll::Ready(polled) => {
                     self.last_frame_at = now;
@@ -138,7 +166,7 @@
                 }
                 task::Poll::Pending => self.check_idle(now)?,
             }
-            task::ready!(self.poll_check_timer(context));
+            task::ready!(self.poll_check_timer(context, now));
         }
     }
 }
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -209,7 +209,7 @@
         }
         let open = result?;
         let key = identity.map(|identity| identity.key);
-        Ok(forward_response(open, key, sync::Arc::clone(self.shared)))
+        Ok(forward_response(open, key, self.deadline, sync::Arc::clone(self.shared)))
     }
 
     /// Returns the session of a request on a route with session affinity.
@@ -361,11 +361,12 @@
 fn forward_response(
     open: attempts::OpenResponse,
     key: Option<credential::AuthorizedKey>,
+    deadline: time::Timestamp,
     shared: sync::Arc<shared::InstanceState>,
 ) -> axum::response::Response {
     let (mut parts, body) = open.response.into_parts();
     headers::remove_hop_by_hop(&mut parts.headers);
     headers::remove_internal(&mut parts.headers);
-    let body = backend_response::ResponseBody::new(body, open.resources, key, shared);
+    let body = backend_response::ResponseBody::new(body, open.resources, key, deadline, shared);
     http::Response::from_parts(parts, axum::body::Body::new(body))
 }
--- a/crates/transport/node/src/pipeline/body.rs
+++ b/crates/transport/node/src/pipeline/body.rs
@@ -1,4 +1,7 @@
 //! Decoding of request bodies.
+//!
+//! Invariant: a body looks complete to its reader only if its end was decoded. A body that
+//! is malformed, or whose connection ends early, fails.
 
 use std::pin;
 use std::task;
@@ -15,16 +18,18 @@
 const MAX_SIZE_LINE: usize = 64;
 /// Longest trailer line, in bytes.
 const MAX_TRAILER_LINE: usize = 4 * 1024;
+/// Largest trailer section, in bytes.
+const MAX_TRAILERS: usize = 16 * 1024;
 
 /// Why the rest of a body cannot be read.
 #[derives::value]
 #[derive(derive_more::Display, derive_more::Error)]
 pub enum BodyFault {
-    /// The caller closed the connection before the end of the body.
-    #[display("the caller closed the connection before the end of the body")]
-    Closed,
-    /// The chunked coding is malformed.
-    #[display("the chunked body is malformed")]
+    /// The caller closed the connection before the end of the body, or the body is malformed.
+    #[display("the body ended early or is malformed; send it again completely")]
+    Incomplete,
+    /// The chunked coding is malformed, or its trailers are too large.
+    #[display("the chunked body is malformed; send chunks with valid sizes and short trailers")]
     BadChunk,
 }
 
@@ -44,8 +49,8 @@
     ChunkData(u64),
     /// Expects the line break after the data of a chunk.
     ChunkEnd,
-    /// Expects trailer lines, up to an empty line.
-    Trailers,
+    /// Expects trailer lines, up to an empty line; the lines before took this many bytes.
+    Trailers(usize),
     Ended,
 }
 
@@ -95,19 +100,30 @@
                         self.state = DecoderState::ChunkSize;
                     }
                 },
-                DecoderState::Trailers => match find_line(bytes, MAX_TRAILER_LINE)? {
+                DecoderState::Trailers(read) => match find_line(bytes, MAX_TRAILER_LINE)? {
                     None => return Ok(None),
-                    Some(end) => {
-                        bytes.advance(end + 2);
-                        if end == 0 {
-                            self.state = DecoderState::Ended;
-                        }
-                    }
+                    Some(end) => self.read_trailer(bytes, end, read)?,
                 },
             }
         }
     }
 
+    fn read_trailer(
+        &mut self,
+        bytes: &mut bytes::BytesMut,
+        end: usize,
+        read: usize,
+    ) -> Result<(), BodyFault> {
+        bytes.advance(end + 2);
+        let read = read + end + 2;
+        self.state = match end {
+            0 => DecoderState::Ended,
+            _ if read > MAX_TRAILERS => return Err(BodyFault::BadChunk),
+            _ => DecoderState::Trailers(read),
+        };
+        Ok(())
+    }
+
     fn take_bytes(&mut self, bytes: &mut bytes::BytesMut, remaining: u64) -> Option<bytes::Bytes> {
         if bytes.is_empty() {
             return None;
@@ -136,7 +152,10 @@
         let size = text.and_then(|text| u64::from_str_radix(text, 16).ok());
         let size = size.ok_or(BodyFault::BadChunk)?;
         bytes.advance(end + 2);
-        self.state = if size == 0 { DecoderState::Trailers } else { DecoderState::ChunkData(size) };
+        self.state = match size {
+            0 => DecoderState::Trailers(0),
+            _ => DecoderState::ChunkData(size),
+        };
         Ok(())
     }
 }
@@ -159,13 +178,24 @@
 /// A request body that receives its parts from the connection's task over a channel.
 #[derive(Debug)]
 pub struct ChannelBody {
-    parts: mpsc::Receiver<Result<bytes::Bytes, BodyFault>>,
+    parts: mpsc::Receiver<BodyPart>,
     /// `None` under the chunked coding, whose length is not known in advance.
     length_remaining: Option<u64>,
+    is_ended: bool,
+}
+
+/// A part of a body on its way to the reader.
+#[derive(Debug, Clone)]
+pub enum BodyPart {
+    /// Data of the body.
+    Data(bytes::Bytes),
+    /// The body is complete.
+    End,
 }
 
-/// Sends the parts of a body to its [`ChannelBody`].
-pub type PartSender = mpsc::Sender<Result<bytes::Bytes, BodyFault>>;
+/// Sends the parts of a body to its [`ChannelBody`], which fails if the sender is dropped
+/// before [`BodyPart::End`].
+pub type PartSender = mpsc::Sender<BodyPart>;
 
 impl ChannelBody {
     /// Creates a body and the sender of its parts.
@@ -176,7 +206,7 @@
             head::BodyFraming::Length(length) => Some(length),
             head::BodyFraming::Chunked => None,
         };
-        (sender, Self { parts, length_remaining })
+        (sender, Self { parts, length_remaining, is_ended: false })
     }
 }
 
@@ -188,15 +218,30 @@
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<http_body::Frame<bytes::Bytes>, BodyFault>>> {
-        let part = task::ready!(self.parts.poll_recv(context));
-        if let (Some(remaining), Some(Ok(part))) = (&mut self.length_remaining, &part) {
-            *remaining = remaining.saturating_sub(part.len() as u64);
+        if self.is_end_stream() {
+            return task::Poll::Ready(None);
         }
-        task::Poll::Ready(part.map(|part| part.map(http_body::Frame::data)))
+        let part = task::ready!(self.parts.poll_recv(context));
+        task::Poll::Ready(match part {
+            Some(BodyPart::Data(data)) => {
+                if let Some(remaining) = &mut self.length_remaining {
+                    *remaining = remaining.saturating_sub(data.len() as u64);
+                }
+                Some(Ok(http_body::Frame::data(data)))
+            }
+            Some(BodyPart::End) => {
+                self.is_ended = true;
+                None
+            }
+            None => {
+                self.is_ended = true;
+                Some(Err(BodyFault::Incomplete))
+            }
+        })
     }
 
     fn is_end_stream(&self) -> bool {
-        self.length_remaining == Some(0)
+        self.is_ended || self.length_remaining == Some(0)
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
--- a/crates/transport/node/src/pipeline/connection.rs
+++ b/crates/transport/node/src/pipeline/connection.rs
@@ -33,7 +33,8 @@
 pub struct PipelineLimits {
     /// Largest request head, in bytes.
     pub max_head_bytes: usize,
-    /// Time limit for one read while no request is in progress.
+    /// Time limit for the wait for a request, and again from its first byte to the end of its
+    /// head, while no request is in progress.
     pub head_timeout: time::Duration,
     /// Time limit for one write of response data.
     pub write_timeout: time::Duration,
@@ -55,6 +56,16 @@
     incoming: Option<IncomingBody>,
     /// Whether no further requests are read.
     is_closing: bool,
+    /// Wait for a request, while none is in progress.
+    head_wait: Option<HeadWait>,
+}
+
+/// The wait for a request, or for the rest of its head.
+#[derive(Debug, Clone, Copy)]
+struct HeadWait {
+    /// Whether a part of the head has arrived.
+    has_bytes: bool,
+    ends_at: tokio::time::Instant,
 }
 
 /// A request whose response has not been written yet.
@@ -74,7 +85,9 @@
     /// `None` once the reader of the body is gone.
     sender: Option<body::PartSender>,
     /// Decoded part that waits for capacity in the channel.
-    pending: Option<bytes::Bytes>,
+    pending: Option<body::BodyPart>,
+    /// Whether the end of the body was sent to the reader, or is pending.
+    sent_end: bool,
     /// Whether `100 Continue` has yet to be sent.
     sends_continue: bool,
 }
@@ -117,6 +130,7 @@
             open: collections::VecDeque::new(),
             incoming: None,
             is_closing: false,
+            head_wait: None,
         }
     }
 
@@ -144,6 +158,7 @@
         let has_capacity = self.buffer.len() < MAX_BUFFERED_BYTES.max(self.limits.max_head_bytes);
         let has_pending = self.incoming.as_ref().is_some_and(|incoming| incoming.pending.is_some());
         self.buffer.reserve(READ_BYTES);
+        let head_wait_end = self.update_head_wait(is_idle);
         tokio::select! {
             biased;
             response = next_response(&mut self.open), if !self.open.is_empty() => {
@@ -157,12 +172,20 @@
                 }
             }
             () = stop.cancelled(), if !self.is_closing => Ok(()),
-            () = tokio::time::sleep(self.limits.head_timeout), if is_idle => {
-                Err(ConnectionEnd::Idle)
-            }
+            () = tokio::time::sleep_until(head_wait_end), if is_idle => Err(ConnectionEnd::Idle),
         }
     }
 
+    /// Returns the end of the wait for a request, which only the first byte of a head extends.
+    fn update_head_wait(&mut self, is_idle: bool) -> tokio::time::Instant {
+        let has_bytes = !self.buffer.is_empty();
+        let ends_at = tokio::time::Instant::now() + self.limits.head_timeout;
+        let known = self.head_wait.filter(|wait| is_idle && wait.has_bytes == has_bytes);
+        let wait = known.unwrap_or(HeadWait { has_bytes, ends_at });
+        self.head_wait = is_idle.then_some(wait);
+        wait.ends_at
+    }
+
     /// Parses the buffered requests and starts those that may run now.
     fn read_requests(&mut self) {
         loop {
@@ -220,8 +243,7 @@
         }
         let (sender, body) = body::ChannelBody::new(head.body);
         let sends_continue = head.expects_continue && self.buffer.is_empty();
-        self.incoming =
-            Some(IncomingBody { decoder, sender: Some(sender), pending: None, sends_continue });
+        self.incoming = Some(IncomingBody::new(decoder, sender, sends_continue));
         axum::body::Body::new(body)
     }
 
@@ -232,11 +254,18 @@
                 return;
             }
             match incoming.decoder.next_part(&mut self.buffer) {
-                Ok(Some(part)) => incoming.send(Ok(part)),
-                Ok(None) if incoming.decoder.is_ended() => self.incoming = None,
+                Ok(Some(part)) => incoming.send(body::BodyPart::Data(part)),
+                Ok(None) if incoming.decoder.is_ended() => {
+                    if incoming.sent_end {
+                        self.incoming = None;
+                        continue;
+                    }
+                    incoming.sent_end = true;
+                    incoming.send(body::BodyPart::End);
+                }
                 Ok(None) => return,
-                Err(fault) => {
-                    incoming.send(Err(fault));
+                // Without an end, the body fails at its reader.
+                Err(_) => {
                     self.is_closing = true;
                     self.incoming = None;
                 }
@@ -311,14 +340,20 @@
 const CLOSE_WAIT: time::Duration = time::Duration::from_millis(500);
 
 impl IncomingBody {
+    const fn new(
+        decoder: body::BodyDecoder,
+        sender: body::PartSender,
+        sends_continue: bool,
+    ) -> Self {
+        Self { decoder, sender: Some(sender), pending: None, sent_end: false, sends_continue }
+    }
+
     /// Sends a part, or keeps it until the channel has capacity; discards it if the reader is gone.
-    ///
-    /// A fault is not kept: if the channel is full, the reader sees the end of the body instead.
-    fn send(&mut self, part: Result<bytes::Bytes, body::BodyFault>) {
+    fn send(&mut self, part: body::BodyPart) {
         let Some(sender) = &self.sender else { return };
         match sender.try_send(part) {
             Ok(()) => {}
-            Err(tokio::sync::mpsc::error::TrySendError::Full(Ok(part))) => {
+            Err(tokio::sync::mpsc::error::TrySendError::Full(part)) => {
                 self.pending = Some(part);
             }
             Err(_) => self.sender = None,
@@ -343,7 +378,7 @@
     let Some(part) = &incoming.pending else { return };
     if let Some(sender) = &incoming.sender {
         // The reader of the body is gone.
-        if sender.send(Ok(part.clone())).await.is_err() {
+        if sender.send(part.clone()).await.is_err() {
             incoming.sender = None;
         }
     }
--- a/crates/transport/node/tests/outcome/backend.rs
+++ b/crates/transport/node/tests/outcome/backend.rs
@@ -38,6 +38,10 @@
     StallBody,
     /// Runs the request and sends a response that never ends.
     RespondEndlessly,
+    /// Runs the request and sends `prefix`, then `repeated` without end.
+    Flood { prefix: &'static str, repeated: &'static str },
+    /// Runs the request and sends `prefix`, then one byte of a header every 20 ms.
+    Drip { prefix: &'static str },
     /// Runs the request and responds with status 500.
     ServerError,
     /// Runs the request and responds with status 504.
@@ -142,6 +146,12 @@
         if step == ServerStep::RespondEndlessly {
             return send_endless_body(stream).await;
         }
+        if let ServerStep::Flood { prefix, repeated } = step {
+            return send_flood(stream, prefix, repeated).await;
+        }
+        if let ServerStep::Drip { prefix } = step {
+            return send_drip(stream, prefix).await;
+        }
         let complete = complete_response(id);
         let (response, keeps_open) = match step {
             ServerStep::Respond => (complete, true),
@@ -194,6 +204,27 @@
     }
 }
 
+async fn send_flood(
+    stream: &mut tokio::net::TcpStream,
+    prefix: &str,
+    repeated: &str,
+) -> Option<()> {
+    const BLOCK_BYTES: usize = 4 * 1024;
+    stream.write_all(prefix.as_bytes()).await.ok()?;
+    let block = repeated.repeat(BLOCK_BYTES.div_ceil(repeated.len()));
+    loop {
+        stream.write_all(block.as_bytes()).await.ok()?;
+    }
+}
+
+async fn send_drip(stream: &mut tokio::net::TcpStream, prefix: &str) -> Option<()> {
+    stream.write_all(prefix.as_bytes()).await.ok()?;
+    loop {
+        stream.write_all(b"a").await.ok()?;
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
 fn header_of(head: &str, name: &str) -> Option<String> {
     let line = head.lines().find(|line| line.to_ascii_lowercase().starts_with(name))?;
     Some(line.split_once(':')?.1.trim().to_owned())
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -5,6 +5,7 @@
 mod bodies;
 mod claims;
 mod credentials;
+mod endless;
 mod exchange;
 mod failing;
 #[path = "../support/ledger.rs"]
--- a/crates/transport/node/tests/outcome/stream.rs
+++ b/crates/transport/node/tests/outcome/stream.rs
@@ -25,7 +25,8 @@
     let client = tokio::net::TcpStream::from_std(client).unwrap();
     let gate = sync::Arc::new(gate::SendGate::default());
     let clock = clock::MonotonicClock::start();
-    (stream::GatedStream::new(client, sync::Arc::clone(&gate), clock), gate, peer)
+    let allowance = stream::ReadAllowance::default();
+    (stream::GatedStream::new(client, sync::Arc::clone(&gate), allowance, clock), gate, peer)
 }
 
 fn check_reused(peer_action: PeerAction, expected: Option<exchange::AttemptState>) {
--- a/crates/transport/node/tests/outcome/support.rs
+++ b/crates/transport/node/tests/outcome/support.rs
@@ -138,15 +138,23 @@
 
     /// Sends one request on a new connection and reads the response.
     pub(crate) async fn call(&self, request: http::Request<axum::body::Body>) -> ReceivedResponse {
+        self.try_call(request).await.expect("the connection ended without a response head")
+    }
+
+    /// Like [`Self::call`], but returns `None` if the connection ends without a response head.
+    pub(crate) async fn try_call(
+        &self,
+        request: http::Request<axum::body::Body>,
+    ) -> Option<ReceivedResponse> {
         let stream = tokio::net::TcpStream::connect(self.address).await.unwrap();
         let (mut sender, driver) =
             hyper::client::conn::http1::handshake(rt::TokioIo::new(stream)).await.unwrap();
         let driver = tokio::spawn(driver);
-        let response = sender.send_request(request).await.unwrap();
+        let response = sender.send_request(request).await.ok()?;
         let (parts, body) = response.into_parts();
         let body = body.collect().await.ok().map(http_body_util::Collected::to_bytes);
         driver.abort();
-        ReceivedResponse { status: parts.status.as_u16(), headers: parts.headers, body }
+        Some(ReceivedResponse { status: parts.status.as_u16(), headers: parts.headers, body })
     }
 
     pub(crate) async fn send(
--- a/crates/transport/node/tests/pipeline/framing.rs
+++ b/crates/transport/node/tests/pipeline/framing.rs
@@ -86,4 +86,6 @@
     line_feed_alone => ("3\nabc\r\n0\r\n\r\n");
     data_longer_than_the_chunk_size => ("3\r\nabcd\r\n0\r\n\r\n");
     size_line_without_end => (&"1".repeat(80));
+    trailer_line_without_end => (&format!("0\r\n{}", "a".repeat(5_000)));
+    trailers_without_end => (&format!("0\r\n{}", "x: a\r\n".repeat(3_000)));
 }
--- a/crates/transport/node/tests/pipeline/main.rs
+++ b/crates/transport/node/tests/pipeline/main.rs
@@ -1,3 +1,5 @@
 //! Tests of pipelined HTTP/1.1 connections.
 
+mod bodies;
 mod framing;
+mod heads;
