Dispatch: instances that start together divide bounds by the platform's list

Change: for 4 s after its start an instance ranks itself among all instances that the platform lists, running or not, and sends nothing to cold servers until it has read the list; the retry burst is divided likewise. The allowance is half of the bound, so that a second with two generations of instances keeps it.

--- a/crates/coordination/dispatch/src/cold.rs
+++ b/crates/coordination/dispatch/src/cold.rs
@@ -74,12 +74,14 @@
 }
 
 impl ColdAllowance {
-    /// Creates an allowance of `rate`, the rate that the server sustains, plus half of
-    /// the excess that `overage` (a factor) and `slack` (requests per second) permit.
+    /// Creates an allowance of half the bound, which is `rate`, the rate that the server
+    /// sustains, times the factor `overage` plus `slack` requests per second.
+    ///
+    /// The other half covers a second in which the instances are replaced: those that start
+    /// do not know what their predecessors have sent.
     #[must_use]
     pub fn new(rate: f64, overage: f64, slack: f64) -> Self {
-        let excess = rate * (overage - 1.0) + slack;
-        let per_second = (rate + excess / 2.0).floor().max(1.0);
+        let per_second = ((rate * overage + slack) / 2.0).floor().max(1.0);
         Self { per_second: per_second as usize }
     }
 
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`picker`]: selection of a backend server.
 //! - [`policy`]: dispatch parameters for each deployment objective.
 //! - [`queue`]: fair queue of the requests that need a slot.
+//! - [`roster`]: the instances among which bounds are divided.
 //! - `server`: state of one backend server as seen by this instance.
 //! - [`service`]: dispatch of one service, the run-time side of one pool.
 //! - [`session`]: session affinity.
@@ -28,6 +29,7 @@
 pub mod picker;
 pub mod policy;
 pub mod queue;
+pub mod roster;
 mod server;
 pub mod service;
 pub mod session;
--- /dev/null
+++ b/crates/coordination/dispatch/src/roster.rs
@@ -0,0 +1,114 @@
+//! The instances among which bounds on a service are divided.
+//!
+//! Invariant: instances that start at the same time, before they know of each other, divide a
+//! bound as if all instances that the platform lists were running. An instance that has just
+//! started and has not read the list sends nothing to cold servers.
+
+use std::sync::Arc;
+use std::time as duration;
+
+use marjoramwing_derives as derives;
+use marjoramwing_entity::rendezvous;
+use marjoramwing_entity::time;
+
+use crate::cold;
+
+/// Time after the start for which the list counts; by then members know of each other.
+const STARTUP_PERIOD: duration::Duration = duration::Duration::from_secs(4);
+/// Number of instances assumed after the start while the list has not been read.
+const DEFAULT_FLEET_SIZE: usize = 450;
+
+/// The instances of the fleet, as known to one of them.
+#[derive(Debug, Clone)]
+pub struct FleetRoster {
+    own: Arc<str>,
+    /// Names of the live instances, including this one.
+    members: Vec<Arc<str>>,
+    /// Names that the platform lists, of instances running or not.
+    listed: Option<Vec<Arc<str>>>,
+    /// Largest number of instances that were live at the same time.
+    max_members: usize,
+    startup_ends_at: time::Timestamp,
+}
+
+/// This instance's place among those that divide a bound on one server.
+#[derives::value]
+struct SenderPlace {
+    /// Number of instances that come before this one.
+    rank: usize,
+    fleet_size: usize,
+}
+
+impl FleetRoster {
+    /// Creates the roster of an instance that starts now and knows no other.
+    #[must_use]
+    pub fn new(own: Arc<str>, now: time::Timestamp) -> Self {
+        let startup_ends_at = now + STARTUP_PERIOD;
+        Self { own, members: Vec::new(), listed: None, max_members: 0, startup_ends_at }
+    }
+
+    /// Replaces the live instances; returns true if they have changed.
+    pub fn set_members(&mut self, members: Vec<Arc<str>>) -> bool {
+        let has_changed = self.members != members;
+        self.max_members = self.max_members.max(members.len());
+        self.members = members;
+        has_changed
+    }
+
+    /// Replaces the listed instances; returns true if they matter now and have changed.
+    pub fn set_listed(&mut self, listed: Vec<Arc<str>>, now: time::Timestamp) -> bool {
+        let has_changed = self.listed.as_ref() != Some(&listed);
+        self.listed = Some(listed);
+        has_changed && self.is_starting(now)
+    }
+
+    /// Returns true while the list counts.
+    #[must_use]
+    pub fn is_starting(&self, now: time::Timestamp) -> bool {
+        now < self.startup_ends_at
+    }
+
+    /// Returns the number of instances among which bounds are divided.
+    #[must_use]
+    pub fn fleet_size(&self, now: time::Timestamp) -> usize {
+        let known = self.max_members.max(1);
+        match &self.listed {
+            _ if !self.is_starting(now) => known,
+            Some(listed) => known.max(listed.len()),
+            None => known.max(DEFAULT_FLEET_SIZE),
+        }
+    }
+
+    /// Returns this instance's share of the requests per second to a cold server.
+    #[must_use]
+    pub fn cold_share(
+        &self,
+        allowance: cold::ColdAllowance,
+        server: &str,
+        now: time::Timestamp,
+    ) -> u32 {
+        let place = match (&self.listed, self.is_starting(now)) {
+            (_, false) => self.place_among(self.members.iter(), server, now),
+            (Some(listed), true) => {
+                let unlisted = self.members.iter().filter(|member| !listed.contains(member));
+                self.place_among(listed.iter().chain(unlisted), server, now)
+            }
+            (None, true) => return 0,
+        };
+        allowance.share(place.rank, place.fleet_size)
+    }
+
+    /// Ranks the instances for a server by rendezvous hashing.
+    fn place_among<'a>(
+        &self,
+        names: impl Iterator<Item = &'a Arc<str>>,
+        server: &str,
+        now: time::Timestamp,
+    ) -> SenderPlace {
+        let key = rendezvous::seed_of(server);
+        let score = |name: &str| rendezvous::score(key, rendezvous::seed_of(name));
+        let own = score(&self.own);
+        let rank = names.filter(|name| score(name) > own).count();
+        SenderPlace { rank, fleet_size: self.fleet_size(now) }
+    }
+}
--- a/crates/transport/node/src/control/listing.rs
+++ b/crates/transport/node/src/control/listing.rs
@@ -37,6 +37,8 @@
         if let Ok(list) = client.list_instances().await {
             shared.dispatch.set_leaving(leaving_servers(&list));
             shared.admission.set_listed_count(list.instances.len());
+            let names = list.instances.iter().map(|listed| sync::Arc::clone(&listed.name));
+            shared.dispatch.set_listed(names.collect());
             addresses.clone_from(&shared.settings.contacts);
             addresses.extend(list.instances.into_iter().map(|listed| listed.peers));
         }
--- a/crates/transport/node/src/control/membership.rs
+++ b/crates/transport/node/src/control/membership.rs
@@ -68,6 +68,7 @@
             let dump = self.keeper.dump(self.shared.now());
             self.shared.control.set_membership(dump, self.mesh.link_count());
             self.announce_if_ready();
+            self.shared.dispatch.end_startup();
         }
         self.apply(event);
     }
--- a/crates/transport/node/src/dispatch.rs
+++ b/crates/transport/node/src/dispatch.rs
@@ -8,8 +8,8 @@
 use marjoramwing_dispatch::cold;
 use marjoramwing_dispatch::distance;
 use marjoramwing_dispatch::policy;
+use marjoramwing_dispatch::roster;
 use marjoramwing_entity::incarnation;
-use marjoramwing_entity::rendezvous;
 use marjoramwing_membership::view;
 use marjoramwing_registry::view as registry;
 use marjoramwing_settings::settings;
@@ -56,21 +56,20 @@
     pools: Vec<pool::Pool>,
     registered: registry::RegistryView,
     leaving: collections::HashSet<net::SocketAddr>,
-    /// Names of all instances, including this one.
-    members: Vec<sync::Arc<str>>,
-    /// Largest number of instances that were known at the same time.
-    fleet_size: usize,
+    roster: roster::FleetRoster,
+    /// Whether the roster was starting at the last rebuild.
+    was_starting: bool,
     bounds: settings::FleetBounds,
 }
 
 impl PoolSources {
-    fn new(bounds: settings::FleetBounds) -> Self {
+    fn new(bounds: settings::FleetBounds, roster: roster::FleetRoster) -> Self {
         Self {
             pools: Vec::new(),
             registered: registry::RegistryView::default(),
             leaving: collections::HashSet::new(),
-            members: Vec::new(),
-            fleet_size: 0,
+            roster,
+            was_starting: true,
             bounds,
         }
     }
@@ -93,7 +92,10 @@
             topology: settings.topology.clone(),
             services: arc_swap::ArcSwap::default(),
             registered_revision: atomic::AtomicU64::new(0),
-            sources: sync::Mutex::new(PoolSources::new(settings.bounds)),
+            sources: sync::Mutex::new(PoolSources::new(
+                settings.bounds,
+                roster::FleetRoster::new(settings.identity.name.text(), clock.now()),
+            )),
             claims,
         }
     }
@@ -145,9 +147,24 @@
         let members = view.members.iter().map(|member| sync::Arc::clone(&member.name));
         let members: Vec<_> = members.collect();
         let mut sources = self.lock();
-        if sources.members != members {
-            sources.fleet_size = sources.fleet_size.max(members.len());
-            sources.members = members;
+        if sources.roster.set_members(members) {
+            self.rebuild(&sources);
+        }
+    }
+
+    /// Sets the names of the instances that the platform lists, running or not.
+    pub fn set_listed(&self, listed: Vec<sync::Arc<str>>) {
+        let mut sources = self.lock();
+        if sources.roster.set_listed(listed, self.clock.now()) {
+            self.rebuild(&sources);
+        }
+    }
+
+    /// Divides the bounds anew once the startup has ended.
+    pub fn end_startup(&self) {
+        let mut sources = self.lock();
+        if sources.was_starting && !sources.roster.is_starting(self.clock.now()) {
+            sources.was_starting = false;
             self.rebuild(&sources);
         }
     }
@@ -186,7 +203,8 @@
         pool: &pool::Pool,
         sources: &PoolSources,
     ) {
-        let (fleet_size, bounds) = (sources.fleet_size.max(1), sources.bounds);
+        let now = self.clock.now();
+        let (fleet_size, bounds) = (sources.roster.fleet_size(now), sources.bounds);
         let allowance = pool.cold_start.map(|cold| {
             let rate = f64::from(cold.rate_milli) / 1_000.0;
             cold::ColdAllowance::new(rate, bounds.cold_overage, bounds.cold_slack)
@@ -195,8 +213,7 @@
             locality_of: &|domain| self.locality_of(domain),
             // Pools without a cold start have a rate of 1 request per second.
             cold_rate_of: &|server| {
-                let rank = self.rank_for(server, &sources.members);
-                allowance.map_or(1, |allowance| allowance.share(rank, fleet_size))
+                allowance.map_or(1, |allowance| sources.roster.cold_share(allowance, server, now))
             },
             retry_burst: self.retry_burst(fleet_size, bounds),
             failback_step: bounds.max_shift.map(|shift| shift * FAILBACK_STEP_FRACTION),
@@ -211,14 +228,6 @@
         (bounds.retry_slack * RETRY_BUDGET_FRACTION / fleet_size as f64).max(1.0)
     }
 
-    /// Returns the number of instances that rendezvous hashing ranks before this one for a server.
-    fn rank_for(&self, server: &str, members: &[sync::Arc<str>]) -> usize {
-        let key = rendezvous::seed_of(server);
-        let score = |name: &str| rendezvous::score(key, rendezvous::seed_of(name));
-        let own = score(self.identity.name.as_str());
-        members.iter().filter(|name| score(name) > own).count()
-    }
-
     /// Returns the locality of a failure domain; one missing in the topology counts as another
     /// region, unless it is this instance's own.
     fn locality_of(&self, domain: &name::FailureDomainName) -> distance::DomainLocality {
