Dispatch: sessions overflow to regions with room, the lowest ranks first

Change: the region of a backup is drawn by the slots that the region's own requests are not expected to need, then the server within it; while a share of the requests must stay remote, those of the sessions of the lowest rank stay. Module placement takes this over from picker. Tests: delay::placement (fails with regions weighted by all their slots).

--- a/crates/coordination/dispatch/src/failback.rs
+++ b/crates/coordination/dispatch/src/failback.rs
@@ -58,16 +58,31 @@
         self.started_at.is_some()
     }
 
+    /// Returns the share of the requests, in thousandths, that must still be sent to remote
+    /// regions in the current window.
+    #[must_use]
+    pub fn min_remote_milli(&self, now: time::Timestamp) -> u32 {
+        let (_, previous) = self.counts_at(now);
+        match previous.all {
+            0..MIN_REQUESTS => 0,
+            all => (previous.remote * 1_000 / all).saturating_sub(self.failback_step_milli),
+        }
+    }
+
     /// Returns true if the next request must still be sent to a remote region.
     #[must_use]
     pub fn must_stay_remote(&self, now: time::Timestamp) -> bool {
-        let (current, previous) = self.counts_at(now);
-        if previous.all < MIN_REQUESTS {
-            return false;
-        }
-        let min_remote_milli =
-            (previous.remote * 1_000 / previous.all).saturating_sub(self.failback_step_milli);
-        current.remote * 1_000 < min_remote_milli * (current.all + 1)
+        let (current, _) = self.counts_at(now);
+        current.remote * 1_000 < self.min_remote_milli(now) * (current.all + 1)
+    }
+
+    /// Returns true if the next request may be sent to a remote region without keeping the
+    /// remote share from falling by most of the step.
+    #[must_use]
+    pub fn may_stay_remote(&self, now: time::Timestamp) -> bool {
+        let (current, _) = self.counts_at(now);
+        let max_remote_milli = self.min_remote_milli(now) + self.failback_step_milli / 8;
+        current.remote * 1_000 < max_remote_milli * (current.all + 1)
     }
 
     /// Records a request and whether it was sent to a remote region.
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`health`]: ejection and slow start.
 //! - [`mechanism`]: mechanisms that tests can disable.
 //! - [`picker`]: selection of a backend server.
+//! - `placement`: the servers that a session's requests prefer.
 //! - [`policy`]: dispatch parameters for each deployment objective.
 //! - [`queue`]: fair queue of the requests that need a slot.
 //! - [`roster`]: the instances among which bounds are divided.
@@ -27,6 +28,7 @@
 pub mod health;
 pub mod mechanism;
 pub mod picker;
+mod placement;
 pub mod policy;
 pub mod queue;
 pub mod roster;
--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -22,6 +22,7 @@
 use crate::failback;
 use crate::health;
 use crate::mechanism;
+use crate::placement;
 use crate::policy;
 use crate::server;
 use crate::session;
@@ -96,22 +97,23 @@
         server.estimated_open(now) == 0 || needed_us <= left_us
     }
 
-    fn admits(&self, address: net::SocketAddr, region: &Option<Arc<str>>) -> bool {
+    pub(crate) fn admits_region(&self, region: &Option<Arc<str>>) -> bool {
         let is_allowed =
             |regions: &[Arc<str>]| region.as_ref().is_some_and(|region| regions.contains(region));
-        let in_region = self.regions.is_none_or(is_allowed);
-        in_region && !self.excluded.contains(&address)
+        self.regions.is_none_or(is_allowed)
+    }
+
+    pub(crate) fn admits(&self, address: net::SocketAddr, region: &Option<Arc<str>>) -> bool {
+        self.admits_region(region) && !self.excluded.contains(&address)
     }
 }
 
-/// The servers that all instances of a region prefer for a session.
-#[derives::value]
-#[derive(Default)]
-struct SessionServers {
-    /// In the local region if it has an eligible server, otherwise in a remote one.
-    primary: Option<net::SocketAddr>,
-    /// In a remote region, for requests that exceed the capacity of the primary.
-    backup: Option<net::SocketAddr>,
+/// The session of a request, and where its requests go.
+#[derive(Debug, Clone, Copy)]
+struct SessionTarget {
+    session: session::SessionKey,
+    servers: placement::SessionServers,
+    backup_use: placement::BackupUse,
 }
 
 /// Selects among the backend servers of one pool.
@@ -120,6 +122,7 @@
     rule: policy::ChoiceRule,
     disabled: mechanism::DisabledMechanism,
     servers: Vec<server::ServerState>,
+    region_slots: placement::RegionSlots,
     indexes: collections::HashMap<net::SocketAddr, usize>,
     /// Mean service time, without the network round trip, in microseconds.
     service_time_us: u64,
@@ -136,6 +139,7 @@
             rule,
             disabled,
             servers: Vec::new(),
+            region_slots: placement::RegionSlots::default(),
             indexes,
             service_time_us: INITIAL_SERVICE_TIME_US,
             failback: None,
@@ -165,6 +169,7 @@
             state.request_load = server::LOAD_SCALE / u64::from(server.slots.max(1));
             state.listed = !server.draining;
         }
+        self.region_slots = placement::RegionSlots::of(&self.servers);
         self.remove_unlisted();
     }
 
@@ -184,20 +189,10 @@
         if has_started || self.servers.is_empty() {
             return;
         }
-        self.failback =
-            Some(failback::FailbackLimiter::new(failback_step, self.expected_remote_milli()));
-    }
-
-    /// Returns the share of the requests, in thousandths, that exceeds the local slots
-    /// if every region has the same demand.
-    fn expected_remote_milli(&self) -> u32 {
-        let regions: collections::BTreeSet<_> =
-            self.servers.iter().filter_map(|server| server.region.as_ref()).collect();
-        let slots = |server: &server::ServerState| u64::from(server.slots);
-        let local: u64 = self.servers.iter().filter(|server| server.is_local()).map(slots).sum();
-        let all: u64 = self.servers.iter().map(slots).sum();
-        let served_milli = local * regions.len() as u64 * 1_000 / all.max(1);
-        1_000 - u32::try_from(served_milli.min(1_000)).unwrap_or(1_000)
+        self.failback = Some(failback::FailbackLimiter::new(
+            failback_step,
+            self.region_slots.expected_remote_milli(),
+        ));
     }
 
     /// Sets the location of each server relative to this instance.
@@ -210,6 +205,7 @@
             server.distance.locality = domain.locality;
             server.region = domain.region;
         }
+        self.region_slots = placement::RegionSlots::of(&self.servers);
     }
 
     /// Sets the rate at which this instance may send to each cold server, in requests
@@ -246,6 +242,7 @@
         for server in &mut self.servers {
             server.leaving = leaving.contains(&server.address);
         }
+        self.region_slots = placement::RegionSlots::of(&self.servers);
     }
 
     /// Selects a usable server that has a free slot and meets the constraints.
@@ -286,12 +283,12 @@
                 usable.take(MAX_SCORED).min_by_key(|server| self.score(server, now))
             }
             policy::ChoiceRule::ExpectedDelay => {
-                let preferred = self.preferred_servers(criteria);
+                let target = self.session_target(criteria, now);
                 let expected_delay_us = |server: &server::ServerState| {
-                    server.expected_delay_us(self.service_time_us, now)
-                        + self.session_penalty_us(server, criteria, preferred)
+                    let penalty_us = target.map_or(0, |target| self.penalty_us(server, target));
+                    server.expected_delay_us(self.service_time_us, now) + penalty_us
                 };
-                if let Some(backup) = self.retained_backup(criteria, preferred, now) {
+                if let Some(backup) = self.retained_backup(criteria, target, now) {
                     return Some(backup);
                 }
                 let soonest = usable.min_by_key(|server| expected_delay_us(server));
@@ -416,58 +413,55 @@
         if ages && is_old && server.in_flight == 0 { 0 } else { server.score(now) }
     }
 
-    /// Returns the servers that all instances of the region prefer for a request's session.
-    ///
-    /// Their free capacity is ignored, so that the preference is stable.
-    fn preferred_servers(&self, criteria: &ServerCriteria<'_>) -> SessionServers {
-        let Some(session) = criteria.session else { return SessionServers::default() };
-        let best = |local: bool| {
-            let available = self.servers.iter().filter(|server| {
-                server.listed
-                    && !server.leaving
-                    && server.is_local() == local
-                    && criteria.admits(server.address, &server.region)
-            });
-            let best = available.max_by_key(|server| session.score(server.seed));
-            best.map(|server| server.address)
-        };
-        let (local, remote) = (best(true), best(false));
-        SessionServers { primary: local.or(remote), backup: local.and(remote) }
+    /// Returns the preferred servers of a request's session, if it has one.
+    fn session_target(
+        &self,
+        criteria: &ServerCriteria<'_>,
+        now: time::Timestamp,
+    ) -> Option<SessionTarget> {
+        let session = criteria.session?;
+        let min_remote_milli = self.failback.map_or(0, |failback| failback.min_remote_milli(now));
+        Some(SessionTarget {
+            session,
+            servers: self.region_slots.servers_for(session, &self.servers, criteria),
+            backup_use: placement::BackupUse::of(session, min_remote_milli),
+        })
     }
 
-    /// Returns the session's backup server while the failback limit keeps requests in
-    /// its region.
+    /// Returns the session's backup server if the session is placed there, or while the
+    /// failback limit keeps further requests in its region.
     fn retained_backup(
         &self,
         criteria: &ServerCriteria<'_>,
-        preferred: SessionServers,
+        target: Option<SessionTarget>,
         now: time::Timestamp,
     ) -> Option<net::SocketAddr> {
-        let address = preferred.backup.filter(|backup| !criteria.excluded.contains(backup))?;
-        self.failback.filter(|failback| failback.must_stay_remote(now))?;
+        let target = target?;
+        let address = target.servers.backup?;
+        let failback = self.failback?;
+        let is_retained = match target.backup_use {
+            placement::BackupUse::Placed => failback.may_stay_remote(now),
+            placement::BackupUse::Next => failback.must_stay_remote(now),
+            placement::BackupUse::Overflow => false,
+        };
         let server = &self.servers[*self.indexes.get(&address)?];
-        let is_available = server.is_usable(now) && server.has_capacity(now);
+        let is_available = is_retained && server.is_usable(now) && server.has_capacity(now);
         (is_available && criteria.meets_deadline(server, now)).then_some(address)
     }
 
     /// Returns the penalty for a server that is not the primary one of the request's session.
-    fn session_penalty_us(
-        &self,
-        server: &server::ServerState,
-        criteria: &ServerCriteria<'_>,
-        preferred: SessionServers,
-    ) -> u64 {
-        match criteria.session {
-            None => 0,
-            Some(_) if preferred.primary == Some(server.address) => 0,
-            Some(session) if server.sessions.contains(session) => {
-                self.service_time_us / RECENT_SESSION_DIVISOR
-            }
-            Some(_) if preferred.backup == Some(server.address) => {
-                self.service_time_us / BACKUP_SESSION_DIVISOR
-            }
-            Some(_) => self.service_time_us * UNKNOWN_SESSION_FACTOR,
+    fn penalty_us(&self, server: &server::ServerState, target: SessionTarget) -> u64 {
+        let is = |preferred: Option<net::SocketAddr>| preferred == Some(server.address);
+        if is(target.servers.primary) {
+            return 0;
+        }
+        if server.sessions.contains(target.session) {
+            return self.service_time_us / RECENT_SESSION_DIVISOR;
+        }
+        if is(target.servers.backup) {
+            return self.service_time_us / BACKUP_SESSION_DIVISOR;
         }
+        self.service_time_us * UNKNOWN_SESSION_FACTOR
     }
 
     fn pick_of_two<'a>(
--- a/crates/coordination/dispatch/src/session.rs
+++ b/crates/coordination/dispatch/src/session.rs
@@ -28,6 +28,21 @@
     pub const fn score(self, server: ServerSeed) -> u64 {
         rendezvous::score(self.0, server.0)
     }
+
+    /// Returns the session's rank among all sessions, in thousandths.
+    #[must_use]
+    pub fn rank_milli(self) -> u32 {
+        // Independent of the scores, which mix the key with a server's seed.
+        (rendezvous::mix(!self.0) % 1_000) as u32
+    }
+
+    /// Returns the rendezvous score of a choice that is preferred in proportion to its weight.
+    #[must_use]
+    pub(crate) fn weighted_score(self, seed: u64, weight: f64) -> f64 {
+        const SCORES: f64 = (1_u64 << 53) as f64;
+        let uniform = ((rendezvous::score(self.0, seed) >> 11) as f64 + 0.5) / SCORES;
+        -weight / uniform.ln()
+    }
 }
 
 /// A server, identified by a hash of its identifier or address.
--- a/crates/coordination/dispatch/tests/delay/choice.rs
+++ b/crates/coordination/dispatch/tests/delay/choice.rs
@@ -1,114 +1,38 @@
 //! Choice by expected delay: locality, session affinity, slots and cold servers.
 
-use std::net;
 use std::sync::Arc;
 use std::time as duration;
 
 use marjoramwing_dispatch::cold;
-use marjoramwing_dispatch::distance;
-use marjoramwing_dispatch::mechanism;
 use marjoramwing_dispatch::picker;
-use marjoramwing_dispatch::policy;
-use marjoramwing_dispatch::session;
-use marjoramwing_entity::primary;
-use marjoramwing_entity::time;
-use marjoramwing_tables::name;
-use marjoramwing_tables::pool;
 
-const SLOTS: u32 = 3;
-
-fn parse_name<T: for<'a> TryFrom<&'a Arc<str>>>(text: &str) -> T {
-    T::try_from(&Arc::from(text)).ok().expect("a valid name")
-}
-
-fn address(number: u8) -> net::SocketAddr {
-    net::SocketAddr::from(([10, 0, 0, number], 80))
-}
-
-fn at(millis: u64) -> time::Timestamp {
-    time::Timestamp::from_millis(millis)
-}
-
-/// A registered server: its number, failure domain and cold time in milliseconds.
-type TestServer = (u8, &'static str, u64);
-
-fn make_pool(servers: &[TestServer], started_ms: u64) -> pool::Pool {
-    let servers: primary::PrimaryMap<pool::ServerKey, _> = servers
-        .iter()
-        .map(|(number, domain, cold_ms)| pool::BackendServer {
-            address: address(*number),
-            failure_domain: parse_name(domain),
-            slots: SLOTS,
-            draining: false,
-            registered: Some(pool::ServerIdentity {
-                id: format!("i-{number}").into(),
-                started_ms,
-                cold_for: duration::Duration::from_millis(*cold_ms),
-            }),
-        })
-        .collect();
-    pool::Pool { name: parse_name("web"), servers, cold_start: None }
-}
-
-fn locality_of(domain: &name::FailureDomainName) -> distance::DomainLocality {
-    let locality = match domain.as_str() {
-        "west-a" => distance::ServerLocality::SameDomain,
-        "west-b" => distance::ServerLocality::SameRegion,
-        _ => distance::ServerLocality::OtherRegion,
-    };
-    let region = domain.as_str().split('-').next().map(Arc::from);
-    distance::DomainLocality { locality, region }
-}
-
-fn make_picker(servers: &[TestServer]) -> picker::BackendPicker {
-    let disabled = mechanism::DisabledMechanism::Nothing;
-    let mut picker = picker::BackendPicker::new(policy::ChoiceRule::ExpectedDelay, disabled);
-    picker.set_servers(&make_pool(servers, 1), at(0));
-    picker.set_localities(&locality_of);
-    picker
-}
-
-fn pick(
-    picker: &picker::BackendPicker,
-    criteria: &picker::ServerCriteria<'_>,
-    now: u64,
-) -> Option<u8> {
-    match picker.pick(criteria, now, at(now))? {
-        net::SocketAddr::V4(address) => Some(address.ip().octets()[3]),
-        net::SocketAddr::V6(_) => None,
-    }
-}
-
-fn session_criteria(session: &str) -> picker::ServerCriteria<'static> {
-    let session = Some(session::SessionKey::of(session));
-    picker::ServerCriteria { session, ..Default::default() }
-}
+use crate::support;
 
 #[test]
 fn nearest_server_is_chosen_first() {
-    let picker = make_picker(&[(1, "east-a", 0), (2, "west-b", 0), (3, "west-a", 0)]);
-    assert_eq!(pick(&picker, &picker::ServerCriteria::default(), 1), Some(3));
+    let picker = support::make_picker(&[(1, "east-a", 0), (2, "west-b", 0), (3, "west-a", 0)]);
+    assert_eq!(support::pick(&picker, &picker::ServerCriteria::default(), 1), Some(3));
 }
 
 #[test]
 fn request_goes_only_to_its_allowed_regions() {
-    let picker = make_picker(&[(1, "east-a", 0), (2, "west-b", 0)]);
+    let picker = support::make_picker(&[(1, "east-a", 0), (2, "west-b", 0)]);
     let east = [Arc::from("east")];
     let criteria = picker::ServerCriteria { regions: Some(&east), ..Default::default() };
-    assert_eq!(pick(&picker, &criteria, 1), Some(1));
+    assert_eq!(support::pick(&picker, &criteria, 1), Some(1));
     let none = picker::ServerCriteria { regions: Some(&[]), ..Default::default() };
-    assert_eq!(pick(&picker, &none, 1), None);
+    assert_eq!(support::pick(&picker, &none, 1), None);
     assert!(!picker.has_server(&none));
 }
 
 #[test]
 fn instances_of_a_region_send_a_session_to_one_server() {
     let servers = [(1, "west-a", 0), (2, "west-b", 0), (3, "west-a", 0), (4, "west-b", 0)];
-    let picker = make_picker(&servers);
+    let picker = support::make_picker(&servers);
     let mut reversed = servers;
     reversed.reverse();
-    let other = make_picker(&reversed);
-    let chosen = |picker, name: &str| pick(picker, &session_criteria(name), 1);
+    let other = support::make_picker(&reversed);
+    let chosen = |picker, name: &str| support::pick(picker, &support::session_criteria(name), 1);
     let names: Vec<_> = (0..64).map(|name| name.to_string()).collect();
     assert!(names.iter().all(|name| chosen(&picker, name) == chosen(&other, name)));
     let used =
@@ -118,48 +42,55 @@
 
 #[test]
 fn session_waits_for_its_full_server() {
-    let mut picker = make_picker(&[(1, "west-a", 0), (2, "west-a", 0)]);
-    let primary = picker.pick(&session_criteria("7"), 1, at(1)).unwrap();
-    for _ in 0..=SLOTS {
-        picker.occupy_slot(primary, None, at(1));
+    let mut picker = support::make_picker(&[(1, "west-a", 0), (2, "west-a", 0)]);
+    let primary = picker.pick(&support::session_criteria("7"), 1, support::at(1)).unwrap();
+    for _ in 0..=support::SLOTS {
+        picker.occupy_slot(primary, None, support::at(1));
     }
-    assert_eq!(pick(&picker, &session_criteria("7"), 2), None);
-    assert!(pick(&picker, &picker::ServerCriteria::default(), 2).is_some());
+    assert_eq!(support::pick(&picker, &support::session_criteria("7"), 2), None);
+    assert!(support::pick(&picker, &picker::ServerCriteria::default(), 2).is_some());
 }
 
 #[test]
 fn session_moves_from_a_leaving_server() {
-    let mut picker = make_picker(&[(1, "west-a", 0), (2, "west-a", 0)]);
-    let primary = picker.pick(&session_criteria("7"), 1, at(1)).unwrap();
+    let mut picker = support::make_picker(&[(1, "west-a", 0), (2, "west-a", 0)]);
+    let primary = picker.pick(&support::session_criteria("7"), 1, support::at(1)).unwrap();
     picker.set_leaving(&[primary].into());
-    let next = picker.pick(&session_criteria("7"), 1, at(2));
+    let next = picker.pick(&support::session_criteria("7"), 1, support::at(2));
     assert!(next.is_some_and(|next| next != primary));
 }
 
 #[test]
 fn busy_server_gets_no_request_that_would_miss_its_deadline() {
-    let mut picker = make_picker(&[(1, "west-a", 0)]);
-    picker.occupy_slot(address(1), None, at(0));
+    let mut picker = support::make_picker(&[(1, "west-a", 0)]);
+    picker.occupy_slot(support::address(1), None, support::at(0));
     let latency = duration::Duration::from_millis(800);
     let result = picker::ReportedResult::Answered(latency);
-    picker.release_slot(address(1), picker::AttemptReport { result, open_requests: None }, at(800));
-    picker.occupy_slot(address(1), None, at(800));
-    let due = |millis| picker::ServerCriteria { deadline: Some(at(millis)), ..Default::default() };
-    assert_eq!(pick(&picker, &due(1_500), 800), None);
-    assert_eq!(pick(&picker, &due(1_700), 800), Some(1));
+    picker.release_slot(
+        support::address(1),
+        picker::AttemptReport { result, open_requests: None },
+        support::at(800),
+    );
+    picker.occupy_slot(support::address(1), None, support::at(800));
+    let due = |millis| picker::ServerCriteria {
+        deadline: Some(support::at(millis)),
+        ..Default::default()
+    };
+    assert_eq!(support::pick(&picker, &due(1_500), 800), None);
+    assert_eq!(support::pick(&picker, &due(1_700), 800), Some(1));
 }
 
 #[test]
 fn cold_server_gets_at_most_the_allowed_rate() {
-    let mut picker = make_picker(&[(1, "west-a", 3_000)]);
+    let mut picker = support::make_picker(&[(1, "west-a", 3_000)]);
     picker.set_cold_rates(&|_| 2);
     let mut sent = Vec::new();
     for now in 0..5_000 {
-        if pick(&picker, &picker::ServerCriteria::default(), now).is_some() {
-            picker.occupy_slot(address(1), None, at(now));
+        if support::pick(&picker, &picker::ServerCriteria::default(), now).is_some() {
+            picker.occupy_slot(support::address(1), None, support::at(now));
             let result = picker::ReportedResult::Answered(duration::Duration::from_millis(1));
             let report = picker::AttemptReport { result, open_requests: None };
-            picker.release_slot(address(1), report, at(now));
+            picker.release_slot(support::address(1), report, support::at(now));
             sent.push(now);
         }
     }
@@ -173,14 +104,14 @@
 
 #[test]
 fn new_server_at_the_same_address_has_its_own_id() {
-    let mut picker = make_picker(&[(1, "west-a", 0)]);
-    picker.occupy_slot(address(1), None, at(0));
-    let mut pool = make_pool(&[(1, "west-a", 0)], 2);
+    let mut picker = support::make_picker(&[(1, "west-a", 0)]);
+    picker.occupy_slot(support::address(1), None, support::at(0));
+    let mut pool = support::make_pool(&[(1, "west-a", 0)], 2);
     let server = pool.servers.iter_mut().next().unwrap().1;
     server.registered.as_mut().unwrap().id = "i-9".into();
-    picker.set_servers(&pool, at(1));
-    assert_eq!(picker.server_id(address(1)).as_deref(), Some("i-9"));
-    assert_eq!(picker.in_flight(address(1)), 1);
+    picker.set_servers(&pool, support::at(1));
+    assert_eq!(picker.server_id(support::address(1)).as_deref(), Some("i-9"));
+    assert_eq!(picker.in_flight(support::address(1)), 1);
 }
 
 /// The shares of all instances of a fleet add up to at most the limit.
@@ -206,24 +137,27 @@
 fn remote_shares(failback_step: Option<f64>) -> Vec<usize> {
     const WINDOW_MS: u64 = 2_000;
     const INTERVAL_MS: u64 = 20;
-    let mut picker = make_picker(&[(1, "west-a", 0), (2, "east-a", 0)]);
+    let mut picker = support::make_picker(&[(1, "west-a", 0), (2, "east-a", 0)]);
     failback_step.into_iter().for_each(|failback_step| picker.limit_failback(failback_step));
-    (0..=SLOTS).for_each(|_| picker.occupy_slot(address(1), None, at(0)));
+    (0..=support::SLOTS)
+        .for_each(|_| picker.occupy_slot(support::address(1), None, support::at(0)));
     let result = picker::ReportedResult::Answered(duration::Duration::from_millis(1));
     let report = picker::AttemptReport { result, open_requests: None };
     let mut shares = Vec::new();
     for window in 0..8 {
         let mut remote = 0;
         for step in 0..WINDOW_MS / INTERVAL_MS {
-            let now = at(window * WINDOW_MS + step * INTERVAL_MS);
-            let criteria = session_criteria("7");
-            let chosen = picker.pick(&criteria, step, now).unwrap_or(address(2));
-            remote += usize::from(chosen == address(2));
+            let now = support::at(window * WINDOW_MS + step * INTERVAL_MS);
+            let criteria = support::session_criteria("7");
+            let chosen = picker.pick(&criteria, step, now).unwrap_or(support::address(2));
+            remote += usize::from(chosen == support::address(2));
             picker.occupy_slot(chosen, criteria.session, now);
             picker.release_slot(chosen, report, now);
         }
         if window == 0 {
-            (0..=SLOTS).for_each(|_| picker.release_slot(address(1), report, at(WINDOW_MS)));
+            (0..=support::SLOTS).for_each(|_| {
+                picker.release_slot(support::address(1), report, support::at(WINDOW_MS))
+            });
         }
         shares.push(remote);
     }
@@ -250,20 +184,24 @@
 /// register must not matter (mycotrail-gslb-grown, quiet-1).
 fn check_first_split(registered_first: usize) {
     let servers = [(1, "west-a", 0), (2, "east-a", 0), (3, "east-a", 0), (4, "east-b", 0)];
-    let mut picker = make_picker(&servers[..registered_first]);
+    let mut picker = support::make_picker(&servers[..registered_first]);
     picker.limit_failback(0.09);
-    picker.set_servers(&make_pool(&servers, 1), at(0));
-    picker.set_localities(&locality_of);
+    picker.set_servers(&support::make_pool(&servers, 1), support::at(0));
+    picker.set_localities(&support::locality_of);
     picker.limit_failback(0.09);
     let mut remote = 0;
     for now in 1..=100 {
         let name = now.to_string();
-        let criteria = session_criteria(&name);
-        let chosen = picker.pick(&criteria, now, at(now)).unwrap();
-        remote += usize::from(chosen != address(1));
-        picker.occupy_slot(chosen, criteria.session, at(now));
+        let criteria = support::session_criteria(&name);
+        let chosen = picker.pick(&criteria, now, support::at(now)).unwrap();
+        remote += usize::from(chosen != support::address(1));
+        picker.occupy_slot(chosen, criteria.session, support::at(now));
         let result = picker::ReportedResult::Answered(duration::Duration::from_millis(1));
-        picker.release_slot(chosen, picker::AttemptReport { result, open_requests: None }, at(now));
+        picker.release_slot(
+            chosen,
+            picker::AttemptReport { result, open_requests: None },
+            support::at(now),
+        );
     }
     // The local region has one of four servers but half of the demand, so half of its
     // requests go to remote servers, within a step.
@@ -280,17 +218,17 @@
 /// of slots never caught up (mycotrail-gslb, scale-2).
 #[test]
 fn session_waits_for_its_overloaded_server() {
-    let mut picker = make_picker(&[(1, "west-a", 0), (2, "west-a", 0)]);
-    let criteria = session_criteria("7");
-    let primary = picker.pick(&criteria, 0, at(0)).unwrap();
-    for _ in 0..4 * SLOTS {
-        picker.occupy_slot(primary, criteria.session, at(0));
+    let mut picker = support::make_picker(&[(1, "west-a", 0), (2, "west-a", 0)]);
+    let criteria = support::session_criteria("7");
+    let primary = picker.pick(&criteria, 0, support::at(0)).unwrap();
+    for _ in 0..4 * support::SLOTS {
+        picker.occupy_slot(primary, criteria.session, support::at(0));
     }
-    assert_eq!(picker.pick(&criteria, 0, at(1)), None);
+    assert_eq!(picker.pick(&criteria, 0, support::at(1)), None);
     // A request without a session goes to the other server.
     assert!(
         picker
-            .pick(&picker::ServerCriteria::default(), 0, at(1))
+            .pick(&picker::ServerCriteria::default(), 0, support::at(1))
             .is_some_and(|chosen| chosen != primary)
     );
 }
--- /dev/null
+++ b/crates/coordination/dispatch/tests/delay/main.rs
@@ -0,0 +1,5 @@
+//! Choice by expected delay.
+
+mod choice;
+mod placement;
+mod support;
