Store: fewer calls while servers register, and lists that end early are errors

A page of a list whose last entry had no name, and a list of more than MAX_PAGES pages, counted as complete, so that later servers were taken as gone. Change: 2 s between watches in the first 4 s of a process, which is not yet bound by the time that a leaving server may get requests; then 400 ms, growing to 1 s while changes keep coming; watches wait 28 s, since keepalive probes find a silent connection within 3 s; the first list and the list of instances may be old, which costs a tenth, and the watch behind it catches up. A list continues after its last named entry; one without any is an error, as is one too long. Tests: watch_pause, list_is_continued_after_an_entry_without_a_name, check_list_path.

--- a/crates/coordination/configuration/src/settings.rs
+++ b/crates/coordination/configuration/src/settings.rs
@@ -100,7 +100,7 @@
         Self {
             // A long watch costs one call and is faster than a notice from a peer.
             watchers_per_region: usize::MAX,
-            watch_wait: time::Duration::from_secs(15),
+            watch_wait: time::Duration::from_secs(28),
             retry_delay: time::Duration::from_millis(250),
             max_retry_delay: time::Duration::from_secs(1),
             max_start_delay: time::Duration::from_millis(100),
--- a/crates/protocol/object-api/src/call.rs
+++ b/crates/protocol/object-api/src/call.rs
@@ -47,6 +47,15 @@
     HistoryGone,
 }
 
+/// How recent the objects of a list must be.
+#[derives::value]
+pub enum ListFreshness {
+    /// As recent as the store's revision.
+    Current,
+    /// May be seconds old, which costs the store less; the list's revision tells its age.
+    MayBeOld,
+}
+
 /// One page of the list of all objects of a kind.
 #[derives::record]
 pub struct ListPage {
--- a/crates/transport/node/src/control/listing.rs
+++ b/crates/transport/node/src/control/listing.rs
@@ -22,6 +22,8 @@
 
 /// Poll interval where each read is charged for; members learn of new instances from peers.
 const METERED_PERIOD: time::Duration = time::Duration::from_secs(20);
+/// Poll interval there while no other instance is known, after the first two polls.
+const METERED_JOIN_PERIOD: time::Duration = time::Duration::from_secs(3);
 
 /// Polls the list until the task is cancelled.
 ///
@@ -33,7 +35,7 @@
     events: mpsc::Sender<keeper::MembershipEvent>,
 ) {
     let mut addresses = shared.settings.contacts.clone();
-    loop {
+    for poll in 0_u32.. {
         if let Ok(list) = client.list_instances().await {
             shared.dispatch.set_leaving(leaving_servers(&list));
             shared.admission.set_listed_count(list.instances.len());
@@ -50,6 +52,7 @@
         let knows_others = shared.members.load().members.len() > 1;
         let is_metered = shared.settings.dialect == settings::InterfaceDialect::Platform;
         let period = match (knows_others, is_metered) {
+            (false, true) if poll > 0 => METERED_JOIN_PERIOD,
             (false, _) => JOIN_PERIOD,
             (true, false) => LISTING_PERIOD,
             (true, true) => METERED_PERIOD,
--- a/crates/transport/node/src/control/mod.rs
+++ b/crates/transport/node/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! - [`dump`]: state of these tasks in the state dump.
 //! - [`listing`]: polls the platform's list of instances and backend servers.
 //! - [`membership`]: drives the membership keeper.
+//! - [`pause`]: delay between two watches.
 //! - [`registry`]: watches the registrations of backend servers.
 //! - [`reload`]: reloads the settings file.
 //! - [`store`]: creates the client of the platform's store.
@@ -14,6 +15,7 @@
 pub mod dump;
 pub mod listing;
 pub mod membership;
+pub mod pause;
 pub mod registry;
 pub mod reload;
 pub mod store;
--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -5,6 +5,7 @@
 
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
+use marjoramwing_object_api::call;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
 use marjoramwing_registry::change;
@@ -12,17 +13,16 @@
 use marjoramwing_store_client::client;
 use tokio::sync::mpsc;
 
+use crate::control::pause;
 use crate::shared;
 
 /// Long-poll timeout of a watch.
-const WATCH_WAIT: time::Duration = time::Duration::from_secs(15);
+const WATCH_WAIT: time::Duration = time::Duration::from_secs(28);
 /// Initial and maximum delay before a failed call is retried.
 const FIRST_RETRY_DELAY: time::Duration = time::Duration::from_millis(250);
 const MAX_RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
 /// Interval at which the registry expires servers that have not returned in time.
 const TICK_PERIOD: time::Duration = time::Duration::from_millis(200);
-/// Delay between watches, so that changes in quick succession cost one call.
-const WATCH_PAUSE: time::Duration = time::Duration::from_millis(400);
 /// Capacity of the registry's event queue.
 const EVENT_QUEUE: usize = 64;
 
@@ -61,6 +61,9 @@
     // Revision of the last answer; 0 if all objects of the kind have to be listed.
     let mut after = 0;
     let mut retry_delay = FIRST_RETRY_DELAY;
+    let mut pause = pause::WatchPause::new(shared.now());
+    // The first list may be old: the watch that follows returns what has changed since.
+    let mut freshness = call::ListFreshness::MayBeOld;
     loop {
         let sent_at = shared.now();
         // After a failure the watch returns at once, so that the store's recovery is noticed
@@ -69,7 +72,7 @@
         let wait = if has_failed { time::Duration::ZERO } else { WATCH_WAIT };
         let request = operation::WatchRequest { kind, after_revision: after, wait };
         let answer = match after {
-            0 => client.list(kind).await,
+            0 => client.list(kind, freshness).await,
             _ => client.watch_changes(&request).await,
         };
         let event = match answer {
@@ -104,7 +107,12 @@
         if events.send(event).await.is_err() {
             return;
         }
-        tokio::time::sleep(WATCH_PAUSE).await;
+        if freshness == call::ListFreshness::MayBeOld {
+            freshness = call::ListFreshness::Current;
+            continue;
+        }
+        let now = shared.now();
+        tokio::time::sleep(pause.next(now.since(sent_at), now)).await;
     }
 }
 
--- a/crates/transport/store-client/src/client.rs
+++ b/crates/transport/store-client/src/client.rs
@@ -172,10 +172,12 @@
         request: &operation::WatchRequest,
     ) -> Result<operation::WatchAnswer, StoreError> {
         if self.dialect.lists_first() && request.after_revision == 0 {
-            return self.list(request.kind).await;
+            return self.list(request.kind, call::ListFreshness::Current).await;
         }
         match self.watch_changes(request).await {
-            Err(StoreError::HistoryGone { .. }) => self.list(request.kind).await,
+            Err(StoreError::HistoryGone { .. }) => {
+                self.list(request.kind, call::ListFreshness::Current).await
+            }
             answer => answer,
         }
     }
@@ -204,7 +206,9 @@
     pub async fn list_instances(&self) -> Result<listing::InstanceListing, StoreError> {
         match self.dialect {
             dialect::StoreDialect::Platform => {
-                let answer = self.list(object::ObjectKind::Instances).await?;
+                // The entries are only hints where to find other instances.
+                let freshness = call::ListFreshness::MayBeOld;
+                let answer = self.list(object::ObjectKind::Instances, freshness).await?;
                 Ok(platform::parse_instances(&answer))
             }
             dialect::StoreDialect::Native => {
@@ -217,19 +221,18 @@
 
     /// Reads all objects of a kind, page by page, with the list call of the platform dialect.
     ///
-    /// Pages beyond `MAX_PAGES` are not read.
-    ///
     /// # Errors
     ///
-    /// Returns an error if the call failed.
+    /// Returns an error if a call failed, or if the list has more than `MAX_PAGES` pages.
     pub async fn list(
         &self,
         kind: object::ObjectKind,
+        freshness: call::ListFreshness,
     ) -> Result<operation::WatchAnswer, StoreError> {
         let mut merged: Option<operation::WatchAnswer> = None;
         let mut after = None;
         for _ in 0..MAX_PAGES {
-            let call = platform::encode_list(kind, after.as_deref());
+            let call = platform::encode_list(kind, after.as_deref(), freshness);
             let response = self.call(call, self.timeout).await?;
             let page = platform::decode_list(kind, &response);
             let page = page.map_err(|fault| self.call_error(fault))?;
@@ -241,10 +244,10 @@
             }
             after = page.next_after;
             if after.is_none() {
-                break;
+                return merged.ok_or(StoreError::Unreadable { address: self.address });
             }
         }
-        merged.ok_or(StoreError::NoResponse { address: self.address })
+        Err(StoreError::Unreadable { address: self.address })
     }
 
     async fn call(
