--- a/crates/coordination/dispatch/tests/delay/choice.rs
+++ b/crates/coordination/dispatch/tests/delay/choice.rs
@@ -156,7 +156,7 @@
         }
         if window == 0 {
             (0..=support::SLOTS).for_each(|_| {
-                picker.release_slot(support::address(1), report, support::at(WINDOW_MS))
+                picker.release_slot(support::address(1), report, support::at(WINDOW_MS));
             });
         }
         shares.push(remote);
