--- a/crates/transport/node/tests/watch_pause.rs
+++ b/crates/transport/node/tests/watch_pause.rs
@@ -18,8 +18,8 @@
     let (mut now, mut count) = (begin, 0);
     while now < begin + span {
         count += 1;
-        now = now + ANSWER;
-        now = now + pauses.next(ANSWER, now);
+        now += ANSWER;
+        now += pauses.next(ANSWER, now);
     }
     count
 }
