--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -10,8 +10,10 @@
 //! - [`health`]: ejection and slow start.
 //! - [`mechanism`]: mechanisms that tests can disable.
 //! - [`picker`]: selection of a backend server.
+//! - `placement`: the servers that a session's requests prefer.
 //! - [`policy`]: dispatch parameters for each deployment objective.
 //! - [`queue`]: fair queue of the requests that need a slot.
+//! - [`roster`]: the instances among which bounds are divided.
 //! - `server`: state of one backend server as seen by this instance.
 //! - [`service`]: dispatch of one service, the run-time side of one pool.
 //! - [`session`]: session affinity.
@@ -26,8 +28,10 @@
 pub mod health;
 pub mod mechanism;
 pub mod picker;
+mod placement;
 pub mod policy;
 pub mod queue;
+pub mod roster;
 mod server;
 pub mod service;
 pub mod session;
