Ledger: limits in thin slices use the common bucket

Cause: with 119 instances most teams have less than a token an instance and second. Change: the reserve counts the requests that can arrive before reports tell of them, by the reported demand of all instances and a surge to eight times of it, and one an instance at most.

--- a/crates/coordination/ledger/src/local.rs
+++ b/crates/coordination/ledger/src/local.rs
@@ -26,6 +26,11 @@
 /// Fraction of the surplus in the global bucket that may be taken until the next step,
 /// since what other instances took during the last step is not reported yet.
 const ALLOWANCE_FRACTION: f64 = 0.5;
+/// Time for which an instance does not know what the others admit: a report period and the
+/// delay of the report, in seconds.
+const UNREPORTED_SECONDS: f64 = 0.3;
+/// Factor by which a team's requests may increase before reports tell of it.
+const SURGE_FACTOR: f64 = 8.0;
 /// Fraction of the burst that the local buckets hold while the global bucket is in use.
 const LOCAL_BURST_FRACTION: f64 = 0.3;
 
@@ -50,6 +55,8 @@
     limit: team::RateLimit,
     tolerance: split::LimitTolerance,
     demand: demand::DemandMeter,
+    /// Requests per second at all instances, as last reported.
+    fleet_demand: f64,
     /// Fraction of the limit that this instance may spend.
     fraction: f64,
     /// Fraction by the latest reports; an increase takes effect one step later, when the
@@ -78,6 +85,7 @@
             limit,
             tolerance,
             demand: demand::DemandMeter::new(DEMAND_DECAY),
+            fleet_demand: f64::INFINITY,
             fraction: 1.0 / fleet.instances as f64,
             next_fraction: 1.0 / fleet.instances as f64,
             local_tokens: 1.0,
@@ -138,13 +146,17 @@
 
     /// Sets the fraction and the allowance until the next step; returns true if any request
     /// arrived since the last step.
+    ///
+    /// `fleet_demand` is the number of requests per second at all instances.
     pub(crate) fn update_fraction(
         &mut self,
         fraction: f64,
+        fleet_demand: f64,
         fleet: FleetSize,
         now: time::Timestamp,
     ) -> bool {
         self.refill(fleet, now);
+        self.fleet_demand = fleet_demand;
         self.fraction = fraction.min(self.next_fraction);
         self.next_fraction = fraction;
         let surplus = self.global_tokens - self.reserve(fleet);
@@ -171,7 +183,7 @@
             self.allowance -= 1.0;
             // Also uses up a local token, which could otherwise be spent on top of the allowance.
             self.local_tokens = (self.local_tokens - 1.0).max(0.0);
-        } else if self.local_tokens >= 1.0 {
+        } else if self.local_tokens >= 1.0 && !self.is_overdrawn(fleet) {
             self.local_tokens -= 1.0;
         } else {
             return Err(self.time_to_token());
@@ -181,14 +193,35 @@
         Ok(())
     }
 
+    /// Returns true if the instances have together admitted so much that local buckets, whose
+    /// sum may be larger than the burst in a large fleet, must wait as well.
+    ///
+    /// Without the reports of most instances the estimate says too little.
+    fn is_overdrawn(&self, fleet: FleetSize) -> bool {
+        fleet.reporting * 2 > fleet.instances && self.global_tokens < -self.max_debt()
+    }
+
+    /// Returns the tokens by which the global bucket may be overdrawn.
+    fn max_debt(&self) -> f64 {
+        (1.0 - USED_TOLERANCE) * self.tolerated()
+    }
+
+    /// Returns the number of requests by which a window may exceed the limit.
+    fn tolerated(&self) -> f64 {
+        let window = self.tolerance.window.as_secs_f64();
+        let allowed = self.limit.rate * window + f64::from(self.limit.burst);
+        allowed * self.tolerance.overage + self.tolerance.slack
+    }
+
     /// Returns the tokens kept in the global bucket for admissions that exceed the allowances.
     fn reserve(&self, fleet: FleetSize) -> f64 {
-        let (rate, burst) = (self.limit.rate, f64::from(self.limit.burst));
-        let allowed = rate * self.tolerance.window.as_secs_f64() + burst;
-        let tolerated = allowed * self.tolerance.overage + self.tolerance.slack;
-        // Each instance may admit one excess request, or what its local bucket holds.
-        let excess = (fleet.instances as f64).max(LOCAL_BURST_FRACTION * burst + SPARE_TOKENS);
-        (excess - USED_TOLERANCE * tolerated).clamp(0.0, burst)
+        let burst = f64::from(self.limit.burst);
+        // Each instance may admit one excess request, if one arrives there before reports tell
+        // of the others, or what its local bucket holds.
+        let unreported = self.fleet_demand * UNREPORTED_SECONDS * SURGE_FACTOR;
+        let excess = unreported.min(fleet.instances as f64);
+        let excess = excess.max(LOCAL_BURST_FRACTION * burst + SPARE_TOKENS);
+        (excess - USED_TOLERANCE * self.tolerated()).clamp(0.0, burst)
     }
 
     fn local_capacity(&self, fleet: FleetSize) -> f64 {
@@ -216,8 +249,10 @@
     }
 
     fn time_to_token(&self) -> duration::Duration {
-        let rate = (self.limit.rate * self.fraction).max(f64::MIN_POSITIVE);
-        let seconds = (1.0 - self.local_tokens) / rate;
-        duration::Duration::from_secs_f64(seconds.min(MAX_RETRY.as_secs_f64()))
+        let local_rate = (self.limit.rate * self.fraction).max(f64::MIN_POSITIVE);
+        let until_local = (1.0 - self.local_tokens) / local_rate;
+        let until_global = (-self.max_debt() - self.global_tokens) / self.limit.rate;
+        let seconds = until_local.max(until_global);
+        duration::Duration::from_secs_f64(seconds.clamp(0.0, MAX_RETRY.as_secs_f64()))
     }
 }
--- a/crates/coordination/ledger/src/split.rs
+++ b/crates/coordination/ledger/src/split.rs
@@ -242,8 +242,9 @@
         let mut report = Vec::new();
         for (id, limit) in &mut self.limits {
             let own = limit.demand(now);
-            let own_fraction = fraction_by_demand(*id, limit.limit(), own, &mut self.peers, fleet);
-            let has_new_requests = limit.update_fraction(own_fraction, fleet, now);
+            let share = share_by_demand(*id, limit.limit(), own, &mut self.peers, fleet);
+            let has_new_requests =
+                limit.update_fraction(share.fraction, share.fleet_demand, fleet, now);
             if has_new_requests || (is_full && own >= MIN_REPORTED_DEMAND) {
                 let admitted = limit.admitted();
                 report.push(LimitDemand { id: *id, per_second: own, admitted });
@@ -292,17 +293,24 @@
     }
 }
 
+/// This instance's fraction of a limit, and the demand by which it was computed.
+struct DemandShare {
+    fraction: f64,
+    /// Requests per second at all instances.
+    fleet_demand: f64,
+}
+
 /// Returns this instance's fraction of a limit, and records the fractions of the instances
 /// whose reports arrive.
 ///
 /// A silent instance may only be partitioned, so its last fraction is left to it.
-fn fraction_by_demand(
+fn share_by_demand(
     id: limit::LimitId,
     limit: team::RateLimit,
     own: f64,
     peers: &mut collections::BTreeMap<incarnation::Incarnation, PeerReport>,
     fleet: local::FleetSize,
-) -> f64 {
+) -> DemandShare {
     let (mut reported_demand, mut silent_fraction, mut silent_count) = (0.0, 0.0, 0);
     for peer in peers.values() {
         let limit = peer.limits.get(&id);
@@ -326,5 +334,7 @@
             limit.fraction = fraction_of(limit.demand.per_second(peer.reported_at));
         }
     }
-    fraction_of(own)
+    // A silent instance may have as many requests as its fraction.
+    let fleet_demand = own * (1.0 + unknown_count) + reported_demand + silent_fraction * limit.rate;
+    DemandShare { fraction: fraction_of(own), fleet_demand }
 }
--- a/crates/coordination/ledger/tests/split.rs
+++ b/crates/coordination/ledger/tests/split.rs
@@ -196,8 +196,8 @@
 
 /// Regression test: requests of a small team within its limit, spread over many instances,
 /// were refused where the local bucket was empty (seen on mycotrail-gslb-grown, quiet-1).
-fn check_small_team(delay_ms: u64) {
-    let mut fleet = Fleet::with_limit(MANY_INSTANCES, limit_of(SMALL_RATE));
+fn check_small_team(instances: usize, delay_ms: u64) {
+    let mut fleet = Fleet::with_limit(instances, limit_of(SMALL_RATE));
     fleet.delay_ms = delay_ms;
     let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(7);
     let usual_rate = f64::from(SMALL_RATE) / 1.6;
@@ -211,15 +211,16 @@
 }
 
 marjoramwing_testing::cases! { check_small_team:
-    small_team_is_served_over_many_instances => (0);
-    small_team_is_served_over_many_instances_far_apart => (60);
+    small_team_is_served_over_many_instances => (MANY_INSTANCES, 0);
+    small_team_is_served_over_many_instances_far_apart => (MANY_INSTANCES, 60);
+    small_team_is_served_over_119_instances => (119, 35);
 }
 
 /// A sudden increase of a team's requests keeps the bound, also while some instances are
 /// partitioned.
-fn check_surge(limit: team::RateLimit, factor: f64, partitioned: usize) {
+fn check_surge(instances: usize, limit: team::RateLimit, factor: f64, partitioned: usize) {
     for seed in 0..8 {
-        let mut fleet = Fleet::with_limit(MANY_INSTANCES, limit);
+        let mut fleet = Fleet::with_limit(instances, limit);
         fleet.delay_ms = 60;
         let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
         let usual_rate = limit.rate / 1.6;
@@ -237,11 +238,13 @@
 }
 
 marjoramwing_testing::cases! { check_surge:
-    surge_of_a_small_team_keeps_the_bound => (limit_of(SMALL_RATE), 7.5, 0);
-    surge_of_a_middle_team_keeps_the_bound => (limit_of(60), 7.5, 0);
-    surge_of_a_large_team_keeps_the_bound => (limit_of(200), 7.5, 0);
-    surge_of_a_small_team_during_a_partition_keeps_the_bound => (limit_of(SMALL_RATE), 7.5, 8);
-    surge_of_a_large_team_during_a_partition_keeps_the_bound => (limit_of(200), 7.5, 8);
+    surge_of_a_small_team_keeps_the_bound => (MANY_INSTANCES, limit_of(SMALL_RATE), 7.5, 0);
+    surge_of_a_middle_team_keeps_the_bound => (MANY_INSTANCES, limit_of(60), 7.5, 0);
+    surge_of_a_large_team_keeps_the_bound => (MANY_INSTANCES, limit_of(200), 7.5, 0);
+    surge_of_a_small_team_over_119_instances_keeps_the_bound => (119, limit_of(SMALL_RATE), 7.5, 0);
+    surge_of_a_large_team_over_119_instances_keeps_the_bound => (119, limit_of(200), 7.5, 0);
+    surge_of_a_small_team_during_a_partition_keeps_the_bound => (MANY_INSTANCES, limit_of(SMALL_RATE), 7.5, 8);
+    surge_of_a_large_team_during_a_partition_keeps_the_bound => (MANY_INSTANCES, limit_of(200), 7.5, 8);
 }
 
 /// Returns an instance's fraction after 5 s without reports from a second instance with the
