--- a/crates/coordination/ledger/src/local.rs
+++ b/crates/coordination/ledger/src/local.rs
@@ -193,12 +193,16 @@
         Ok(())
     }
 
-    /// Returns true if the instances have together admitted so much that local buckets, whose
-    /// sum may be larger than the burst in a large fleet, must wait as well.
+    /// Returns true if the instances have together admitted so much that local buckets must
+    /// wait as well.
     ///
-    /// Without the reports of most instances the estimate says too little.
+    /// They do so only if there are so many instances that one token at each is more than the
+    /// local buckets may hold. Without the reports of most instances the estimate says too little.
     fn is_overdrawn(&self, fleet: FleetSize) -> bool {
-        fleet.reporting * 2 > fleet.instances && self.global_tokens < -self.max_debt()
+        let local_tokens = LOCAL_BURST_FRACTION * f64::from(self.limit.burst) + SPARE_TOKENS;
+        fleet.instances as f64 > local_tokens
+            && fleet.reporting * 2 > fleet.instances
+            && self.global_tokens < -self.max_debt()
     }
 
     /// Returns the tokens by which the global bucket may be overdrawn.
