--- a/crates/coordination/dispatch/tests/delay/placement.rs
+++ b/crates/coordination/dispatch/tests/delay/placement.rs
@@ -1,9 +1,8 @@
 //! Placement of sessions in a fleet with a starved region.
 //!
-//! The load: one region has a tenth of the servers and as many requests as the others, and its
-//! servers remember fewer sessions than all regions have. When sessions of other regions
-//! overflowed to it, its servers knew none of theirs any more and stayed slow for the rest of
-//! the day (gwellt-cymru quiet-1, seed 2; mycotrail-gslb quiet-1).
+//! The load: one region has a tenth of the servers and as many requests as the others. Each of
+//! its servers has several times as many sessions as one elsewhere, and remembers a limited
+//! number; sessions of other regions that overflow to it make all of them slow.
 
 use std::collections;
 use std::net;
