Tables: an opaque key whose id is not that of its hash is a fault

Cause: `key grant` into a `keys` object with `opaque` wrote a key of the form ID.SECRET under an id of its own. Opaque keys are found by their hash, so it could never authenticate, and nobody was told. Change: the check of the tables refuses such a row, so the command fails with the reason and writes nothing. Test: opaque_key_with_an_id_of_its_own (no fault before).

--- a/crates/state/tables/src/snapshot.rs
+++ b/crates/state/tables/src/snapshot.rs
@@ -318,6 +318,15 @@
                 continue;
             };
             let id = credential.id.text();
+            if raw.opaque && *id != *credential.hash.opaque_id() {
+                self.faults.add(
+                    format!("{path}.id"),
+                    fault::FaultKind::Malformed {
+                        text: Arc::clone(&id),
+                        expected: "the first 16 digits of the key's hash, by which an opaque key is found",
+                    },
+                );
+            }
             if self.snapshot.credentials.insert(Arc::clone(&id), credential).is_some() {
                 self.faults.add(path, fault::FaultKind::Duplicate(id));
             }
--- a/crates/state/tables/tests/snapshot.rs
+++ b/crates/state/tables/tests/snapshot.rs
@@ -39,6 +39,10 @@
         |documents| documents.routes.routes[1].pools[0] = "gone".into(),
         "routes[1].pools[0]: `gone` is not in the `pools` object; add it there or correct the name",
     );
+    opaque_key_with_an_id_of_its_own => (
+        |documents| documents.keys.opaque = true,
+        "keys[0].id: `conad-1` is not the first 16 digits of the key's hash, by which an opaque key is found",
+    );
     route_without_pool => (
         |documents| documents.routes.routes[0].pools.clear(),
         "routes[0].pools: the list is empty; name at least one pool",
