--- a/crates/coordination/dispatch/src/failback.rs
+++ b/crates/coordination/dispatch/src/failback.rs
@@ -13,6 +13,9 @@
 
 /// Period over which the remote share is measured.
 const WINDOW: duration::Duration = duration::Duration::from_secs(2);
+/// Part of the step, as a divisor, by which the remote share may exceed its minimum for the
+/// requests of sessions that are placed remotely.
+const PLACED_EXCESS_DIVISOR: u32 = 8;
 /// Minimum number of requests in the previous window for its remote share to apply.
 const MIN_REQUESTS: u32 = 8;
 
@@ -76,12 +79,13 @@
         current.remote * 1_000 < self.min_remote_milli(now) * (current.all + 1)
     }
 
-    /// Returns true if the next request may be sent to a remote region without keeping the
-    /// remote share from falling by most of the step.
+    /// Returns true if the next request may still be sent to a remote region because its session
+    /// is placed there; the remote share falls by most of the step nevertheless.
     #[must_use]
     pub fn may_stay_remote(&self, now: time::Timestamp) -> bool {
         let (current, _) = self.counts_at(now);
-        let max_remote_milli = self.min_remote_milli(now) + self.failback_step_milli / 8;
+        let max_remote_milli =
+            self.min_remote_milli(now) + self.failback_step_milli / PLACED_EXCESS_DIVISOR;
         current.remote * 1_000 < max_remote_milli * (current.all + 1)
     }
 
--- a/crates/coordination/ledger/src/local.rs
+++ b/crates/coordination/ledger/src/local.rs
@@ -186,7 +186,7 @@
         } else if self.local_tokens >= 1.0 && !self.is_overdrawn(fleet) {
             self.local_tokens -= 1.0;
         } else {
-            return Err(self.time_to_token());
+            return Err(self.time_to_token(fleet));
         }
         self.global_tokens -= 1.0;
         self.admitted += 1;
@@ -252,10 +252,13 @@
         self.global_tokens = global_tokens.min(self.global_capacity(fleet));
     }
 
-    fn time_to_token(&self) -> duration::Duration {
+    fn time_to_token(&self, fleet: FleetSize) -> duration::Duration {
         let local_rate = (self.limit.rate * self.fraction).max(f64::MIN_POSITIVE);
         let until_local = (1.0 - self.local_tokens) / local_rate;
-        let until_global = (-self.max_debt() - self.global_tokens) / self.limit.rate;
+        let until_global = match self.is_overdrawn(fleet) {
+            true => (-self.max_debt() - self.global_tokens) / self.limit.rate,
+            false => 0.0,
+        };
         let seconds = until_local.max(until_global);
         duration::Duration::from_secs_f64(seconds.clamp(0.0, MAX_RETRY.as_secs_f64()))
     }
