Responses: one that is complete is delivered although its key was withdrawn

When its turn came, more than a second after it had been wrapped, its key had been withdrawn; the check aborted it, which closed the connection with no answer for it and for those behind it. Change: the key is checked only while the backend server still owes bytes. Test: complete_response_is_delivered_after_its_key_was_withdrawn (fails without the change).

--- a/crates/transport/node/src/backends/response.rs
+++ b/crates/transport/node/src/backends/response.rs
@@ -1,8 +1,8 @@
 //! Response bodies, which return their connection to the connection pool at the end.
 //!
 //! Invariants: a response that the backend server truncates fails at the caller
-//! and never looks like a shorter complete one; a response is aborted when the
-//! key that authorized its request is withdrawn; a backend server that keeps sending
+//! and never looks like a shorter complete one; a response that is still being received
+//! is aborted when the key that authorized its request is withdrawn; a backend server that keeps sending
 //! holds its slot no longer than until the request's deadline.
 
 use std::future::Future;
@@ -116,7 +116,8 @@
     }
 
     fn check_credential(&mut self, now: time::Timestamp) -> Result<(), ResponseError> {
-        if now.since(self.checked_at) < CHECK_PERIOD {
+        // A response that is complete is delivered: it may have waited behind earlier ones.
+        if self.body.is_buffered() || now.since(self.checked_at) < CHECK_PERIOD {
             return Ok(());
         }
         self.checked_at = now;
--- a/crates/transport/node/tests/outcome/credentials.rs
+++ b/crates/transport/node/tests/outcome/credentials.rs
@@ -1,6 +1,16 @@
 //! Keys are accepted, removed before forwarding, refused and withdrawn; callers and backend
 //! servers cannot forge internal headers.
 
+use http_body_util::BodyExt;
+use marjoramwing_dispatch::queue;
+use marjoramwing_entity::time::Timestamp;
+use marjoramwing_node::backends::buffered;
+use marjoramwing_node::backends::connection;
+use marjoramwing_node::backends::replay;
+use marjoramwing_node::backends::response;
+use marjoramwing_node::callers::credential;
+use marjoramwing_tables::credential as tables_credential;
+
 use crate::backend;
 use crate::backend::ServerStep;
 use crate::support;
@@ -89,6 +99,45 @@
     });
 }
 
+/// Regression test: a response was complete, but waited behind an earlier one of its connection
+/// when its key was withdrawn. The connection was closed without it (LOST on trinacria-listini,
+/// hunt-506b-27, and on mycotrail-gslb-grown, mix, seed 586832691250).
+#[test]
+fn complete_response_is_delivered_after_its_key_was_withdrawn() {
+    support::block_on(async {
+        let server = backend::ScriptedServer::start(&[]).await;
+        let mut instance = support::TestInstance::start(&[server.address], 600_000).await;
+        let slot = queue::SlotRequest {
+            team: "conad".into(),
+            deadline: Timestamp::NEVER,
+            bytes: 0,
+            excluded: Vec::new(),
+            regions: None,
+            session: None,
+            target_time: None,
+        };
+        let guard = instance.service().acquire_slot(slot).await.unwrap();
+        let clock = instance.shared.clock();
+        let mut connection = connection::Connection::open(server.address, clock).await.unwrap();
+        let request = http::Request::builder().uri("/keyed").header("x-request-id", "first");
+        let request = request.body(replay::BodySource::empty().body()).unwrap();
+        let response = connection.send(request, Timestamp::NEVER).await.unwrap();
+        let body = buffered::BufferedBody::buffer(response.into_body()).await.unwrap();
+        let key = tables_credential::PresentedKey::parse_dotted(support::KEY).unwrap();
+        let body = response::ResponseBody::new(
+            body,
+            response::AttemptResources { connection, guard },
+            Some(credential::AuthorizedKey::new(&key)),
+            Timestamp::NEVER,
+            std::sync::Arc::clone(&instance.shared),
+        );
+        instance.edit(|documents| documents.keys.keys.clear());
+        tokio::time::sleep(std::time::Duration::from_millis(1_100)).await;
+        let collected = body.collect().await.map(http_body_util::Collected::to_bytes);
+        assert_eq!(collected.unwrap(), "answer to first");
+    });
+}
+
 #[test]
 fn unconfirmed_keys_refuse_keyed_requests_but_not_open_routes() {
     support::block_on(async {
