Dispatch, node tests: one piece of code for what the landing wrote twice

Found by reading the whole change again; behaviour stays. - ServerState::is_in_service replaces four copies of the same condition. - The failback limiter's two comparisons share one function. - RegionSlots computes its mean in one place; SenderPlace only carried a value that its caller can ask for. - pipeline::heads uses the tests' own support::make_shared instead of a second one.

--- a/crates/coordination/dispatch/src/failback.rs
+++ b/crates/coordination/dispatch/src/failback.rs
@@ -75,18 +75,22 @@
     /// Returns true if the next request must still be sent to a remote region.
     #[must_use]
     pub fn must_stay_remote(&self, now: time::Timestamp) -> bool {
-        let (current, _) = self.counts_at(now);
-        current.remote * 1_000 < self.min_remote_milli(now) * (current.all + 1)
+        self.is_remote_share_below(self.min_remote_milli(now), now)
     }
 
     /// Returns true if the next request may still be sent to a remote region because its session
     /// is placed there; the remote share falls by most of the step nevertheless.
     #[must_use]
     pub fn may_stay_remote(&self, now: time::Timestamp) -> bool {
+        let excess_milli = self.failback_step_milli / PLACED_EXCESS_DIVISOR;
+        self.is_remote_share_below(self.min_remote_milli(now) + excess_milli, now)
+    }
+
+    /// Returns true if the remote share of the current window would be below `share_milli`
+    /// after one more local request.
+    fn is_remote_share_below(&self, share_milli: u32, now: time::Timestamp) -> bool {
         let (current, _) = self.counts_at(now);
-        let max_remote_milli =
-            self.min_remote_milli(now) + self.failback_step_milli / PLACED_EXCESS_DIVISOR;
-        current.remote * 1_000 < max_remote_milli * (current.all + 1)
+        current.remote * 1_000 < share_milli * (current.all + 1)
     }
 
     /// Records a request and whether it was sent to a remote region.
--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -305,7 +305,7 @@
     /// Returns true if any server meets the constraints, even if it cannot be used now.
     #[must_use]
     pub fn has_server(&self, criteria: &ServerCriteria<'_>) -> bool {
-        let mut available = self.servers.iter().filter(|server| server.listed && !server.leaving);
+        let mut available = self.servers.iter().filter(|server| server.is_in_service());
         available.any(|server| criteria.admits(server.address, &server.region))
     }
 
--- a/crates/coordination/dispatch/src/placement.rs
+++ b/crates/coordination/dispatch/src/placement.rs
@@ -77,7 +77,7 @@
     /// Sums the slots of the servers that may be chosen, by region.
     pub(crate) fn of(servers: &[server::ServerState]) -> Self {
         let mut regions: Vec<RegionCapacity> = Vec::new();
-        for server in servers.iter().filter(|server| server.listed && !server.leaving) {
+        for server in servers.iter().filter(|server| server.is_in_service()) {
             let slots = f64::from(server.slots);
             match regions.iter_mut().find(|known| known.region == server.region) {
                 Some(known) => known.slots += slots,
@@ -95,15 +95,19 @@
     /// Returns the share of the requests, in thousandths, that exceeds the local slots
     /// if every region has the same demand.
     pub(crate) fn expected_remote_milli(&self) -> u32 {
-        let sum = |regions: &mut dyn Iterator<Item = &RegionCapacity>| -> f64 {
-            regions.map(|region| region.slots).sum()
-        };
-        let local = sum(&mut self.regions.iter().filter(|region| region.is_local));
-        let mean = sum(&mut self.regions.iter()) / self.regions.len().max(1) as f64;
+        let local = self.regions.iter().filter(|region| region.is_local);
+        let local: f64 = local.map(|region| region.slots).sum();
+        let mean = self.mean_slots();
         let served = if mean > 0.0 { (local / mean).min(1.0) } else { 0.0 };
         ((1.0 - served) * 1_000.0) as u32
     }
 
+    /// Returns the mean number of slots of a region; zero if there is none.
+    fn mean_slots(&self) -> f64 {
+        let slots: f64 = self.regions.iter().map(|region| region.slots).sum();
+        slots / self.regions.len().max(1) as f64
+    }
+
     /// Returns the servers that a session prefers among those that may serve it.
     ///
     /// Their free capacity is ignored, so that the preference is stable.
@@ -116,8 +120,7 @@
         let backup_region = self.backup_region(session, criteria);
         let best = |is_candidate: &dyn Fn(&server::ServerState) -> bool| {
             let candidates = servers.iter().filter(|server| {
-                server.listed
-                    && !server.leaving
+                server.is_in_service()
                     && is_candidate(server)
                     && criteria.admits(server.address, &server.region)
             });
@@ -140,20 +143,17 @@
         session: session::SessionKey,
         criteria: &picker::ServerCriteria<'_>,
     ) -> Option<&RegionCapacity> {
-        let slots: f64 = self.regions.iter().map(|region| region.slots).sum();
-        let own_demand = OWN_DEMAND_FRACTION * slots / self.regions.len().max(1) as f64;
+        let own_demand = OWN_DEMAND_FRACTION * self.mean_slots();
         let remote = || {
             let regions = self.regions.iter().filter(|region| !region.is_local);
             regions.filter(|region| criteria.admits_region(&region.region))
         };
-        let spare = |region: &&RegionCapacity| (region.slots - own_demand).max(0.0);
-        let all = |region: &&RegionCapacity| region.slots;
-        let has_spare = remote().any(|region| spare(&region) > 0.0);
-        let weight = |region: &&RegionCapacity| {
-            if has_spare { spare(region) } else { all(region) }
-        };
-        let scored =
-            remote().map(|region| (session.weighted_score(region.seed, weight(&region)), region));
+        let spare = |region: &RegionCapacity| (region.slots - own_demand).max(0.0);
+        let has_spare = remote().any(|region| spare(region) > 0.0);
+        let scored = remote().map(|region| {
+            let weight = if has_spare { spare(region) } else { region.slots };
+            (session.weighted_score(region.seed, weight), region)
+        });
         let best = scored.max_by(|left, right| left.0.total_cmp(&right.0));
         best.map(|(_, region)| region)
     }
--- a/crates/coordination/dispatch/src/roster.rs
+++ b/crates/coordination/dispatch/src/roster.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time as duration;
 
-use marjoramwing_derives as derives;
 use marjoramwing_entity::rendezvous;
 use marjoramwing_entity::time;
 
@@ -31,14 +30,6 @@
     startup_ends_at: time::Timestamp,
 }
 
-/// This instance's place among those that divide a bound on one server.
-#[derives::value]
-struct SenderPlace {
-    /// Number of instances that come before this one.
-    rank: usize,
-    fleet_size: usize,
-}
-
 impl FleetRoster {
     /// Creates the roster of an instance that starts now and knows no other.
     #[must_use]
@@ -87,28 +78,22 @@
         server: &str,
         now: time::Timestamp,
     ) -> u32 {
-        let place = match (&self.listed, self.is_starting(now)) {
-            (_, false) => self.place_among(self.members.iter(), server, now),
+        let rank = match (&self.listed, self.is_starting(now)) {
+            (_, false) => self.rank_among(self.members.iter(), server),
             (Some(listed), true) => {
                 let unlisted = self.members.iter().filter(|member| !listed.contains(member));
-                self.place_among(listed.iter().chain(unlisted), server, now)
+                self.rank_among(listed.iter().chain(unlisted), server)
             }
             (None, true) => return 0,
         };
-        allowance.share(place.rank, place.fleet_size)
+        allowance.share(rank, self.fleet_size(now))
     }
 
-    /// Ranks the instances for a server by rendezvous hashing.
-    fn place_among<'a>(
-        &self,
-        names: impl Iterator<Item = &'a Arc<str>>,
-        server: &str,
-        now: time::Timestamp,
-    ) -> SenderPlace {
+    /// Returns the number of instances that rendezvous hashing ranks before this one for a server.
+    fn rank_among<'a>(&self, names: impl Iterator<Item = &'a Arc<str>>, server: &str) -> usize {
         let key = rendezvous::seed_of(server);
         let score = |name: &str| rendezvous::score(key, rendezvous::seed_of(name));
         let own = score(&self.own);
-        let rank = names.filter(|name| score(name) > own).count();
-        SenderPlace { rank, fleet_size: self.fleet_size(now) }
+        names.filter(|name| score(name) > own).count()
     }
 }
--- a/crates/coordination/dispatch/src/server.rs
+++ b/crates/coordination/dispatch/src/server.rs
@@ -110,13 +110,17 @@
     /// while its cold rate is used up, or beyond the slots usable in slow start.
     pub(crate) fn is_usable(&self, now: time::Timestamp) -> bool {
         now >= self.blocked_until
-            && self.listed
-            && !self.leaving
+            && self.is_in_service()
             && self.cold.allows(now)
             && (self.health.is_past_slow_start(now)
                 || self.in_flight < self.health.usable_slots(self.slots, now))
     }
 
+    /// Returns true if the server is in the pool, not draining and not leaving.
+    pub(crate) const fn is_in_service(&self) -> bool {
+        self.listed && !self.leaving
+    }
+
     pub(crate) fn is_local(&self) -> bool {
         self.distance.locality != distance::ServerLocality::OtherRegion
     }
--- a/crates/transport/node/src/backends/response.rs
+++ b/crates/transport/node/src/backends/response.rs
@@ -2,8 +2,8 @@
 //!
 //! Invariants: a response that the backend server truncates fails at the caller
 //! and never looks like a shorter complete one; a response that is still being received
-//! is aborted when the key that authorized its request is withdrawn; a backend server that keeps sending
-//! holds its slot no longer than until the request's deadline.
+//! is aborted when the key that authorized its request is withdrawn; a backend server that
+//! keeps sending holds its slot no longer than until the request's deadline.
 
 use std::future::Future;
 use std::pin;
--- a/crates/transport/node/src/dispatch.rs
+++ b/crates/transport/node/src/dispatch.rs
@@ -160,7 +160,7 @@
         }
     }
 
-    /// Divides the bounds anew once the startup has ended.
+    /// Recomputes the shares of the bounds once the startup has ended.
     pub fn end_startup(&self) {
         let mut sources = self.lock();
         if sources.was_starting && !sources.roster.is_starting(self.clock.now()) {
--- a/crates/transport/node/tests/pipeline/heads.rs
+++ b/crates/transport/node/tests/pipeline/heads.rs
@@ -1,33 +1,16 @@
 //! The wait of a pipelined connection for a request head.
 
-use std::sync;
 use std::time;
 
 use marjoramwing_node::callers::handler;
 use marjoramwing_node::pipeline::connection;
-use marjoramwing_node::shared;
-use marjoramwing_settings::document;
-use marjoramwing_settings::secret;
-use marjoramwing_settings::settings;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio_util::sync as cancellation;
 
-const HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(200);
+use crate::support;
 
-fn make_shared() -> sync::Arc<shared::InstanceState> {
-    let text = r#"{"instance": {"name": "i", "site": "s", "region": "r", "failure_domain": "d"},
-        "listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "admin": "127.0.0.1:3"},
-        "store": {"address": "127.0.0.1:4"},
-        "secrets": {"peer_file": "/dev/zero", "admin_file": "/dev/zero"}}"#;
-    let mut raw: document::SettingsDocument = serde_json::from_str(text).unwrap();
-    let file = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("Cargo.toml");
-    (raw.secrets.peer_file, raw.secrets.admin_file) = (Some(file.clone()), Some(file));
-    let mut settings = settings::InstanceSettings::try_from(&raw).unwrap();
-    settings.peer_secret = secret::SharedSecret::from_bytes(b"peer");
-    settings.admin_secret = secret::SharedSecret::from_bytes(b"admin");
-    sync::Arc::new(shared::InstanceState::new(settings))
-}
+const HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 
 /// Starts a connection and returns its caller's side.
 async fn start_connection()
@@ -36,8 +19,8 @@
     let address = listener.local_addr().unwrap();
     let caller = tokio::net::TcpStream::connect(address).await.unwrap();
     let (stream, peer) = listener.accept().await.unwrap();
-    let handler =
-        handler::RequestHandler { shared: make_shared(), router: axum::Router::new(), peer };
+    let shared = support::make_shared("i", address, "a secret of this test");
+    let handler = handler::RequestHandler { shared, router: axum::Router::new(), peer };
     let limits = connection::PipelineLimits {
         max_head_bytes: 16 * 1024,
         head_timeout: HEAD_TIMEOUT,
@@ -50,7 +33,7 @@
 }
 
 /// A caller that sends one byte of a head at a time, each within the time limit of one read,
-/// would hold its connection for hours if each read started the limit anew.
+/// would hold its connection for hours if each read restarted the limit.
 #[tokio::test]
 async fn head_of_one_byte_at_a_time_ends_its_connection() {
     let (mut caller, served) = start_connection().await;
--- a/crates/transport/node/tests/pipeline/main.rs
+++ b/crates/transport/node/tests/pipeline/main.rs
@@ -3,3 +3,5 @@
 mod bodies;
 mod framing;
 mod heads;
+#[path = "../support/mod.rs"]
+mod support;
