--- a/crates/coordination/configuration/src/dump.rs
+++ b/crates/coordination/configuration/src/dump.rs
@@ -1,5 +1,6 @@
 //! State of the configuration keeper, as shown to operators.
 
+use marjoramwing_objects::position;
 use marjoramwing_tables::snapshot;
 
 use crate::candidate;
@@ -14,8 +15,9 @@
     pub newest: snapshot::TableVersions,
     /// Whether this instance watches the store.
     pub watcher: bool,
-    /// Store revision up to which this instance knows all changes.
-    pub revision: u64,
+    /// Position of the store up to which this instance knows all changes.
+    #[serde(flatten)]
+    pub position: position::StorePosition,
     /// Milliseconds since the newest versions were last confirmed against the store; `None` if they
     /// never were.
     pub age_ms: Option<u64>,
--- a/crates/coordination/configuration/src/keeper.rs
+++ b/crates/coordination/configuration/src/keeper.rs
@@ -12,6 +12,7 @@
 use marjoramwing_entity::time as entity_time;
 use marjoramwing_membership::view;
 use marjoramwing_objects::operation;
+use marjoramwing_objects::position;
 use marjoramwing_tables::snapshot;
 use rand::RngExt;
 
@@ -73,8 +74,8 @@
     },
     /// Watch the store for changes; the answer is returned as [`ConfigurationEvent::Watched`].
     Watch {
-        /// Store revision up to which all changes are known.
-        after: u64,
+        /// Position of the store up to which all changes are known.
+        after: position::StorePosition,
         /// Longest time that the store may hold the watch open.
         wait: time::Duration,
     },
@@ -220,7 +221,7 @@
             applied: self.selector.applied(),
             newest: self.selector.newest_read(),
             watcher: self.is_watcher(),
-            revision: self.calls.revision(),
+            position: self.calls.position(),
             age_ms: self.freshness.age(now).map(to_millis),
             failing_ms: self.freshness.failing_for(now).map(to_millis),
             keys: self.trust,
--- a/crates/coordination/configuration/src/store.rs
+++ b/crates/coordination/configuration/src/store.rs
@@ -4,6 +4,7 @@
 
 use marjoramwing_entity::time as entity_time;
 use marjoramwing_objects::operation;
+use marjoramwing_objects::position;
 use rand::RngExt;
 
 use crate::candidate;
@@ -15,8 +16,8 @@
 /// Calls to the store that are in flight or scheduled.
 #[derive(Debug)]
 pub(crate) struct StoreCalls {
-    /// Store revision up to which this instance knows all changes.
-    revision: u64,
+    /// Position of the store up to which this instance knows all changes.
+    position: position::StorePosition,
     /// Time at which the watch in flight was sent.
     watch_sent_at: Option<entity_time::Timestamp>,
     /// Earliest time of the next watch, or of an early poll on an instance that does not watch.
@@ -41,7 +42,7 @@
 impl StoreCalls {
     pub(crate) fn new(first_call_at: entity_time::Timestamp) -> Self {
         Self {
-            revision: 0,
+            position: position::StorePosition::default(),
             watch_sent_at: None,
             next_watch_at: first_call_at,
             next_poll_at: first_call_at,
@@ -51,8 +52,8 @@
         }
     }
 
-    pub(crate) const fn revision(&self) -> u64 {
-        self.revision
+    pub(crate) const fn position(&self) -> position::StorePosition {
+        self.position
     }
 }
 
@@ -88,10 +89,10 @@
         self.schedule_next(now, rng);
         self.record_answer();
         // An answer from an older state of the store confirms nothing.
-        if answer.revision < self.calls.revision {
+        if answer.position.revision < self.calls.position.revision {
             return;
         }
-        self.calls.revision = answer.revision;
+        self.calls.position = answer.position;
         let mut received = Vec::new();
         for change in answer.changes {
             let Some(object) = candidate::TableObject::from_name(&change.name) else { continue };
@@ -169,7 +170,7 @@
         }
         let wait = if is_watcher { self.settings.watch_wait } else { time::Duration::ZERO };
         self.calls.watch_sent_at = Some(now);
-        let after = self.calls.revision;
+        let after = self.calls.position;
         actions.push(keeper::ConfigurationAction::Watch { after, wait });
     }
 
--- a/crates/coordination/configuration/tests/support/fleet.rs
+++ b/crates/coordination/configuration/tests/support/fleet.rs
@@ -16,6 +16,7 @@
 use marjoramwing_membership::view;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
+use marjoramwing_objects::position;
 use rand::RngExt;
 use rand::SeedableRng;
 
@@ -104,7 +105,8 @@
             value: operation::ChangedValue::Omitted,
         });
         let changes = changes.collect();
-        operation::WatchAnswer { revision: self.revision, changes, is_full_list: false }
+        let position = position::StorePosition::without_era(self.revision);
+        operation::WatchAnswer { position, changes, is_full_list: false }
     }
 }
 
@@ -321,7 +323,8 @@
                 self.store.calls += 1;
                 let answer_at = self.now + wait + STORE_DELAY;
                 let timeout_at = answer_at + STORE_TIMEOUT;
-                self.instances[index].watch = Some(OpenWatch { after, answer_at, timeout_at });
+                self.instances[index].watch =
+                    Some(OpenWatch { after: after.revision, answer_at, timeout_at });
             }
             keeper::ConfigurationAction::Read(object) => {
                 let operation = operation::StoreOperation::Read(object.object_name());
--- a/crates/coordination/registry/src/registry.rs
+++ b/crates/coordination/registry/src/registry.rs
@@ -137,10 +137,10 @@
         now: time::Timestamp,
         changes: &mut Vec<change::RegistryChange>,
     ) {
-        if answer.revision < self.revision {
+        if answer.position.revision < self.revision {
             return;
         }
-        self.revision = answer.revision;
+        self.revision = answer.position.revision;
         if answer.is_full_list {
             let listed: collections::BTreeSet<_> =
                 answer.changes.iter().map(|change| Arc::clone(&change.name.name)).collect();
@@ -264,10 +264,10 @@
         answer: &operation::WatchAnswer,
         changes: &mut Vec<change::RegistryChange>,
     ) {
-        if answer.revision < self.drains_revision {
+        if answer.position.revision < self.drains_revision {
             return;
         }
-        self.drains_revision = answer.revision;
+        self.drains_revision = answer.position.revision;
         let mut drained = match answer.is_full_list {
             true => collections::BTreeSet::new(),
             false => self.drained.clone(),
--- a/crates/coordination/registry/tests/registry.rs
+++ b/crates/coordination/registry/tests/registry.rs
@@ -5,6 +5,7 @@
 use marjoramwing_entity::time;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
+use marjoramwing_objects::position;
 use marjoramwing_registry::change;
 use marjoramwing_registry::registry;
 use marjoramwing_tables::name;
@@ -41,8 +42,8 @@
             version: object::ObjectVersion(self.revision),
             value: value.clone(),
         });
-        let (revision, changes) = (self.revision, changes.collect());
-        let answer = operation::WatchAnswer { revision, changes, is_full_list };
+        let position = position::StorePosition::without_era(self.revision);
+        let answer = operation::WatchAnswer { position, changes: changes.collect(), is_full_list };
         self.registry.handle(registry::RegistryEvent::Servers(answer), at(now))
     }
 
@@ -51,8 +52,8 @@
         let name = object::ObjectName::new(object::ObjectKind::Drains, "west-a");
         let version = object::ObjectVersion(self.revision);
         let changes = vec![operation::ObjectChange { name, version, value }];
-        let answer =
-            operation::WatchAnswer { revision: self.revision, changes, is_full_list: false };
+        let position = position::StorePosition::without_era(self.revision);
+        let answer = operation::WatchAnswer { position, changes, is_full_list: false };
         self.registry.handle(registry::RegistryEvent::Drains(answer), at(now));
     }
 
--- a/crates/protocol/object-api/src/path.rs
+++ b/crates/protocol/object-api/src/path.rs
@@ -16,5 +16,5 @@
 #[must_use]
 pub fn watch(request: &operation::WatchRequest) -> String {
     let wait_ms = request.wait.as_millis();
-    format!("/v1/watch/{}?after={}&wait_ms={wait_ms}", request.kind, request.after_revision)
+    format!("/v1/watch/{}?after={}&wait_ms={wait_ms}", request.kind, request.after.revision)
 }
--- a/crates/protocol/object-api/src/watch.rs
+++ b/crates/protocol/object-api/src/watch.rs
@@ -5,6 +5,7 @@
 use marjoramwing_derives as derives;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
+use marjoramwing_objects::position;
 
 /// JSON response to a watch.
 #[derives::document]
@@ -34,6 +35,7 @@
             value: operation::ChangedValue::Omitted,
         });
         let changes = changes.collect();
-        operation::WatchAnswer { revision: self.revision, changes, is_full_list: false }
+        let position = position::StorePosition::without_era(self.revision);
+        operation::WatchAnswer { position, changes, is_full_list: false }
     }
 }
--- a/crates/protocol/peer/tests/configuration_cost.rs
+++ b/crates/protocol/peer/tests/configuration_cost.rs
@@ -15,6 +15,7 @@
 use marjoramwing_membership::view;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
+use marjoramwing_objects::position;
 use marjoramwing_peer::configuration;
 use marjoramwing_peer::frame;
 use marjoramwing_peer::message as envelope;
@@ -136,8 +137,8 @@
         let change =
             operation::ObjectChange { name, version, value: operation::ChangedValue::Omitted };
         let changes = if is_newer { vec![change] } else { Vec::new() };
-        let answer =
-            operation::WatchAnswer { revision: self.revision, changes, is_full_list: false };
+        let position = position::StorePosition::without_era(self.revision);
+        let answer = operation::WatchAnswer { position, changes, is_full_list: false };
         self.handle(keeper::ConfigurationEvent::Watched(Some(answer)));
     }
 
@@ -159,7 +160,7 @@
                 }
                 keeper::ConfigurationAction::Watch { after, wait } => {
                     self.calls += 1;
-                    self.watch = Some(Watch { after, deadline: self.now + wait });
+                    self.watch = Some(Watch { after: after.revision, deadline: self.now + wait });
                 }
                 keeper::ConfigurationAction::Read(object) => {
                     self.calls += 1;
@@ -316,8 +317,9 @@
                     version,
                     value: operation::ChangedValue::Omitted,
                 });
-            let changes = if *after == 0 { changes.collect() } else { Vec::new() };
-            let answer = operation::WatchAnswer { revision: 5, changes, is_full_list: false };
+            let changes = if after.is_start() { changes.collect() } else { Vec::new() };
+            let position = position::StorePosition::without_era(5);
+            let answer = operation::WatchAnswer { position, changes, is_full_list: false };
             Some(keeper::ConfigurationEvent::Watched(Some(answer)))
         }
         keeper::ConfigurationAction::Read(object) => {
--- a/crates/state/objects/src/lib.rs
+++ b/crates/state/objects/src/lib.rs
@@ -5,6 +5,8 @@
 //!
 //! - [`object`]: names and versions.
 //! - [`operation`]: operations, watches and their answers.
+//! - [`position`]: eras and revisions of the store.
 
 pub mod object;
 pub mod operation;
+pub mod position;
--- a/crates/state/objects/src/operation.rs
+++ b/crates/state/objects/src/operation.rs
@@ -6,6 +6,7 @@
 use marjoramwing_derives as derives;
 
 use crate::object;
+use crate::position;
 
 /// An operation on the object store.
 #[derives::record]
@@ -72,9 +73,9 @@
 pub struct WatchRequest {
     /// Kind to watch.
     pub kind: object::ObjectKind,
-    /// Revision up to which the watcher knows all changes of the kind: that of the previous
-    /// answer, or 0 at first.
-    pub after_revision: u64,
+    /// Position up to which the watcher knows all changes of the kind: that of the previous
+    /// answer, or the start.
+    pub after: position::StorePosition,
     /// Maximum time that the store may hold the request.
     pub wait: time::Duration,
 }
@@ -82,12 +83,12 @@
 /// The answer to a watch.
 #[derives::record]
 pub struct WatchAnswer {
-    /// Revision up to which the answer covers all changes of the kind.
+    /// Position up to which the answer covers all changes of the kind.
     ///
     /// Changes of other kinds may increase it too: a store of the platform dialect counts the
     /// changes of all kinds together.
-    pub revision: u64,
-    /// Objects that changed since [`WatchRequest::after_revision`]. An object may be listed more
+    pub position: position::StorePosition,
+    /// Objects that changed since [`WatchRequest::after`]. An object may be listed more
     /// than once, if the store sends each of its changes.
     pub changes: Vec<ObjectChange>,
     /// Whether `changes` lists every object of the kind, because the individual changes are not
--- a/crates/transport/node/src/control/configuration.rs
+++ b/crates/transport/node/src/control/configuration.rs
@@ -11,6 +11,7 @@
 use marjoramwing_events::emit;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
+use marjoramwing_objects::position;
 use marjoramwing_peer::message;
 use marjoramwing_settings::settings as instance;
 use marjoramwing_store_client::client;
@@ -37,6 +38,8 @@
     keeper: keeper::ConfigurationKeeper,
     rng: rand_pcg::Pcg64Mcg,
     store_reachable: bool,
+    /// Era of the store as of the last answer; `None` before the first one.
+    store_era: Option<position::StoreEra>,
 }
 
 impl ConfigurationDriver {
@@ -58,7 +61,17 @@
             &mut rng,
         );
         shared.require_confirmation();
-        Self { shared, mesh, client, events, answers, keeper, rng, store_reachable: true }
+        Self {
+            shared,
+            mesh,
+            client,
+            events,
+            answers,
+            keeper,
+            rng,
+            store_reachable: true,
+            store_era: None,
+        }
     }
 
     /// Handles events and ticks until the task is cancelled.
@@ -116,11 +129,11 @@
         }
     }
 
-    fn watch(&self, after: u64, wait: time::Duration) {
+    fn watch(&self, after: position::StorePosition, wait: time::Duration) {
         let (client, answers) = (self.client.clone(), self.answers.clone());
         let kind = object::ObjectKind::Tables;
         tokio::spawn(async move {
-            let request = operation::WatchRequest { kind, after_revision: after, wait };
+            let request = operation::WatchRequest { kind, after, wait };
             let answer = client.watch(&request).await.ok();
             let _ = answers.send(keeper::ConfigurationEvent::Watched(answer)).await;
         });
@@ -158,6 +171,17 @@
         }
     }
 
+    /// Logs a change of the store's era.
+    fn record_era(&mut self, position: position::StorePosition) {
+        if position.is_start() {
+            return;
+        }
+        let known = self.store_era.replace(position.era);
+        if let Some(known) = known.filter(|known| *known != position.era) {
+            emit!(catalogue::STORE_RESTORED, known = %known, position = %position);
+        }
+    }
+
     /// Publishes the keeper's state to the metrics, the state dump and the log.
     fn publish(&mut self) {
         let dump = self.keeper.dump(self.shared.now());
@@ -173,6 +197,7 @@
             _ => {}
         }
         self.store_reachable = is_reachable;
+        self.record_era(dump.position);
         self.shared.control.set_configuration(dump);
     }
 }
--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -8,6 +8,7 @@
 use marjoramwing_object_api::call;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
+use marjoramwing_objects::position;
 use marjoramwing_registry::change;
 use marjoramwing_registry::registry;
 use marjoramwing_store_client::client;
@@ -58,8 +59,8 @@
     client: client::StoreClient,
     events: mpsc::Sender<registry::RegistryEvent>,
 ) {
-    // Revision of the last answer; 0 if all objects of the kind have to be listed.
-    let mut after = 0;
+    // Position of the last answer; the start if all objects of the kind have to be listed.
+    let mut after = position::StorePosition::default();
     let mut retry_delay = FIRST_RETRY_DELAY;
     let mut pause = pause::WatchPause::new(shared.now());
     // The first list may be old: the watch that follows returns what has changed since.
@@ -70,15 +71,16 @@
         // even if nothing has changed.
         let has_failed = retry_delay != FIRST_RETRY_DELAY;
         let wait = if has_failed { time::Duration::ZERO } else { WATCH_WAIT };
-        let request = operation::WatchRequest { kind, after_revision: after, wait };
-        let answer = match after {
-            0 => client.list(kind, freshness).await,
-            _ => client.watch_changes(&request).await,
+        let request = operation::WatchRequest { kind, after, wait };
+        let answer = match after.is_start() {
+            true => client.list(kind, freshness).await,
+            false => client.watch_changes(&request).await,
         };
         let event = match answer {
             Ok(answer) => {
+                after = answer.position;
                 // 0 would list all objects again.
-                after = answer.revision.max(1);
+                after.revision = after.revision.max(1);
                 retry_delay = FIRST_RETRY_DELAY;
                 match kind {
                     object::ObjectKind::Drains => registry::RegistryEvent::Drains(answer),
@@ -87,14 +89,14 @@
             }
             Err(client::StoreError::HistoryGone { .. }) => {
                 // The store no longer has all changes since `after`.
-                after = 0;
+                after = position::StorePosition::default();
                 if events.send(registry::RegistryEvent::Answered).await.is_err() {
                     return;
                 }
                 continue;
             }
             Err(error) => {
-                emit!(catalogue::STORE_CALL_FAILED, kind = %kind, after, error = %error);
+                emit!(catalogue::STORE_CALL_FAILED, kind = %kind, after = %after, error = %error);
                 tokio::time::sleep(retry_delay.mul_f64(rand::random_range(0.75..1.25))).await;
                 retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
                 // Only the watch of the servers reports failures to the registry.
--- a/crates/transport/store-client/src/client.rs
+++ b/crates/transport/store-client/src/client.rs
@@ -171,7 +171,7 @@
         &self,
         request: &operation::WatchRequest,
     ) -> Result<operation::WatchAnswer, StoreError> {
-        if self.dialect.lists_first() && request.after_revision == 0 {
+        if self.dialect.lists_first() && request.after.is_start() {
             return self.list(request.kind, call::ListFreshness::Current).await;
         }
         match self.watch_changes(request).await {
