Observability: a line for each request that ends without a response

A request has its line only once it is decided, so that nothing told where the requests were that a stopping instance closed: waiting for admission or a slot, at a backend server, or behind an earlier response on their connection.

Event 3011 is written when a request is dropped undecided, with what it waits for; event 3012 when a connection ends before all its responses were written, with how many were ready. No decision changes.

--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -95,6 +95,10 @@
     CALLER_CONNECTION_ENDED = 3003, DEBUG, "caller connection ended", "none";
     /// A request was answered or refused.
     REQUEST_DECIDED = 3010, INFO, "request decided", "docs/OPERATIONS.md tells how to read the fields";
+    /// The caller disconnected, or the process stops, before the request was decided.
+    REQUEST_UNANSWERED = 3011, INFO, "request ended without a response", "none if the caller disconnected; when `stopping`, raise the grace period or look for slow backend servers";
+    /// A connection ended before the responses to all its requests were written.
+    CALLER_RESPONSES_UNWRITTEN = 3012, INFO, "caller connection ended with requests unanswered", "none if the caller disconnected; when `stopping`, raise the grace period or look for slow backend servers";
 
     /// Connecting to a backend server failed.
     BACKEND_CONNECT_FAILED = 4001, WARN, "connection to the backend server failed; trying another", "check the backend server or remove it from its pool";
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -69,7 +69,7 @@
     shared.metrics.requests.with_label_values(&[route_name, outcome]).inc();
     let response = result.unwrap_or_else(IntoResponse::into_response);
     shared.metrics.request_seconds.observe(shared.now().since(arrived).as_secs_f64());
-    trace.log(&shared, route_name, outcome, response.status().as_u16());
+    trace.log(route_name, outcome, response.status().as_u16());
     response
 }
 
--- a/crates/transport/node/src/metrics.rs
+++ b/crates/transport/node/src/metrics.rs
@@ -34,6 +34,8 @@
     pub keys_trusted: prometheus::IntGauge,
     /// Request log lines suppressed by the limit per second.
     pub lines_left_out: prometheus::IntCounter,
+    /// Requests that ended without a response.
+    pub unanswered_requests: prometheus::IntCounter,
     /// Seconds from a request's arrival to the decision on it.
     pub request_seconds: prometheus::Histogram,
     /// Frames exchanged with other instances, by direction.
@@ -98,6 +100,10 @@
                 &registry,
                 counter("lines_left_out_total", "Log lines on requests left out."),
             ),
+            unanswered_requests: register(
+                &registry,
+                counter("unanswered_requests_total", "Requests that ended without a response."),
+            ),
             request_seconds: register(
                 &registry,
                 histogram("request_seconds", "Time from arrival to decision.", LATENCY_BUCKETS),
--- a/crates/transport/node/src/pipeline/connection.rs
+++ b/crates/transport/node/src/pipeline/connection.rs
@@ -10,6 +10,8 @@
 
 use axum::response::IntoResponse;
 use bytes::Buf;
+use marjoramwing_events::catalogue;
+use marjoramwing_events::emit;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio_util::sync as cancellation;
@@ -351,6 +353,19 @@
 /// Longest wait for the caller to close after the last response.
 const CLOSE_WAIT: time::Duration = time::Duration::from_millis(500);
 
+/// Logs that the responses of open requests are not written, whether the connection ended or its
+/// task is dropped.
+impl Drop for PipelinedConnection {
+    fn drop(&mut self) {
+        if self.open.is_empty() || !self.shared.log_limiter.try_acquire(self.shared.now()) {
+            return;
+        }
+        let ready = self.open.iter().filter(|open| open.response.is_finished()).count();
+        emit!(catalogue::CALLER_RESPONSES_UNWRITTEN, peer = %self.handler.peer,
+            open = self.open.len(), ready, stopping = self.shared.is_leaving());
+    }
+}
+
 impl IncomingBody {
     const fn new(
         decoder: body::BodyDecoder,
