--- a/crates/marjoramwing/tests/cli_serve/process.rs
+++ b/crates/marjoramwing/tests/cli_serve/process.rs
@@ -9,10 +9,15 @@
 
 use marjoramwing_objects::object;
 use marjoramwing_standins::platform;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_marjoramwing");
+const ADMIN_SECRET: &str = "admin-secret-of-tests";
 /// Timeout of every wait.
 const WAIT_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+/// Slots of the backend server of [`start_platform`].
+pub(crate) const SERVER_SLOTS: u32 = 9;
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
 /// Writes a settings file of an instance that listens on free ports.
@@ -47,7 +52,7 @@
 pub(crate) fn serve_command(settings: &path::Path) -> process::Command {
     let mut command = process::Command::new(BINARY);
     command.args(["serve", "-c"]).arg(settings).env_clear();
-    command.env("PEER", "peer-secret-of-tests").env("ADMIN", "admin-secret-of-tests");
+    command.env("PEER", "peer-secret-of-tests").env("ADMIN", ADMIN_SECRET);
     command.stdout(process::Stdio::piped()).stderr(process::Stdio::piped());
     command
 }
@@ -57,7 +62,7 @@
     let server = platform::PlatformServer::default();
     let pools = format!(
         r#"{{"pools": [{{"name": "main", "servers":
-        [{{"address": "{backend}", "failure_domain": "west-a", "slots": 9}}]}}]}}"#
+        [{{"address": "{backend}", "failure_domain": "west-a", "slots": {SERVER_SLOTS}}}]}}]}}"#
     );
     let steering = r#"{"sites": [{"name": "west-a", "region": "west", "failure_domain": "west-a"}],
         "lookup_ttl_ms": 3000}"#;
@@ -116,6 +121,25 @@
         wait_until(&format!("event {number}"), async || find()).await
     }
 
+    /// Waits until this number of requests is open at the instance.
+    pub(crate) async fn wait_for_open_requests(&self, count: u32) {
+        let line = format!("marjoramwing_open_requests {count}\n");
+        let poll = async || self.read_metrics().await.contains(&line).then_some(());
+        wait_until("the open requests", poll).await;
+    }
+
+    async fn read_metrics(&self) -> String {
+        let request = format!(
+            "GET /metrics HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {ADMIN_SECRET}\r\n\
+             Connection: close\r\n\r\n"
+        );
+        let mut stream = tokio::net::TcpStream::connect(self.admin).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.unwrap();
+        text
+    }
+
     /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
         let kill = format!("kill -TERM {}", self.child.id());
--- a/crates/marjoramwing/tests/cli_serve/stop.rs
+++ b/crates/marjoramwing/tests/cli_serve/stop.rs
@@ -96,9 +96,13 @@
 const UPLOAD: &str = "POST /late HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\n";
 
 async fn start_instance(name: &str) -> (GatedBackend, process::InstanceProcess) {
+    start_instance_with(name, "").await
+}
+
+async fn start_instance_with(name: &str, extra: &str) -> (GatedBackend, process::InstanceProcess) {
     let (backend, address) = GatedBackend::start().await;
     let platform = process::start_platform(address).await;
-    let settings = process::write_settings(name, platform, "");
+    let settings = process::write_settings(name, platform, extra);
     let instance = process::InstanceProcess::start(&settings).await;
     wait_for_readiness(&instance, true).await;
     (backend, instance)
@@ -185,6 +189,69 @@
     instance.wait_for_event(1003).await;
 }
 
+const GRACE_PERIOD: &str = "[stop]\ngrace_s = 4";
+const PIPELINED: &str = "[stop]\ngrace_s = 4\n[callers]\npipelined = 16";
+
+async fn check_waiting_request(name: &str, settings: &str) {
+    let (backend, mut instance) = start_instance_with(name, settings).await;
+    let mut served = Vec::new();
+    for _ in 0..process::SERVER_SLOTS {
+        served.push(Caller::send(instance.callers, LATE).await);
+    }
+    backend.wait_for_requests(process::SERVER_SLOTS).await;
+    let mut waiting = Caller::send(instance.callers, LATE).await;
+    instance.wait_for_open_requests(process::SERVER_SLOTS + 1).await;
+
+    instance.terminate();
+    let refusal = waiting.read_until("\r\n\r\n").await.to_ascii_lowercase();
+    assert!(refusal.starts_with("http/1.1 503 "), "{refusal}");
+    assert!(refusal.contains("marjoramwing-outcome: not-run"), "{refusal}");
+    assert!(refusal.contains("connection: close"), "{refusal}");
+    backend.open_gate();
+    for caller in &mut served {
+        caller.read_until("\r\n\r\nlate ").await;
+    }
+    assert_eq!(instance.wait_for_exit().await, 0);
+}
+
+// A stop closed the connections of requests that waited for a slot until the process ended.
+#[tokio::test]
+async fn request_that_waits_for_a_slot_is_refused_at_a_planned_stop() {
+    check_waiting_request("stop-waiting", GRACE_PERIOD).await;
+}
+
+// The same, on a connection whose requests are processed concurrently.
+#[tokio::test]
+async fn pipelined_request_that_waits_for_a_slot_is_refused_at_a_planned_stop() {
+    check_waiting_request("stop-waiting-pipelined", PIPELINED).await;
+}
+
+async fn check_request_at_server(name: &str, settings: &str) {
+    let (backend, mut instance) = start_instance_with(name, settings).await;
+    let mut late = Caller::send(instance.callers, LATE).await;
+    backend.wait_for_requests(1).await;
+
+    instance.terminate();
+    let refusal = late.read_until("\r\n\r\n").await.to_ascii_lowercase();
+    assert!(refusal.starts_with("http/1.1 504 "), "{refusal}");
+    assert!(refusal.contains("marjoramwing-outcome: unknown"), "{refusal}");
+    // The exit code for aborted requests.
+    assert_eq!(instance.wait_for_exit().await, 7);
+}
+
+// A stop closed the connections of requests whose backend server had not responded by its end, so
+// that callers learned of it only from a closed connection.
+#[tokio::test]
+async fn request_at_a_backend_server_is_refused_as_unknown_when_a_planned_stop_ends() {
+    check_request_at_server("stop-at-server", GRACE_PERIOD).await;
+}
+
+// The same, on a connection whose requests are processed concurrently.
+#[tokio::test]
+async fn pipelined_request_at_a_backend_server_is_refused_as_unknown_when_a_planned_stop_ends() {
+    check_request_at_server("stop-at-server-pipelined", PIPELINED).await;
+}
+
 #[tokio::test]
 async fn second_signal_aborts_open_requests() {
     let (backend, mut instance) = start_instance("stop-forced").await;
