Stop: open requests are answered or refused before the process ends

Callers saw: a whole request on a kept connection, sent 2 s after a SIGTERM, got neither an answer nor a refusal; its connection closed 3.7 s later.

Cause: a request waits for a slot, its body, a claim or a backend server until its own deadline. Nothing bounded these waits by the end of the process that holds the request: the class is a wait without the bound of its holder's lifetime.

Change: a planned stop has a time by which responses must have arrived, 0.7 s before the grace period ends. Each service starts no attempt from the time on at which a response can no longer be expected (1.5 mean service times and a round trip before it); queued requests and later ones are refused as not run, Retry-After 0. At the end, what precedes the first attempt is refused as not run, what a backend server has as unknown, and 0.3 s are left to write it.

--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -44,6 +44,9 @@
 const BACKUP_SESSION_DIVISOR: u64 = 2;
 /// Penalty for a server that does not know the session, as a multiple of the mean service time.
 const UNKNOWN_SESSION_FACTOR: u64 = 5;
+/// Time reserved for a response when the process stops, as a multiple of the mean service time in
+/// hundredths; service times vary.
+const STOP_RESERVE_PERCENT: u64 = 150;
 /// Service time that is assumed before the first response, in microseconds.
 const INITIAL_SERVICE_TIME_US: u64 = 200_000;
 /// Number of responses over which the mean service time of the pool is smoothed.
@@ -403,6 +406,16 @@
         duration::Duration::from_micros(known.min().unwrap_or(0))
     }
 
+    /// Returns the time within which a request that is sent now can be expected to be answered, with
+    /// a margin.
+    #[must_use]
+    pub fn response_reserve(&self) -> duration::Duration {
+        let in_service = self.servers.iter().filter(|server| server.is_in_service());
+        let round_trip_us = in_service.map(|server| server.distance.round_trip_us()).max();
+        let service_time_us = self.service_time_us * STOP_RESERVE_PERCENT / 100;
+        duration::Duration::from_micros(round_trip_us.unwrap_or(0) + service_time_us)
+    }
+
     /// Scores a server; the lowest score wins.
     ///
     /// A server whose latency is unknown is tried first, as is an idle server whose
--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -60,6 +60,8 @@
     Full,
     /// No server meets the constraints of the request.
     NoServer,
+    /// The process stops before a response can be expected.
+    Stopping,
 }
 
 /// Result of one pass over the queue: the requests that left it.
@@ -70,6 +72,8 @@
     pub granted: Vec<SlotGrant>,
     /// Requests that expired: none of the servers is expected to respond by their deadline.
     pub expired: Vec<queue::TicketKey>,
+    /// Requests that cannot be answered before the process stops.
+    pub stopped: Vec<queue::TicketKey>,
 }
 
 /// Decides where and when one service's requests are sent.
@@ -79,6 +83,9 @@
     picker: picker::BackendPicker,
     queue: queue::FairQueue,
     budget: budget::RetryBudget,
+    /// Time by which responses must have arrived, since the process stops; `None` while no stop
+    /// is planned.
+    stops_at: Option<time::Timestamp>,
 }
 
 impl ServiceDispatcher {
@@ -89,6 +96,7 @@
             picker: picker::BackendPicker::new(policy.choice, policy.disabled),
             queue: queue::FairQueue::new(&policy),
             budget: budget::RetryBudget::new(policy.retry_ratio, policy.retry_burst),
+            stops_at: None,
             policy,
         }
     }
@@ -98,6 +106,13 @@
         self.picker.set_leaving(leaving);
     }
 
+    /// Plans the stop of the process, by which all responses must have arrived.
+    ///
+    /// Slots are granted only while a response can be expected before.
+    pub const fn stop_at(&mut self, at: time::Timestamp) {
+        self.stops_at = Some(at);
+    }
+
     /// Replaces the servers by those of a pool.
     pub fn set_servers(&mut self, pool: &pool::Pool, now: time::Timestamp) {
         self.picker.set_servers(pool, now);
@@ -155,6 +170,9 @@
         seed: u64,
         now: time::Timestamp,
     ) -> SlotOutcome {
+        if self.is_stopping(now) {
+            return SlotOutcome::Stopping;
+        }
         if !self.picker.has_server(&request.criteria()) {
             return SlotOutcome::NoServer;
         }
@@ -179,6 +197,9 @@
         seed: u64,
         now: time::Timestamp,
     ) -> Option<net::SocketAddr> {
+        if self.is_stopping(now) {
+            return None;
+        }
         let server = self.picker.pick(criteria, seed, now)?;
         self.picker.occupy_slot(server, criteria.session, now);
         Some(server)
@@ -210,7 +231,8 @@
         self.queue.remove(ticket);
     }
 
-    /// Removes expired requests from the queue and grants free slots to the others.
+    /// Removes expired requests from the queue and grants free slots to the others; removes all if
+    /// the process stops before a response can be expected.
     ///
     /// A request expires once a response at the minimum observed latency would arrive at
     /// or after its deadline. Under [`QueueOrder::ReachableTarget`], requests that can no
@@ -221,6 +243,11 @@
         if self.queue.is_empty() {
             return DispatchBatch::default();
         }
+        if self.is_stopping(now) {
+            // Every queued request's deadline is before this time.
+            let stopped = self.queue.expire(time::Timestamp::NEVER);
+            return DispatchBatch { stopped, ..DispatchBatch::default() };
+        }
         let expires_requests = self.policy.disabled != mechanism::DisabledMechanism::DeadlineExpiry;
         let expired = if expires_requests {
             self.queue.expire(now + self.picker.min_latency())
@@ -234,18 +261,21 @@
             self.picker.occupy_slot(grant.server, grant.session, now);
             granted.push(grant);
         }
-        DispatchBatch { granted, expired }
+        DispatchBatch { granted, expired, stopped: Vec::new() }
     }
 
     /// Returns when to dispatch again if no attempt ends before then.
     ///
-    /// Returns `None` if no request is queued, or if nothing that keeps a server from being
-    /// chosen is due to end, see [`BackendPicker::next_change`].
+    /// Returns `None` if no request is queued, or if no stop is planned and nothing that keeps a
+    /// server from being chosen is due to end, see [`BackendPicker::next_change`].
     ///
     /// [`BackendPicker::next_change`]: picker::BackendPicker::next_change
     #[must_use]
     pub fn next_wakeup(&self, now: time::Timestamp) -> Option<time::Timestamp> {
-        if self.queue.is_empty() { None } else { self.picker.next_change(now) }
+        if self.queue.is_empty() {
+            return None;
+        }
+        self.picker.next_change(now).into_iter().chain(self.last_start()).min()
     }
 
     /// Returns the number of queued requests.
@@ -260,6 +290,20 @@
         self.picker.in_flight(server)
     }
 
+    /// Returns true if the process stops before a request that is sent now can be expected to be
+    /// answered.
+    fn is_stopping(&self, now: time::Timestamp) -> bool {
+        self.last_start().is_some_and(|last_start| now >= last_start)
+    }
+
+    /// Returns the time from which no slot is granted, if a stop is planned.
+    fn last_start(&self) -> Option<time::Timestamp> {
+        let stops_at = self.stops_at?;
+        let reserve_us = self.picker.response_reserve().as_micros();
+        let reserve_us = u64::try_from(reserve_us).unwrap_or(u64::MAX);
+        Some(time::Timestamp::from_micros(stops_at.as_micros().saturating_sub(reserve_us)))
+    }
+
     fn next_grant(&self, seed: u64, now: time::Timestamp) -> Option<SlotGrant> {
         let grant = |queued: &queue::QueuedRequest| {
             let server = self.picker.pick(&queued.request.criteria(), seed, now)?;
--- a/crates/coordination/dispatch/tests/service.rs
+++ b/crates/coordination/dispatch/tests/service.rs
@@ -356,3 +356,60 @@
     assert!((100..=200).contains(&chosen), "{chosen}");
     assert_eq!(requests_after_slow_response(DisabledMechanism::LatencyAging), 1);
 }
+
+/// Answers one request after each service time, so that all servers are known to take that long.
+fn make_measured_service(service_time_ms: u64) -> service::ServiceDispatcher {
+    let mut dispatcher = make_service(Nothing, &[1]);
+    for _ in 0..2_000 {
+        let granted = dispatcher.request_slot(make_request("a", 100_000), 0, time::Timestamp::ZERO);
+        assert_eq!(granted, service::SlotOutcome::Granted(address(1)));
+        let latency = duration::Duration::from_millis(service_time_ms);
+        dispatcher.release_slot(address(1), report(Answered(latency)), time::Timestamp::ZERO);
+    }
+    dispatcher
+}
+
+fn check_start_before_stop(service_time_ms: u64, now_ms: u64, is_granted: bool) {
+    let mut dispatcher = make_measured_service(service_time_ms);
+    dispatcher.stop_at(time::Timestamp::from_millis(10_000));
+    let now = time::Timestamp::from_millis(now_ms);
+    let outcome = dispatcher.request_slot(make_request("a", 100_000), 0, now);
+    let expected = match is_granted {
+        true => service::SlotOutcome::Granted(address(1)),
+        false => service::SlotOutcome::Stopping,
+    };
+    assert_eq!(outcome, expected);
+    let slot = dispatcher.try_acquire_slot(&picker::ServerCriteria::default(), 0, now);
+    assert_eq!(slot.is_some(), is_granted);
+}
+
+// A stopping instance started requests that it could not finish.
+cases! { check_start_before_stop:
+    quick_request_starts_shortly_before_a_stop => (100, 9_700, true);
+    request_that_would_outlast_a_stop_is_not_started => (1_000, 9_700, false);
+    slow_request_starts_while_time_is_left => (1_000, 7_000, true);
+    nothing_starts_after_a_stop => (100, 10_001, false);
+}
+
+// A request in the queue of a stopping instance was kept until the process ended.
+#[test]
+fn queued_requests_leave_the_queue_before_a_stop() {
+    let mut dispatcher = make_measured_service(1_000);
+    let start = time::Timestamp::ZERO;
+    for _ in 0..3 {
+        let granted = dispatcher.request_slot(make_request("a", 100_000), 0, start);
+        assert_eq!(granted, service::SlotOutcome::Granted(address(1)));
+    }
+    let queued = ["a", "b"].map(|team| {
+        match dispatcher.request_slot(make_request(team, 100_000), 0, start) {
+            service::SlotOutcome::Queued { ticket, .. } => ticket,
+            other => panic!("{other:?}"),
+        }
+    });
+    dispatcher.stop_at(time::Timestamp::from_millis(10_000));
+    assert_eq!(dispatcher.dispatch_queued(0, start), service::DispatchBatch::default());
+    let wakeup = dispatcher.next_wakeup(start).unwrap();
+    assert!(wakeup < time::Timestamp::from_millis(9_000), "{wakeup:?}");
+    let batch = dispatcher.dispatch_queued(0, wakeup);
+    assert_eq!((batch.stopped.as_slice(), dispatcher.queued()), (&queued[..], 0));
+}
--- a/crates/transport/node/src/backends/service.rs
+++ b/crates/transport/node/src/backends/service.rs
@@ -69,6 +69,8 @@
     QueueFull,
     /// The request could not be answered before its deadline.
     DeadlineExceeded,
+    /// The request could not be answered before the process stops.
+    Stopping,
 }
 
 impl ServiceControl {
@@ -108,6 +110,12 @@
         self.dispatch_queued();
     }
 
+    /// Plans the stop of the process, by which all responses must have arrived.
+    pub fn stop_at(self: &sync::Arc<Self>, at: time::Timestamp) {
+        self.lock().dispatcher.stop_at(at);
+        self.dispatch_queued();
+    }
+
     /// Records how long it took to open a connection to a server.
     pub fn record_connect_time(&self, server: net::SocketAddr, round_trip: duration::Duration) {
         self.lock().dispatcher.record_connect_time(server, round_trip);
@@ -157,6 +165,7 @@
                 }
                 service::SlotOutcome::Full => return Err(SlotFault::QueueFull),
                 service::SlotOutcome::NoServer => return Err(SlotFault::NoServer),
+                service::SlotOutcome::Stopping => return Err(SlotFault::Stopping),
                 service::SlotOutcome::Queued { ticket, evicted } => {
                     let evicted = evicted.and_then(|key| state.waiters.remove(&key));
                     evicted.map(|sender| sender.send(Err(SlotFault::QueueFull)));
@@ -196,11 +205,12 @@
         self.lock().dispatcher.in_flight(server)
     }
 
-    /// Grants free slots to queued requests and fails those that have expired.
+    /// Grants free slots to queued requests and fails those that have expired or that the stop of
+    /// the process leaves no time.
     fn dispatch_queued(self: &sync::Arc<Self>) {
         let now = self.clock.now();
         let mut granted = Vec::new();
-        let mut expired = Vec::new();
+        let mut failed = Vec::new();
         {
             let mut state = self.lock();
             let seed = state.next_seed();
@@ -210,11 +220,16 @@
                 let server_id = state.dispatcher.server_id(grant.server);
                 granted.push(GrantedSlot { sender, guard: self.guard(grant.server, server_id) });
             }
-            expired.extend(batch.expired.iter().filter_map(|ticket| state.waiters.remove(ticket)));
+            let expired =
+                batch.expired.into_iter().map(|ticket| (ticket, SlotFault::DeadlineExceeded));
+            let stopped = batch.stopped.into_iter().map(|ticket| (ticket, SlotFault::Stopping));
+            for (ticket, fault) in expired.chain(stopped) {
+                failed.extend(state.waiters.remove(&ticket).map(|sender| (sender, fault)));
+            }
             self.schedule_wakeup(&mut state, now);
         }
-        for sender in expired {
-            let _ = sender.send(Err(SlotFault::DeadlineExceeded));
+        for (sender, fault) in failed {
+            let _ = sender.send(Err(fault));
         }
         // A guard whose receiver is gone is dropped here, which frees its slot.
         granted.into_iter().for_each(GrantedSlot::deliver);
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -184,8 +184,7 @@
     async fn run(mut self) -> Result<OpenResponse, refusal::Refusal> {
         self.context.services[0].record_request();
         loop {
-            let can_replay = self.context.request.source.can_replay();
-            let answered = match self.exchange.next_step(self.now(), can_replay) {
+            let answered = match self.next_step() {
                 exchange::ExchangeStep::Start if self.open.is_empty() => {
                     if !self.start_next().await {
                         return Err(self.refuse());
@@ -214,6 +213,14 @@
         }
     }
 
+    fn next_step(&self) -> exchange::ExchangeStep {
+        if self.context.shared.has_finish_ended() {
+            return exchange::ExchangeStep::Refuse;
+        }
+        let can_replay = self.context.request.source.can_replay();
+        self.exchange.next_step(self.now(), can_replay)
+    }
+
     /// Starts an attempt in the next slot that is granted; returns false if the retry
     /// budget or the services allow none.
     async fn start_next(&mut self) -> bool {
@@ -258,12 +265,16 @@
         self.open.push(Box::pin(attempt.run(guard)));
     }
 
-    /// Waits until any open attempt ends, at most until `until`; returns the response if
-    /// that attempt was answered.
+    /// Waits until any open attempt ends, at most until `until` or the end of a planned stop;
+    /// returns the response if that attempt was answered.
     async fn wait(&mut self, until: time::Timestamp) -> Option<OpenResponse> {
         let clock = self.context.shared.clock();
-        let end = clock.wait(until, self.open.next()).await??;
-        self.record_end(end)
+        let end = tokio::select! {
+            biased;
+            end = clock.wait(until, self.open.next()) => end,
+            () = self.context.shared.finish_ended() => None,
+        };
+        self.record_end(end??)
     }
 
     /// Cancels all open attempts and waits for them to end; returns a response that
@@ -352,7 +363,10 @@
         let late = self.now() >= self.context.deadline
             || self.fault == Some(service::SlotFault::DeadlineExceeded);
         let full = self.fault == Some(service::SlotFault::QueueFull);
+        let stopping = self.fault == Some(service::SlotFault::Stopping)
+            || self.context.shared.has_finish_ended();
         let kind = match (outcome, late) {
+            _ if stopping => refusal::RefusalKind::Stopping,
             (exchange::RequestOutcome::NotRun, false) if full => refusal::RefusalKind::QueueFull,
             (exchange::RequestOutcome::NotRun, true) => refusal::RefusalKind::DeadlineUnsent,
             (exchange::RequestOutcome::NotRun, false) => refusal::RefusalKind::NoServer,
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -233,10 +233,8 @@
         }
         let Some(key) = claims::find_key(request.headers())? else { return Ok(None) };
         let id = claim::ClaimId::new(team, self.route.name.as_str(), key);
-        let time_left = self.deadline.since(self.shared.now());
-        let claims_unavailable = refusal::Refusal::not_run(refusal::RefusalKind::ClaimsUnavailable);
-        let claim = tokio::time::timeout(time_left, self.shared.dispatch.claims.claim(id)).await;
-        claim.unwrap_or(Err(claims_unavailable)).map(Some)
+        let claim = self.shared.dispatch.claims.claim(id);
+        self.wait_unsent(claim, refusal::RefusalKind::ClaimsUnavailable).await.map(Some)
     }
 
     /// Returns the services of the route's pools, in order of preference; never an empty
@@ -338,9 +336,26 @@
         let team = team.map(|team| self.tables.teams[team].name.as_str());
         let prepared =
             request::PreparedRequest::prepare(request, self.route, team, self.shared.names, memory);
+        self.wait_unsent(prepared, refusal::RefusalKind::DeadlineUnsent).await
+    }
+
+    /// Waits for a step that precedes the first attempt, at most until the deadline, after which
+    /// the request is refused with `timeout_kind`, or the end of a planned stop.
+    async fn wait_unsent<T>(
+        &self,
+        step: impl Future<Output = Result<T, refusal::Refusal>>,
+        timeout_kind: refusal::RefusalKind,
+    ) -> Result<T, refusal::Refusal> {
         let time_left = self.deadline.since(self.shared.now());
-        let deadline_unsent = refusal::Refusal::not_run(refusal::RefusalKind::DeadlineUnsent);
-        tokio::time::timeout(time_left, prepared).await.unwrap_or(Err(deadline_unsent))
+        tokio::select! {
+            biased;
+            ended = tokio::time::timeout(time_left, step) => {
+                ended.unwrap_or(Err(refusal::Refusal::not_run(timeout_kind)))
+            }
+            () = self.shared.finish_ended() => {
+                Err(refusal::Refusal::not_run(refusal::RefusalKind::Stopping))
+            }
+        }
     }
 }
 
--- a/crates/transport/node/src/callers/refusal.rs
+++ b/crates/transport/node/src/callers/refusal.rs
@@ -111,6 +111,11 @@
     /// The deadline passed before any backend server ran the request.
     #[display("no backend server took the request before the route's deadline; send again later")]
     DeadlineUnsent,
+    /// The process stops before the request can be answered.
+    #[display(
+        "this instance stops before it can answer; send to another one, and look before repeating what must run once"
+    )]
+    Stopping,
 }
 
 /// An error response, with whether the request may have run.
@@ -183,6 +188,10 @@
             | RefusalKind::ClaimsUnavailable
             | RefusalKind::BodyMemoryFull
             | RefusalKind::DeadlineUnsent => http::StatusCode::SERVICE_UNAVAILABLE,
+            RefusalKind::Stopping => match self.outcome {
+                exchange::RequestOutcome::NotRun => http::StatusCode::SERVICE_UNAVAILABLE,
+                exchange::RequestOutcome::Unknown => http::StatusCode::GATEWAY_TIMEOUT,
+            },
             RefusalKind::ExchangeFailed | RefusalKind::ResponseUnframed => {
                 http::StatusCode::BAD_GATEWAY
             }
@@ -218,12 +227,15 @@
             RefusalKind::ResponseUnframed => "answer_unbounded",
             RefusalKind::DeadlinePassed => "deadline_passed",
             RefusalKind::DeadlineUnsent => "deadline_unsent",
+            RefusalKind::Stopping => "stopping",
         }
     }
 
     fn retry_after(&self) -> Option<time::Duration> {
         match self.kind {
             RefusalKind::OverLimit { retry_after, .. } => Some(retry_after),
+            // Other instances can serve the request now.
+            RefusalKind::Stopping if self.is_not_run() => Some(time::Duration::ZERO),
             RefusalKind::NotReady
             | RefusalKind::KeysUnconfirmed
             | RefusalKind::ShiftCapped
--- a/crates/transport/node/src/dispatch.rs
+++ b/crates/transport/node/src/dispatch.rs
@@ -10,6 +10,7 @@
 use marjoramwing_dispatch::policy;
 use marjoramwing_dispatch::roster;
 use marjoramwing_entity::incarnation;
+use marjoramwing_entity::time;
 use marjoramwing_membership::view;
 use marjoramwing_registry::view as registry;
 use marjoramwing_settings::settings;
@@ -59,6 +60,8 @@
     roster: roster::FleetRoster,
     /// Whether the roster was starting at the last rebuild.
     was_starting: bool,
+    /// Time by which all responses must have arrived, if a stop is planned.
+    stops_at: Option<time::Timestamp>,
     bounds: settings::FleetBounds,
 }
 
@@ -70,6 +73,7 @@
             leaving: collections::HashSet::new(),
             roster,
             was_starting: true,
+            stops_at: None,
             bounds,
         }
     }
@@ -169,6 +173,13 @@
         }
     }
 
+    /// Plans the stop of the process, by which all responses must have arrived.
+    pub fn stop_at(&self, at: time::Timestamp) {
+        let mut sources = self.lock();
+        sources.stops_at = Some(at);
+        self.rebuild(&sources);
+    }
+
     /// Sets the fleet-wide bounds.
     pub fn set_bounds(&self, bounds: settings::FleetBounds) {
         let mut sources = self.lock();
@@ -191,6 +202,7 @@
             });
             service.set_servers(&pool);
             service.set_leaving(&sources.leaving);
+            sources.stops_at.into_iter().for_each(|at| service.stop_at(at));
             self.update_fleet_parameters(&service, &pool, sources);
             services.insert(pool.name.clone(), service);
         }
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -37,6 +37,8 @@
 
 /// Time allowed for the last membership messages to be sent before the process ends.
 const LEAVE_FLUSH_TIME: time::Duration = time::Duration::from_millis(200);
+/// Time allowed for writing the refusals of requests that a planned stop does not finish.
+const REFUSAL_FLUSH_TIME: time::Duration = time::Duration::from_millis(300);
 /// Interval between checks whether the ledger has handed over all limits.
 const HANDOVER_POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
@@ -156,17 +158,23 @@
     membership_sender
 }
 
-/// Runs the phases of the stop schedule: lingers, finishes the open requests and waits for the
-/// handover of limits.
+/// Runs the phases of the stop schedule: lingers, finishes the open requests, refuses those that
+/// are left and waits for the handover of limits.
 async fn finish_requests(
     shared: &shared::InstanceState,
-    serving: tokio::task::JoinHandle<()>,
+    mut serving: tokio::task::JoinHandle<()>,
     stop: &cancellation::CancellationToken,
 ) -> StopOutcome {
     let schedule = stopping::StopSchedule::new(shared);
+    shared.finish_requests_by(shared.now() + schedule.linger + schedule.finish);
     tokio::time::sleep(schedule.linger).await;
     stop.cancel();
-    let finished = tokio::time::timeout(schedule.finish, serving).await;
+    let finished = tokio::time::timeout(schedule.finish, &mut serving).await;
+    if finished.is_err() {
+        emit!(catalogue::STOP_TIMED_OUT, open = shared.metrics.open_requests.get());
+        shared.end_finish();
+        let _ = tokio::time::timeout(REFUSAL_FLUSH_TIME, serving).await;
+    }
     let hands_over = !schedule.hand_over.is_zero();
     if hands_over && tokio::time::timeout(schedule.hand_over, hand_over(shared)).await.is_err() {
         emit!(catalogue::HANDOVER_TIMED_OUT, waited_ms = schedule.hand_over.as_millis());
@@ -176,10 +184,7 @@
             emit!(catalogue::STOP_FINISHED);
             StopOutcome::Finished
         }
-        Err(_) => {
-            emit!(catalogue::STOP_TIMED_OUT, open = shared.metrics.open_requests.get());
-            StopOutcome::Aborted
-        }
+        Err(_) => StopOutcome::Aborted,
     }
 }
 
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -18,6 +18,7 @@
 use marjoramwing_tables::route;
 use marjoramwing_tables::snapshot;
 use tokio::sync::watch;
+use tokio_util::sync as cancellation;
 
 use crate::admission::control;
 use crate::callers::trace;
@@ -55,6 +56,8 @@
     pub metrics: metrics::InstanceMetrics,
     clock: clock::MonotonicClock,
     leaving: atomic::AtomicBool,
+    /// Cancelled when the time to finish requests in a planned stop has passed.
+    finish_ended: cancellation::CancellationToken,
     /// Whether keyed requests may be served; true until a confirmation is first required.
     keys_trusted: atomic::AtomicBool,
     /// Whether keys have been trusted since a confirmation was last required; true until then.
@@ -81,6 +84,7 @@
             metrics: metrics::InstanceMetrics::new(),
             clock,
             leaving: atomic::AtomicBool::new(false),
+            finish_ended: cancellation::CancellationToken::new(),
             keys_trusted: atomic::AtomicBool::new(true),
             was_confirmed: atomic::AtomicBool::new(true),
             control: dump::ControlStatus::default(),
@@ -174,6 +178,29 @@
         self.leaving.store(true, atomic::Ordering::Release);
     }
 
+    /// Plans the end of the time to finish requests, by which all responses must have arrived.
+    ///
+    /// Requests that cannot be answered before are refused as soon as that is known.
+    pub fn finish_requests_by(&self, at: time::Timestamp) {
+        self.dispatch.stop_at(at);
+    }
+
+    /// Ends the time to finish requests: those that are still undecided are refused at once.
+    pub fn end_finish(&self) {
+        self.finish_ended.cancel();
+    }
+
+    /// Returns true if the time to finish requests has passed.
+    #[must_use]
+    pub fn has_finish_ended(&self) -> bool {
+        self.finish_ended.is_cancelled()
+    }
+
+    /// Waits until the time to finish requests has passed.
+    pub async fn finish_ended(&self) {
+        self.finish_ended.cancelled().await;
+    }
+
     /// Returns true if the instance is leaving.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
--- a/crates/transport/node/src/stopping.rs
+++ b/crates/transport/node/src/stopping.rs
@@ -15,7 +15,7 @@
 /// Fraction of the grace period in which new connections are still accepted.
 const LINGER_FRACTION: f64 = 0.5;
 /// Part of the grace period that is reserved for the exit of the process.
-const EXIT_RESERVE: time::Duration = time::Duration::from_millis(500);
+const EXIT_RESERVE: time::Duration = time::Duration::from_millis(700);
 
 /// Durations of the consecutive phases of a planned stop.
 #[derives::value]
