--- a/crates/transport/node/src/backends/stream.rs
+++ b/crates/transport/node/src/backends/stream.rs
@@ -17,6 +17,7 @@
 use tokio::io::AsyncWrite;
 
 use crate::clock;
+use crate::socket;
 
 /// Bytes that may still be read from a backend server, shared by a connection and its stream.
 ///
@@ -87,7 +88,7 @@
             return task::Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
         let first = verdict == gate::GateVerdict::First;
-        if first && mem::replace(&mut self.is_reused, true) && !is_idle(&self.stream) {
+        if first && mem::replace(&mut self.is_reused, true) && !socket::is_idle(&self.stream) {
             self.gate.revoke();
             return task::Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
@@ -99,14 +100,6 @@
     }
 }
 
-/// Returns true if the peer has neither sent bytes that are still unread nor closed the
-/// connection.
-fn is_idle(stream: &tokio::net::TcpStream) -> bool {
-    let mut byte = [mem::MaybeUninit::uninit(); 1];
-    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
-    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
-}
-
 impl AsyncRead for GatedStream {
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
--- a/crates/transport/node/src/lib.rs
+++ b/crates/transport/node/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`pipeline`]: caller connections with pipelined requests.
 //! - [`runtime`]: startup and planned stop.
 //! - [`shared`]: state that all tasks share, and the lock order.
+//! - [`socket`]: state of a TCP connection that the runtime does not report.
 //! - [`steering`]: steering of callers between regions.
 //! - [`stopping`]: phases of a planned stop.
 
@@ -38,5 +39,6 @@
 pub mod pipeline;
 pub mod runtime;
 pub mod shared;
+pub mod socket;
 pub mod steering;
 pub mod stopping;
--- a/crates/transport/node/src/pipeline/connection.rs
+++ b/crates/transport/node/src/pipeline/connection.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariants: responses are written in the order of their requests; a request
 //! is dropped, with its attempts, once its caller has disconnected; every request
-//! that was started before a graceful shutdown is finished.
+//! that had arrived before a graceful shutdown is answered, or counts as unread because an
+//! earlier response announces the close.
 
 use std::collections;
 use std::sync;
@@ -21,6 +22,7 @@
 use crate::pipeline::head;
 use crate::pipeline::writer;
 use crate::shared;
+use crate::socket;
 
 /// Unparsed bytes from which the connection stops reading, unless the limit of a head is larger.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
@@ -150,10 +152,12 @@
     }
 
     async fn step(&mut self, stop: &cancellation::CancellationToken) -> Result<(), ConnectionEnd> {
-        self.is_closing |= stop.is_cancelled();
+        if stop.is_cancelled() && !self.is_closing {
+            self.read_last_requests().await?;
+        }
         self.read_requests();
         self.send_continue().await?;
-        let is_idle = self.open.is_empty() && self.incoming.is_none();
+        let is_idle = self.is_idle();
         if is_idle && self.is_closing {
             return Err(ConnectionEnd::Finished);
         }
@@ -167,17 +171,34 @@
                 self.write(response).await
             }
             () = send_pending(&mut self.incoming), if has_pending => Ok(()),
-            read = self.stream.read_buf(&mut self.buffer), if has_capacity && !has_pending => {
-                match read {
-                    Ok(0) | Err(_) => Err(ConnectionEnd::Closed),
-                    Ok(_) => Ok(()),
-                }
+            read = read_more(&mut self.stream, &mut self.buffer), if has_capacity && !has_pending => {
+                read
             }
             () = stop.cancelled(), if !self.is_closing => Ok(()),
             () = tokio::time::sleep_until(head_wait_end), if is_idle => Err(ConnectionEnd::Idle),
         }
     }
 
+    /// Returns true if no request is in progress.
+    fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.incoming.is_none()
+    }
+
+    /// Starts the requests that had arrived when a shutdown began; no others are read.
+    ///
+    /// An idle connection closes without a response that could say so, so a request that is
+    /// still unread then would be lost.
+    async fn read_last_requests(&mut self) -> Result<(), ConnectionEnd> {
+        self.read_requests();
+        while self.is_idle() && !socket::is_idle(&self.stream) {
+            self.reserve_buffer(true);
+            read_more(&mut self.stream, &mut self.buffer).await?;
+            self.read_requests();
+        }
+        self.is_closing = true;
+        Ok(())
+    }
+
     /// Reserves space for the next read; a connection without a request holds as little memory
     /// as a head needs.
     fn reserve_buffer(&mut self, is_idle: bool) {
@@ -373,6 +394,17 @@
     }
 }
 
+/// Waits for bytes from the caller.
+async fn read_more(
+    stream: &mut tokio::net::TcpStream,
+    buffer: &mut bytes::BytesMut,
+) -> Result<(), ConnectionEnd> {
+    match stream.read_buf(buffer).await {
+        Ok(0) | Err(_) => Err(ConnectionEnd::Closed),
+        Ok(_) => Ok(()),
+    }
+}
+
 /// Waits for the response to the oldest request; returns `None` if its task has failed.
 async fn next_response(
     open: &mut collections::VecDeque<OpenRequest>,
