--- a/crates/transport/node/src/pipeline/connection.rs
+++ b/crates/transport/node/src/pipeline/connection.rs
@@ -20,6 +20,7 @@
 use crate::callers::refusal;
 use crate::pipeline::body;
 use crate::pipeline::head;
+use crate::pipeline::incoming;
 use crate::pipeline::writer;
 use crate::shared;
 use crate::socket;
@@ -57,7 +58,7 @@
     /// Requests in the order of their arrival.
     open: collections::VecDeque<OpenRequest>,
     /// Body of the newest request, while it is being received.
-    incoming: Option<IncomingBody>,
+    incoming: Option<incoming::IncomingBody>,
     /// Whether no further requests are read.
     is_closing: bool,
     /// Wait for a request, while none is in progress.
@@ -82,20 +83,6 @@
     runs_concurrently: bool,
 }
 
-/// A request body that is still being received.
-#[derive(Debug)]
-struct IncomingBody {
-    decoder: body::BodyDecoder,
-    /// `None` once the reader of the body is gone.
-    sender: Option<body::PartSender>,
-    /// Decoded part that waits for capacity in the channel.
-    pending: Option<body::BodyPart>,
-    /// Whether the end of the body was sent to the reader, or is pending.
-    sent_end: bool,
-    /// Whether `100 Continue` has yet to be sent.
-    sends_continue: bool,
-}
-
 /// Why a connection ends.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
 pub enum ConnectionEnd {
@@ -162,7 +149,7 @@
             return Err(ConnectionEnd::Finished);
         }
         let has_capacity = self.buffer.len() < MAX_BUFFERED_BYTES.max(self.limits.max_head_bytes);
-        let has_pending = self.incoming.as_ref().is_some_and(|incoming| incoming.pending.is_some());
+        let has_pending = self.incoming.as_ref().is_some_and(incoming::IncomingBody::has_pending);
         self.reserve_buffer(is_idle);
         let head_wait_end = self.update_head_wait(is_idle);
         tokio::select! {
@@ -276,32 +263,20 @@
         }
         let (sender, body) = body::ChannelBody::new(head.body);
         let sends_continue = head.expects_continue && self.buffer.is_empty();
-        self.incoming = Some(IncomingBody::new(decoder, sender, sends_continue));
+        self.incoming = Some(incoming::IncomingBody::new(decoder, sender, sends_continue));
         axum::body::Body::new(body)
     }
 
-    /// Decodes buffered bytes of the body and sends them to its reader.
+    /// Sends the buffered bytes of the body to its reader.
     fn forward_body(&mut self) {
-        while let Some(incoming) = &mut self.incoming {
-            if incoming.pending.is_some() {
-                return;
-            }
-            match incoming.decoder.next_part(&mut self.buffer) {
-                Ok(Some(part)) => incoming.send(body::BodyPart::Data(part)),
-                Ok(None) if incoming.decoder.is_ended() => {
-                    if incoming.sent_end {
-                        self.incoming = None;
-                        continue;
-                    }
-                    incoming.sent_end = true;
-                    incoming.send(body::BodyPart::End);
-                }
-                Ok(None) => return,
-                // Without an end, the body fails at its reader.
-                Err(_) => {
-                    self.is_closing = true;
-                    self.incoming = None;
-                }
+        let Some(incoming) = &mut self.incoming else { return };
+        match incoming.forward(&mut self.buffer) {
+            Ok(is_ended) if is_ended => self.incoming = None,
+            Ok(_) => {}
+            // Without an end, the body fails at its reader.
+            Err(_) => {
+                self.is_closing = true;
+                self.incoming = None;
             }
         }
     }
@@ -372,28 +347,6 @@
 /// Longest wait for the caller to close after the last response.
 const CLOSE_WAIT: time::Duration = time::Duration::from_millis(500);
 
-impl IncomingBody {
-    const fn new(
-        decoder: body::BodyDecoder,
-        sender: body::PartSender,
-        sends_continue: bool,
-    ) -> Self {
-        Self { decoder, sender: Some(sender), pending: None, sent_end: false, sends_continue }
-    }
-
-    /// Sends a part, or keeps it until the channel has capacity; discards it if the reader is gone.
-    fn send(&mut self, part: body::BodyPart) {
-        let Some(sender) = &self.sender else { return };
-        match sender.try_send(part) {
-            Ok(()) => {}
-            Err(tokio::sync::mpsc::error::TrySendError::Full(part)) => {
-                self.pending = Some(part);
-            }
-            Err(_) => self.sender = None,
-        }
-    }
-}
-
 /// Waits for bytes from the caller.
 async fn read_more(
     stream: &mut tokio::net::TcpStream,
@@ -416,17 +369,11 @@
     response.map(|response| (response, is_head_request))
 }
 
-/// Waits for capacity in the channel and sends the pending part.
-async fn send_pending(incoming: &mut Option<IncomingBody>) {
-    let Some(incoming) = incoming else { return };
-    let Some(part) = &incoming.pending else { return };
-    if let Some(sender) = &incoming.sender {
-        // The reader of the body is gone.
-        if sender.send(part.clone()).await.is_err() {
-            incoming.sender = None;
-        }
+/// Sends the pending part of a body once the channel has capacity.
+async fn send_pending(incoming: &mut Option<incoming::IncomingBody>) {
+    if let Some(incoming) = incoming {
+        incoming.send_pending().await;
     }
-    incoming.pending = None;
 }
 
 fn has_connection_close(response: &axum::response::Response) -> bool {
--- a/crates/transport/node/src/pipeline/mod.rs
+++ b/crates/transport/node/src/pipeline/mod.rs
@@ -7,9 +7,11 @@
 //! - [`body`]: decoding of request bodies.
 //! - [`connection`]: the loop that serves one connection.
 //! - [`head`]: parsing of request heads.
+//! - [`incoming`]: the request body that a connection is receiving.
 //! - [`writer`]: writing of responses.
 
 pub mod body;
 pub mod connection;
 pub mod head;
+pub mod incoming;
 pub mod writer;
