--- a/crates/transport/node/src/pipeline/connection.rs
+++ b/crates/transport/node/src/pipeline/connection.rs
@@ -11,6 +11,7 @@
 
 use axum::response::IntoResponse;
 use bytes::Buf;
+use marjoramwing_dispatch::exchange;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio_util::sync as cancellation;
@@ -325,14 +326,28 @@
         self.is_closing |=
             discards_body || self.shared.is_leaving() || has_connection_close(&response);
         let is_last = is_newest && self.is_closing;
-        let timeout = self.limits.write_timeout;
-        let written =
-            writer::write_response(&mut self.stream, response, is_head_request, is_last, timeout)
-                .await;
+        let mut written = self.write_response(response, is_head_request, is_last).await;
+        // The caller has seen nothing of the failed response: a refusal in its place keeps the
+        // connection, and the responses behind it.
+        if matches!(written, Err(writer::WriteFault::Unsent(_))) {
+            let outcome = exchange::RequestOutcome::Unknown;
+            let refusal = refusal::Refusal { kind: refusal::RefusalKind::ExchangeFailed, outcome };
+            written = self.write_response(refusal.into_response(), is_head_request, is_last).await;
+        }
         written.map_err(ConnectionEnd::Write)?;
         if is_last { Err(ConnectionEnd::Finished) } else { Ok(()) }
     }
 
+    async fn write_response(
+        &mut self,
+        response: axum::response::Response,
+        is_head_request: bool,
+        is_last: bool,
+    ) -> Result<(), writer::WriteFault> {
+        let timeout = self.limits.write_timeout;
+        writer::write_response(&mut self.stream, response, is_head_request, is_last, timeout).await
+    }
+
     /// Closes without a reset, which could discard a response that the caller has not read.
     async fn close(&mut self) {
         if self.stream.shutdown().await.is_err() {
--- a/crates/transport/node/src/pipeline/writer.rs
+++ b/crates/transport/node/src/pipeline/writer.rs
@@ -15,9 +15,12 @@
     /// The caller disconnected or did not read within the timeout.
     #[display("the caller disconnected or did not read within the timeout")]
     Caller,
-    /// The body of the response failed.
+    /// The body of the response failed after a part of the response was sent.
     #[display("the response body failed: {_0}")]
     Body(#[error(not(source))] axum::Error),
+    /// The body of the response failed before any of the response was sent.
+    #[display("the response body failed before its first part: {_0}")]
+    Unsent(#[error(not(source))] axum::Error),
 }
 
 /// Writes one response.
@@ -26,7 +29,8 @@
 ///
 /// # Errors
 ///
-/// Returns a fault when the connection must be closed at once.
+/// Returns a fault when the connection must be closed at once, or, if nothing was sent, another
+/// response must take the place of this one.
 pub async fn write_response(
     stream: &mut tokio::net::TcpStream,
     response: axum::response::Response,
@@ -43,12 +47,15 @@
         (true, None) => ResponseFraming::Chunked,
     };
     let mut bytes = encode_head(&parts, length, framing, is_last);
+    let mut is_started = false;
     if framing != ResponseFraming::None {
         while let Some(frame) = body.frame().await {
-            let Ok(part) = frame.map_err(WriteFault::Body)?.into_data() else { continue };
+            let fault = if is_started { WriteFault::Body } else { WriteFault::Unsent };
+            let Ok(part) = frame.map_err(fault)?.into_data() else { continue };
             push_part(&mut bytes, &part, framing);
             let is_end = body.is_end_stream();
             if !is_end || bytes.len() >= FLUSH_BYTES {
+                is_started = true;
                 flush(stream, &mut bytes, timeout).await?;
             }
             if is_end {
