--- a/crates/transport/node/src/lib.rs
+++ b/crates/transport/node/src/lib.rs
@@ -18,7 +18,7 @@
 //! - [`pipeline`]: caller connections with pipelined requests.
 //! - [`runtime`]: startup and planned stop.
 //! - [`shared`]: state that all tasks share, and the lock order.
-//! - [`socket`]: state of a TCP connection that the runtime does not report.
+//! - [`socket`]: operations on a TCP connection that the runtime does not offer.
 //! - [`steering`]: steering of callers between regions.
 //! - [`stopping`]: phases of a planned stop.
 
--- a/crates/transport/node/src/pipeline/connection.rs
+++ b/crates/transport/node/src/pipeline/connection.rs
@@ -104,6 +104,16 @@
     Write(#[error(not(source))] writer::WriteFault),
 }
 
+impl ConnectionEnd {
+    /// Returns true if the caller may still be reading responses.
+    const fn may_leave_unread(&self) -> bool {
+        match self {
+            Self::Finished | Self::TaskEnded | Self::Write(writer::WriteFault::Body(_)) => true,
+            Self::Closed | Self::Idle | Self::Write(_) => false,
+        }
+    }
+}
+
 impl PipelinedConnection {
     /// Wraps an accepted connection that has not been read from.
     #[must_use]
@@ -129,10 +139,12 @@
     /// Serves the connection until it ends; requests in progress are then dropped.
     pub async fn serve(mut self, stop: cancellation::CancellationToken) -> ConnectionEnd {
         loop {
-            let step = self.step(&stop).await;
-            if let Err(end) = step {
-                if matches!(end, ConnectionEnd::Finished) {
-                    self.close().await;
+            if let Err(end) = self.step(&stop).await {
+                // Cancels the requests before the wait for the caller's close.
+                self.open.clear();
+                self.incoming = None;
+                if end.may_leave_unread() {
+                    socket::close(&mut self.stream).await;
                 }
                 return end;
             }
@@ -347,21 +359,8 @@
         let timeout = self.limits.write_timeout;
         writer::write_response(&mut self.stream, response, is_head_request, is_last, timeout).await
     }
-
-    /// Closes without a reset, which could discard a response that the caller has not read.
-    async fn close(&mut self) {
-        if self.stream.shutdown().await.is_err() {
-            return;
-        }
-        let mut discarded = [0; 1_024];
-        let drain = async { while matches!(self.stream.read(&mut discarded).await, Ok(1..)) {} };
-        let _ = tokio::time::timeout(CLOSE_WAIT, drain).await;
-    }
 }
 
-/// Longest wait for the caller to close after the last response.
-const CLOSE_WAIT: time::Duration = time::Duration::from_millis(500);
-
 /// Waits for bytes from the caller.
 async fn read_more(
     stream: &mut tokio::net::TcpStream,
