--- a/crates/transport/node/src/callers/handler.rs
+++ b/crates/transport/node/src/callers/handler.rs
@@ -1,12 +1,15 @@
 //! Validation of a request before it is routed, and the connection headers of its response.
 //!
-//! Invariant: a request that fails validation did not run.
+//! Invariants: a request that fails validation did not run; each request gets a response, also if
+//! its handling panics.
 
 use std::convert;
 use std::net;
+use std::panic;
 use std::sync;
 
 use axum::response::IntoResponse;
+use futures_util::FutureExt;
 use marjoramwing_dispatch::exchange;
 use tower::ServiceExt;
 
@@ -56,7 +59,7 @@
         // request on the connection is not reliable.
         let is_last = checked.is_err();
         let mut response = match checked {
-            Ok(uri) => self.route(request, uri).await,
+            Ok(uri) => self.route_unwinding(request, uri).await,
             Err(refusal) => self.refuse(&refusal),
         };
         if self.shared.names.fractional_retry_after {
@@ -73,6 +76,19 @@
         refusal.clone().into_response()
     }
 
+    /// Routes a request; a panic refuses it and leaves the others on its connection alone.
+    async fn route_unwinding(
+        &self,
+        request: http::Request<axum::body::Body>,
+        uri: http::Uri,
+    ) -> axum::response::Response {
+        let routed = panic::AssertUnwindSafe(self.route(request, uri)).catch_unwind().await;
+        routed.unwrap_or_else(|_| {
+            let outcome = exchange::RequestOutcome::Unknown;
+            self.refuse(&refusal::Refusal { kind: refusal::RefusalKind::HandlerFailed, outcome })
+        })
+    }
+
     async fn route(
         &self,
         request: http::Request<axum::body::Body>,
--- a/crates/transport/node/src/callers/refusal.rs
+++ b/crates/transport/node/src/callers/refusal.rs
@@ -97,6 +97,11 @@
         "the backend server broke off; check whether the request took effect before you send it again"
     )]
     ExchangeFailed,
+    /// The handling of the request panicked.
+    #[display(
+        "this instance failed within the request; check whether it took effect before you send it again"
+    )]
+    HandlerFailed,
     /// The response is delimited only by the end of the connection, so a truncated one
     /// could not be detected.
     #[display(
@@ -183,6 +188,7 @@
             | RefusalKind::ClaimsUnavailable
             | RefusalKind::BodyMemoryFull
             | RefusalKind::DeadlineUnsent => http::StatusCode::SERVICE_UNAVAILABLE,
+            RefusalKind::HandlerFailed => http::StatusCode::INTERNAL_SERVER_ERROR,
             RefusalKind::ExchangeFailed | RefusalKind::ResponseUnframed => {
                 http::StatusCode::BAD_GATEWAY
             }
@@ -215,6 +221,7 @@
             RefusalKind::NoServer => "no_server",
             RefusalKind::QueueFull => "queue_full",
             RefusalKind::ExchangeFailed => "broken_off",
+            RefusalKind::HandlerFailed => "failed",
             RefusalKind::ResponseUnframed => "answer_unbounded",
             RefusalKind::DeadlinePassed => "deadline_passed",
             RefusalKind::DeadlineUnsent => "deadline_unsent",
