--- a/crates/transport/node/tests/outcome/backend.rs
+++ b/crates/transport/node/tests/outcome/backend.rs
@@ -12,6 +12,8 @@
 pub(crate) enum ServerStep {
     /// Sends a complete response.
     Respond,
+    /// Sends a complete response 200 ms after it has run the request.
+    RespondLate,
     /// Sends a complete response, then closes without `connection: close`.
     RespondThenClose,
     /// Sends a complete response and, 30 ms later, a second one.
@@ -155,6 +157,10 @@
         let complete = complete_response(id);
         let (response, keeps_open) = match step {
             ServerStep::Respond => (complete, true),
+            ServerStep::RespondLate => {
+                tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+                (complete, true)
+            }
             ServerStep::RespondThenClose => (complete, false),
             ServerStep::RespondTwice => {
                 stream.write_all(complete.as_bytes()).await.ok()?;
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 mod bodies;
+mod changes;
 mod claims;
 mod credentials;
 mod endless;
