--- a/crates/transport/node/tests/ports/harness.rs
+++ b/crates/transport/node/tests/ports/harness.rs
@@ -13,6 +13,7 @@
 use marjoramwing_settings::settings;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio_util::sync as cancellation;
 
 use crate::ledger;
 
@@ -58,6 +59,8 @@
     pub(crate) address: net::SocketAddr,
     pub(crate) record: RequestRecord,
     pub(crate) shared: sync::Arc<shared::InstanceState>,
+    /// Begins the end of a planned stop, in which no new connections are accepted.
+    pub(crate) stop: cancellation::CancellationToken,
 }
 
 impl CallerPort {
@@ -70,9 +73,9 @@
         ledger::start_ledger(&shared);
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let stop = tokio_util::sync::CancellationToken::new();
-        tokio::spawn(server::serve_callers(sync::Arc::clone(&shared), listener, stop));
-        Self { address, record, shared }
+        let stop = cancellation::CancellationToken::new();
+        tokio::spawn(server::serve_callers(sync::Arc::clone(&shared), listener, stop.clone()));
+        Self { address, record, shared, stop }
     }
 
     /// Opens a connection to the port.
--- a/crates/transport/node/tests/ports/main.rs
+++ b/crates/transport/node/tests/ports/main.rs
@@ -8,4 +8,5 @@
 mod limits;
 mod metrics;
 mod smuggling;
+mod stopping;
 mod targets;
