--- a/crates/transport/node/src/listener/http.rs
+++ b/crates/transport/node/src/listener/http.rs
@@ -4,6 +4,7 @@
 //! is answered before its connection is closed.
 
 use std::error;
+use std::pin;
 use std::time;
 
 use hyper_util::rt;
@@ -15,8 +16,9 @@
 
 /// Concurrent streams of one HTTP/2 connection.
 const MAX_STREAMS: u32 = 200;
-/// Wait during shutdown for the first bytes of a newly accepted connection.
-const STOP_PREFACE_WAIT: time::Duration = time::Duration::from_millis(200);
+/// Wait during shutdown for the first bytes of a newly accepted connection, and again for those of
+/// a further request.
+const STOP_READ_WAIT: time::Duration = time::Duration::from_millis(200);
 
 /// Limits of one connection.
 #[derive(Debug, Clone, Copy)]
@@ -62,11 +64,19 @@
     {
         tokio::select! {
             detected = preface::wait_for_version(&self.stream, self.limits.header_timeout) => detected?,
-            () = wait_for_stop(&self.stop, STOP_PREFACE_WAIT) => return Ok(()),
+            () = wait_for_stop(&self.stop, STOP_READ_WAIT) => return Ok(()),
         }
         let builder = make_builder(&self.limits);
         let connection = builder.serve_connection(rt::TokioIo::new(self.stream), service);
-        self.watcher.watch(connection.into_owned()).await
+        let mut connection = pin::pin!(connection);
+        // A graceful shutdown closes an idle connection without a look at its unread bytes.
+        tokio::select! {
+            biased;
+            ended = connection.as_mut() => return ended,
+            () = wait_for_stop(&self.stop, STOP_READ_WAIT) => {}
+        }
+        connection.as_mut().graceful_shutdown();
+        connection.await
     }
 }
 
