--- a/crates/transport/node/tests/ports/limits.rs
+++ b/crates/transport/node/tests/ports/limits.rs
@@ -51,6 +51,18 @@
     port.check_serves().await;
 }
 
+/// Guards against the loss of a request that was sent before one whose body stalls.
+#[tokio::test]
+async fn request_before_a_stalled_body_is_answered() {
+    let port = harness::CallerPort::start("pipelined = 16\nbody_pause_ms = 100").await;
+    let response = port.send(&format!("{KEEP_ALIVE_REQUEST}{PARTIAL_REQUEST}")).await;
+    let (first, second) = response.split_once("whole").unwrap();
+    assert!(first.starts_with("HTTP/1.1 200"), "{response}");
+    assert!(second.starts_with("HTTP/1.1 408"), "{response}");
+    assert!(second.contains("connection: close\r\n"), "{response}");
+    assert_eq!(port.record.only().target, "/kept");
+}
+
 #[tokio::test]
 async fn body_that_stalls_within_the_idle_timeout_is_served() {
     let port = harness::CallerPort::start("body_pause_ms = 600000").await;
