--- a/crates/transport/node/src/pipeline/connection.rs
+++ b/crates/transport/node/src/pipeline/connection.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariants: responses are written in the order of their requests; a request
 //! is dropped, with its attempts, once its caller has disconnected; every request
-//! that was started before a graceful shutdown is finished.
+//! that had arrived before a graceful shutdown is answered, or counts as unread because an
+//! earlier response announces the close.
 
 use std::collections;
 use std::sync;
@@ -10,6 +11,7 @@
 
 use axum::response::IntoResponse;
 use bytes::Buf;
+use marjoramwing_dispatch::exchange;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
 use tokio::io::AsyncReadExt;
@@ -21,8 +23,10 @@
 use crate::callers::refusal;
 use crate::pipeline::body;
 use crate::pipeline::head;
+use crate::pipeline::incoming;
 use crate::pipeline::writer;
 use crate::shared;
+use crate::socket;
 
 /// Unparsed bytes from which the connection stops reading, unless the limit of a head is larger.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
@@ -57,7 +61,7 @@
     /// Requests in the order of their arrival.
     open: collections::VecDeque<OpenRequest>,
     /// Body of the newest request, while it is being received.
-    incoming: Option<IncomingBody>,
+    incoming: Option<incoming::IncomingBody>,
     /// Whether no further requests are read.
     is_closing: bool,
     /// Wait for a request, while none is in progress.
@@ -82,20 +86,6 @@
     runs_concurrently: bool,
 }
 
-/// A request body that is still being received.
-#[derive(Debug)]
-struct IncomingBody {
-    decoder: body::BodyDecoder,
-    /// `None` once the reader of the body is gone.
-    sender: Option<body::PartSender>,
-    /// Decoded part that waits for capacity in the channel.
-    pending: Option<body::BodyPart>,
-    /// Whether the end of the body was sent to the reader, or is pending.
-    sent_end: bool,
-    /// Whether `100 Continue` has yet to be sent.
-    sends_continue: bool,
-}
-
 /// Why a connection ends.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
 pub enum ConnectionEnd {
@@ -116,6 +106,16 @@
     Write(#[error(not(source))] writer::WriteFault),
 }
 
+impl ConnectionEnd {
+    /// Returns true if the caller may still be reading responses.
+    const fn may_leave_unread(&self) -> bool {
+        match self {
+            Self::Finished | Self::TaskEnded | Self::Write(writer::WriteFault::Body(_)) => true,
+            Self::Closed | Self::Idle | Self::Write(_) => false,
+        }
+    }
+}
+
 impl PipelinedConnection {
     /// Wraps an accepted connection that has not been read from.
     #[must_use]
@@ -141,10 +141,13 @@
     /// Serves the connection until it ends; requests in progress are then dropped.
     pub async fn serve(mut self, stop: cancellation::CancellationToken) -> ConnectionEnd {
         loop {
-            let step = self.step(&stop).await;
-            if let Err(end) = step {
-                if matches!(end, ConnectionEnd::Finished) {
-                    self.close().await;
+            if let Err(end) = self.step(&stop).await {
+                self.log_unwritten();
+                // Cancels the requests before the wait for the caller's close.
+                self.open.clear();
+                self.incoming = None;
+                if end.may_leave_unread() {
+                    socket::close(&mut self.stream).await;
                 }
                 return end;
             }
@@ -152,15 +155,17 @@
     }
 
     async fn step(&mut self, stop: &cancellation::CancellationToken) -> Result<(), ConnectionEnd> {
-        self.is_closing |= stop.is_cancelled();
+        if stop.is_cancelled() && !self.is_closing {
+            self.read_last_requests().await?;
+        }
         self.read_requests();
         self.send_continue().await?;
-        let is_idle = self.open.is_empty() && self.incoming.is_none();
+        let is_idle = self.is_idle();
         if is_idle && self.is_closing {
             return Err(ConnectionEnd::Finished);
         }
         let has_capacity = self.buffer.len() < MAX_BUFFERED_BYTES.max(self.limits.max_head_bytes);
-        let has_pending = self.incoming.as_ref().is_some_and(|incoming| incoming.pending.is_some());
+        let has_pending = self.incoming.as_ref().is_some_and(incoming::IncomingBody::has_pending);
         self.reserve_buffer(is_idle);
         let head_wait_end = self.update_head_wait(is_idle);
         tokio::select! {
@@ -169,17 +174,44 @@
                 self.write(response).await
             }
             () = send_pending(&mut self.incoming), if has_pending => Ok(()),
-            read = self.stream.read_buf(&mut self.buffer), if has_capacity && !has_pending => {
-                match read {
-                    Ok(0) | Err(_) => Err(ConnectionEnd::Closed),
-                    Ok(_) => Ok(()),
-                }
+            read = read_more(&mut self.stream, &mut self.buffer), if has_capacity && !has_pending => {
+                read
             }
             () = stop.cancelled(), if !self.is_closing => Ok(()),
             () = tokio::time::sleep_until(head_wait_end), if is_idle => Err(ConnectionEnd::Idle),
         }
     }
 
+    /// Logs that the connection ends before the responses of its open requests were written.
+    fn log_unwritten(&self) {
+        if self.open.is_empty() || !self.shared.log_limiter.try_acquire(self.shared.now()) {
+            return;
+        }
+        let ready = self.open.iter().filter(|open| open.response.is_finished()).count();
+        emit!(catalogue::CALLER_RESPONSES_UNWRITTEN, peer = %self.handler.peer,
+            open = self.open.len(), ready, stopping = self.shared.is_leaving());
+    }
+
+    /// Returns true if no request is in progress.
+    fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.incoming.is_none()
+    }
+
+    /// Starts the requests that had arrived when a shutdown began; no others are read.
+    ///
+    /// An idle connection closes without a response that could say so, so a request that is
+    /// still unread then would be lost.
+    async fn read_last_requests(&mut self) -> Result<(), ConnectionEnd> {
+        self.read_requests();
+        while self.is_idle() && !socket::is_idle(&self.stream) {
+            self.reserve_buffer(true);
+            read_more(&mut self.stream, &mut self.buffer).await?;
+            self.read_requests();
+        }
+        self.is_closing = true;
+        Ok(())
+    }
+
     /// Reserves space for the next read; a connection without a request holds as little memory
     /// as a head needs.
     fn reserve_buffer(&mut self, is_idle: bool) {
@@ -257,32 +289,20 @@
         }
         let (sender, body) = body::ChannelBody::new(head.body);
         let sends_continue = head.expects_continue && self.buffer.is_empty();
-        self.incoming = Some(IncomingBody::new(decoder, sender, sends_continue));
+        self.incoming = Some(incoming::IncomingBody::new(decoder, sender, sends_continue));
         axum::body::Body::new(body)
     }
 
-    /// Decodes buffered bytes of the body and sends them to its reader.
+    /// Sends the buffered bytes of the body to its reader.
     fn forward_body(&mut self) {
-        while let Some(incoming) = &mut self.incoming {
-            if incoming.pending.is_some() {
-                return;
-            }
-            match incoming.decoder.next_part(&mut self.buffer) {
-                Ok(Some(part)) => incoming.send(body::BodyPart::Data(part)),
-                Ok(None) if incoming.decoder.is_ended() => {
-                    if incoming.sent_end {
-                        self.incoming = None;
-                        continue;
-                    }
-                    incoming.sent_end = true;
-                    incoming.send(body::BodyPart::End);
-                }
-                Ok(None) => return,
-                // Without an end, the body fails at its reader.
-                Err(_) => {
-                    self.is_closing = true;
-                    self.incoming = None;
-                }
+        let Some(incoming) = &mut self.incoming else { return };
+        match incoming.forward(&mut self.buffer) {
+            Ok(is_ended) if is_ended => self.incoming = None,
+            Ok(_) => {}
+            // Without an end, the body fails at its reader.
+            Err(_) => {
+                self.is_closing = true;
+                self.incoming = None;
             }
         }
     }
@@ -331,60 +351,44 @@
         self.is_closing |=
             discards_body || self.shared.is_leaving() || has_connection_close(&response);
         let is_last = is_newest && self.is_closing;
-        let timeout = self.limits.write_timeout;
-        let written =
-            writer::write_response(&mut self.stream, response, is_head_request, is_last, timeout)
-                .await;
+        let mut written = self.write_response(response, is_head_request, is_last).await;
+        // The caller has seen nothing of the failed response: a refusal in its place keeps the
+        // connection, and the responses behind it.
+        if matches!(written, Err(writer::WriteFault::Unsent(_))) {
+            let outcome = exchange::RequestOutcome::Unknown;
+            let refusal = refusal::Refusal { kind: refusal::RefusalKind::ExchangeFailed, outcome };
+            written = self.write_response(refusal.into_response(), is_head_request, is_last).await;
+        }
         written.map_err(ConnectionEnd::Write)?;
         if is_last { Err(ConnectionEnd::Finished) } else { Ok(()) }
     }
 
-    /// Closes without a reset, which could discard a response that the caller has not read.
-    async fn close(&mut self) {
-        if self.stream.shutdown().await.is_err() {
-            return;
-        }
-        let mut discarded = [0; 1_024];
-        let drain = async { while matches!(self.stream.read(&mut discarded).await, Ok(1..)) {} };
-        let _ = tokio::time::timeout(CLOSE_WAIT, drain).await;
+    async fn write_response(
+        &mut self,
+        response: axum::response::Response,
+        is_head_request: bool,
+        is_last: bool,
+    ) -> Result<(), writer::WriteFault> {
+        let timeout = self.limits.write_timeout;
+        writer::write_response(&mut self.stream, response, is_head_request, is_last, timeout).await
     }
 }
 
-/// Longest wait for the caller to close after the last response.
-const CLOSE_WAIT: time::Duration = time::Duration::from_millis(500);
-
-/// Logs that the responses of open requests are not written, whether the connection ended or its
-/// task is dropped.
+/// Logs the requests whose responses are not written when the task is dropped.
 impl Drop for PipelinedConnection {
     fn drop(&mut self) {
-        if self.open.is_empty() || !self.shared.log_limiter.try_acquire(self.shared.now()) {
-            return;
-        }
-        let ready = self.open.iter().filter(|open| open.response.is_finished()).count();
-        emit!(catalogue::CALLER_RESPONSES_UNWRITTEN, peer = %self.handler.peer,
-            open = self.open.len(), ready, stopping = self.shared.is_leaving());
+        self.log_unwritten();
     }
 }
 
-impl IncomingBody {
-    const fn new(
-        decoder: body::BodyDecoder,
-        sender: body::PartSender,
-        sends_continue: bool,
-    ) -> Self {
-        Self { decoder, sender: Some(sender), pending: None, sent_end: false, sends_continue }
-    }
-
-    /// Sends a part, or keeps it until the channel has capacity; discards it if the reader is gone.
-    fn send(&mut self, part: body::BodyPart) {
-        let Some(sender) = &self.sender else { return };
-        match sender.try_send(part) {
-            Ok(()) => {}
-            Err(tokio::sync::mpsc::error::TrySendError::Full(part)) => {
-                self.pending = Some(part);
-            }
-            Err(_) => self.sender = None,
-        }
+/// Waits for bytes from the caller.
+async fn read_more(
+    stream: &mut tokio::net::TcpStream,
+    buffer: &mut bytes::BytesMut,
+) -> Result<(), ConnectionEnd> {
+    match stream.read_buf(buffer).await {
+        Ok(0) | Err(_) => Err(ConnectionEnd::Closed),
+        Ok(_) => Ok(()),
     }
 }
 
@@ -399,17 +403,11 @@
     response.map(|response| (response, is_head_request))
 }
 
-/// Waits for capacity in the channel and sends the pending part.
-async fn send_pending(incoming: &mut Option<IncomingBody>) {
-    let Some(incoming) = incoming else { return };
-    let Some(part) = &incoming.pending else { return };
-    if let Some(sender) = &incoming.sender {
-        // The reader of the body is gone.
-        if sender.send(part.clone()).await.is_err() {
-            incoming.sender = None;
-        }
+/// Sends the pending part of a body once the channel has capacity.
+async fn send_pending(incoming: &mut Option<incoming::IncomingBody>) {
+    if let Some(incoming) = incoming {
+        incoming.send_pending().await;
     }
-    incoming.pending = None;
 }
 
 fn has_connection_close(response: &axum::response::Response) -> bool {
