Dispatch: a queued request whose last eligible server leaves is refused at once

Found by reading the paths on which a request waits: a request in the queue of a service whose servers all left, or which the tables dropped, was kept until its deadline, while new ones were refused at once; a dropped service also got no further news of its servers, so that a slot freed later sent the queued request to one that drains.

--- a/crates/coordination/dispatch/src/queue.rs
+++ b/crates/coordination/dispatch/src/queue.rs
@@ -241,13 +241,18 @@
 
     /// Removes all requests whose deadline is at or before `at`, and returns their tickets.
     pub fn expire(&mut self, at: time::Timestamp) -> Vec<TicketKey> {
+        self.remove_matching(|request| request.deadline <= at)
+    }
+
+    /// Removes the requests for which `matches` returns true, and returns their tickets.
+    pub fn remove_matching(&mut self, matches: impl Fn(&SlotRequest) -> bool) -> Vec<TicketKey> {
         let queued = self.team_queues.values().flat_map(|team_queue| team_queue.queued.values());
-        let expired = queued.filter(|queued| queued.request.deadline <= at);
-        let expired: Vec<_> = expired.map(|queued| queued.ticket).collect();
-        for ticket in &expired {
+        let matching = queued.filter(|queued| matches(&queued.request));
+        let matching: Vec<_> = matching.map(|queued| queued.ticket).collect();
+        for ticket in &matching {
             self.remove(*ticket);
         }
-        expired
+        matching
     }
 
     fn insert(&mut self, request: SlotRequest) -> TicketKey {
--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -244,8 +244,7 @@
             return DispatchBatch::default();
         }
         if self.is_stopping(now) {
-            // Every queued request's deadline is before this time.
-            let stopped = self.queue.expire(time::Timestamp::NEVER);
+            let stopped = self.queue.remove_matching(|_| true);
             return DispatchBatch { stopped, ..DispatchBatch::default() };
         }
         let expires_requests = self.policy.disabled != mechanism::DisabledMechanism::DeadlineExpiry;
@@ -264,6 +263,13 @@
         DispatchBatch { granted, expired, stopped: Vec::new() }
     }
 
+    /// Removes the queued requests that no server can serve any more, since the servers that met
+    /// their constraints have left, and returns their tickets.
+    pub fn remove_unservable(&mut self) -> Vec<queue::TicketKey> {
+        let picker = &self.picker;
+        self.queue.remove_matching(|request| !picker.has_server(&request.criteria()))
+    }
+
     /// Returns when to dispatch again if no attempt ends before then.
     ///
     /// Returns `None` if no request is queued, or if no stop is planned and nothing that keeps a
--- a/crates/coordination/dispatch/tests/service.rs
+++ b/crates/coordination/dispatch/tests/service.rs
@@ -413,3 +413,29 @@
     let batch = dispatcher.dispatch_queued(0, wakeup);
     assert_eq!((batch.stopped.as_slice(), dispatcher.queued()), (&queued[..], 0));
 }
+
+fn check_departure(remaining: &[u16], excluded: &[u16], leaves_queue: bool) {
+    let mut dispatcher = make_service(Nothing, &[1, 2]);
+    let now = time::Timestamp::ZERO;
+    for _ in 0..6 {
+        let outcome = dispatcher.request_slot(make_request("a", 1_000), 0, now);
+        assert!(matches!(outcome, service::SlotOutcome::Granted(_)), "{outcome:?}");
+    }
+    let mut request = make_request("a", 1_000);
+    request.excluded = excluded.iter().map(|server| address(*server)).collect();
+    let service::SlotOutcome::Queued { ticket, .. } = dispatcher.request_slot(request, 0, now)
+    else {
+        panic!("all slots are taken");
+    };
+    dispatcher.set_servers(&make_pool(remaining, &[], 3), now);
+    let expected = if leaves_queue { vec![ticket] } else { Vec::new() };
+    assert_eq!(dispatcher.remove_unservable(), expected);
+    assert_eq!(dispatcher.queued(), usize::from(!leaves_queue));
+}
+
+// A queued request whose servers had left was held until its deadline.
+cases! { check_departure:
+    queued_request_waits_for_the_server_that_remains => (&[2], &[], false);
+    queued_request_is_refused_when_all_servers_leave => (&[], &[], true);
+    queued_request_is_refused_when_only_excluded_servers_remain => (&[2], &[2], true);
+}
--- a/crates/transport/node/src/backends/service.rs
+++ b/crates/transport/node/src/backends/service.rs
@@ -94,6 +94,7 @@
     /// Sets the servers of the service.
     pub fn set_servers(self: &sync::Arc<Self>, pool: &tables_pool::Pool) {
         self.lock().dispatcher.set_servers(pool, self.clock.now());
+        self.refuse_unservable();
         self.dispatch_queued();
     }
 
@@ -124,6 +125,7 @@
     /// Stops new requests to the servers that are leaving.
     pub fn set_leaving(self: &sync::Arc<Self>, leaving: &collections::HashSet<net::SocketAddr>) {
         self.lock().dispatcher.set_leaving(leaving);
+        self.refuse_unservable();
         self.dispatch_queued();
     }
 
@@ -205,6 +207,18 @@
         self.lock().dispatcher.in_flight(server)
     }
 
+    /// Fails the queued requests whose last eligible server has left.
+    fn refuse_unservable(&self) {
+        let mut state = self.lock();
+        let unservable = state.dispatcher.remove_unservable();
+        let senders: Vec<_> =
+            unservable.iter().filter_map(|ticket| state.waiters.remove(ticket)).collect();
+        drop(state);
+        for sender in senders {
+            let _ = sender.send(Err(SlotFault::NoServer));
+        }
+    }
+
     /// Grants free slots to queued requests and fails those that have expired or that the stop of
     /// the process leaves no time.
     fn dispatch_queued(self: &sync::Arc<Self>) {
--- a/crates/transport/node/src/dispatch.rs
+++ b/crates/transport/node/src/dispatch.rs
@@ -10,6 +10,7 @@
 use marjoramwing_dispatch::policy;
 use marjoramwing_dispatch::roster;
 use marjoramwing_entity::incarnation;
+use marjoramwing_entity::primary;
 use marjoramwing_entity::time;
 use marjoramwing_membership::view;
 use marjoramwing_registry::view as registry;
@@ -206,6 +207,9 @@
             self.update_fleet_parameters(&service, &pool, sources);
             services.insert(pool.name.clone(), service);
         }
+        for (name, service) in existing.iter().filter(|(name, _)| !services.contains_key(*name)) {
+            service.set_servers(&empty_pool(name));
+        }
         self.services.store(sync::Arc::new(services));
     }
 
@@ -257,6 +261,11 @@
     }
 }
 
+/// Returns the pool of a service that the tables no longer have, whose queued requests are refused.
+fn empty_pool(name: &name::PoolName) -> pool::Pool {
+    pool::Pool { name: name.clone(), servers: primary::PrimaryMap::new(), cold_start: None }
+}
+
 fn make_policy(settings: &settings::InstanceSettings) -> policy::DispatchPolicy {
     let bounds = settings.bounds;
     match (settings.dialect, settings.objective) {
