Stop: the wait for an admission ends with the stop

A request whose limit has a holder that does not answer waits up to 2 s for each limit, whatever is left of the stop, and was closed without a response when the process ended first (native dialect; the platform's split answers at once). The wait is now bounded like that for a body or a claim. Test, red before: request_that_waits_for_its_admission_is_refused_at_the_end.

Event 3011 tells the waits for admission, body, claim and slot apart; a wait for the body or a claim was named 'slot'.

--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -181,9 +181,11 @@
         let team = identity.as_ref().map(|identity| identity.team);
         self.trace.record_team(team.map_or("", |team| self.tables.teams[team].name.as_str()));
         self.check_body(request.headers())?;
-        let send_before = self.admit(team).await?;
+        let admitted = self.admit(team);
+        let send_before = self.wait_unsent(admitted, refusal::RefusalKind::DeadlineUnsent).await?;
         self.trace.record_admitted(self.shared.now());
         let services = self.find_services()?;
+        self.trace.record_wait(trace::RequestWait::Body);
         let request = self.prepare(request, team, &services[0].body_memory).await?;
         let regions = allowed_regions(self.route, team.map(|team| &self.tables.teams[team]));
         let context = attempts::AttemptContext {
@@ -199,7 +201,9 @@
             send_before,
             trace: self.trace,
         };
+        self.trace.record_wait(trace::RequestWait::Claim);
         let claim = self.claim(&request, context.team).await?;
+        self.trace.record_wait(trace::RequestWait::Slot);
         let result = attempts::run_attempts(context).await;
         let not_run = |refusal: &refusal::Refusal| refusal.is_not_run();
         if let Some(claim) = claim
--- a/crates/transport/node/src/callers/trace.rs
+++ b/crates/transport/node/src/callers/trace.rs
@@ -36,8 +36,10 @@
 #[derive(Debug, Default, Clone)]
 struct TraceSteps {
     team: sync::Arc<str>,
+    /// What the request waits for while no attempt is open.
+    wait: RequestWait,
     /// Time from arrival until the request was admitted.
-    admitted_us: Option<u64>,
+    admitted_us: u64,
     /// Time from arrival until the latest attempt got its slot.
     granted_us: u64,
     /// Backend servers that were tried, oldest first.
@@ -46,11 +48,18 @@
 
 /// What a request waits for.
 #[derives::value]
-#[derive(derive_more::Display)]
-enum RequestWait {
-    /// Its body, or its admission under the rate limits.
+#[derive(Default, derive_more::Display)]
+pub enum RequestWait {
+    /// Its admission under the rate limits.
+    #[default]
     #[display("admission")]
     Admission,
+    /// Its body.
+    #[display("body")]
+    Body,
+    /// The claim of its idempotency key.
+    #[display("claim")]
+    Claim,
     /// A slot of a backend server.
     #[display("slot")]
     Slot,
@@ -94,9 +103,14 @@
         self.lock().team = team.into();
     }
 
+    /// Records what the request waits for next.
+    pub fn record_wait(&self, wait: RequestWait) {
+        self.lock().wait = wait;
+    }
+
     /// Records the time at which the request was admitted under its rate limits.
     pub fn record_admitted(&self, now: time::Timestamp) {
-        self.lock().admitted_us = Some(self.since_arrival(now));
+        self.lock().admitted_us = self.since_arrival(now);
     }
 
     /// Records that an attempt got a slot on a server.
@@ -131,7 +145,7 @@
         emit!(catalogue::REQUEST_DECIDED, request = %self.id, route, team = %steps.team, outcome,
             status, tables = shared.tables.load().versions.routes,
             tables_age_ms = shared.metrics.tables_age_ms.get(),
-            servers = shared.dispatch.registered_revision(), admitted_us = steps.admitted_us.unwrap_or_default(),
+            servers = shared.dispatch.registered_revision(), admitted_us = steps.admitted_us,
             granted_us = steps.granted_us, tried = %tried, took_us = self.since_arrival(now));
     }
 
@@ -142,7 +156,7 @@
         let steps = self.lock().clone();
         emit!(catalogue::REQUEST_UNANSWERED, request = %self.id, team = %steps.team,
             waits_for = %steps.wait(), stopping = self.shared.is_leaving(),
-            admitted_us = steps.admitted_us.unwrap_or_default(), granted_us = steps.granted_us,
+            admitted_us = steps.admitted_us, granted_us = steps.granted_us,
             tried = %steps.describe_tried(), open_us = self.since_arrival(now));
     }
 
@@ -179,7 +193,7 @@
         if self.tried.iter().any(|tried| tried.result == OPEN_ATTEMPT) {
             return RequestWait::Server;
         }
-        if self.admitted_us.is_none() { RequestWait::Admission } else { RequestWait::Slot }
+        self.wait
     }
 
     fn describe_tried(&self) -> String {
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -13,5 +13,6 @@
 mod ledger;
 mod service;
 mod shifts;
+mod stopping;
 mod stream;
 mod support;
--- a/crates/transport/node/tests/outcome/support.rs
+++ b/crates/transport/node/tests/outcome/support.rs
@@ -98,16 +98,33 @@
         let mut settings = make_settings();
         settings.store.address = store;
         let shared = sync::Arc::new(shared::InstanceState::new(settings));
+        let instance = Self::serve(shared, make_documents(servers, deadline_ms)).await;
+        ledger::start_ledger(&instance.shared);
+        instance
+    }
+
+    async fn serve(
+        shared: sync::Arc<shared::InstanceState>,
+        tables: snapshot::TableDocuments,
+    ) -> Self {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let stop = cancellation::CancellationToken::new();
         tokio::spawn(server::serve_callers(sync::Arc::clone(&shared), listener, stop));
-        let instance = Self { shared, address, tables: make_documents(servers, deadline_ms) };
+        let instance = Self { shared, address, tables };
         instance.apply();
-        ledger::start_ledger(&instance.shared);
         instance
     }
 
+    /// Starts an instance whose limits have no holder that answers.
+    pub(crate) async fn start_without_ledger(
+        servers: &[net::SocketAddr],
+        deadline_ms: u64,
+    ) -> Self {
+        let shared = sync::Arc::new(shared::InstanceState::new(make_settings()));
+        Self::serve(shared, make_documents(servers, deadline_ms)).await
+    }
+
     /// Creates another handle to a running instance, for sending requests.
     pub(crate) fn attach(
         shared: sync::Arc<shared::InstanceState>,
