Stop: an open attempt is not abandoned for one that cannot start

Once a stop lets no further attempt start, the head timeout of an idempotent request (policies fairness and latency) still took it from the server that worked on it, and the caller got 504 unknown instead of the answer. An attempt now counts as the last one from then on, and the wait for a slot also ends with the stop by itself, not only through the dispatcher's queue. Test, red before: attempt_is_not_abandoned_when_a_stop_lets_no_other_start.

--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -298,7 +298,8 @@
 
     /// Returns true if the process stops before a request that is sent now can be expected to be
     /// answered.
-    fn is_stopping(&self, now: time::Timestamp) -> bool {
+    #[must_use]
+    pub fn is_stopping(&self, now: time::Timestamp) -> bool {
         self.last_start().is_some_and(|last_start| now >= last_start)
     }
 
--- a/crates/transport/node/src/backends/service.rs
+++ b/crates/transport/node/src/backends/service.rs
@@ -117,6 +117,12 @@
         self.dispatch_queued();
     }
 
+    /// Returns true if the process stops before a request that is sent now can be answered.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.lock().dispatcher.is_stopping(self.clock.now())
+    }
+
     /// Records how long it took to open a connection to a server.
     pub fn record_connect_time(&self, server: net::SocketAddr, round_trip: duration::Duration) {
         self.lock().dispatcher.record_connect_time(server, round_trip);
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -217,17 +217,28 @@
         if self.context.shared.has_finish_ended() {
             return exchange::ExchangeStep::Refuse;
         }
-        let can_replay = self.context.request.source.can_replay();
+        // An open attempt is not abandoned for another one that would get no slot.
+        let can_replay = self.context.request.source.can_replay() && !self.is_stopping();
         self.exchange.next_step(self.now(), can_replay)
     }
 
+    /// Returns true if the process stops before a further attempt can be answered.
+    fn is_stopping(&self) -> bool {
+        self.context.services.iter().all(|service| service.is_stopping())
+    }
+
     /// Starts an attempt in the next slot that is granted; returns false if the retry
     /// budget or the services allow none.
     async fn start_next(&mut self) -> bool {
         if self.exchange.costs_retry() && !self.context.services[0].take_retry() {
             return false;
         }
-        match self.context.acquire_slot(&self.excluded).await {
+        let slot = tokio::select! {
+            biased;
+            slot = self.context.acquire_slot(&self.excluded) => slot,
+            () = self.context.shared.finish_ended() => Err(service::SlotFault::Stopping),
+        };
+        match slot {
             Ok(guard) => {
                 self.start_in_slot(guard);
                 true
@@ -363,8 +374,7 @@
         let late = self.now() >= self.context.deadline
             || self.fault == Some(service::SlotFault::DeadlineExceeded);
         let full = self.fault == Some(service::SlotFault::QueueFull);
-        let stopping = self.fault == Some(service::SlotFault::Stopping)
-            || self.context.shared.has_finish_ended();
+        let stopping = self.fault == Some(service::SlotFault::Stopping) || self.is_stopping();
         let kind = match (outcome, late) {
             _ if stopping => refusal::RefusalKind::Stopping,
             (exchange::RequestOutcome::NotRun, false) if full => refusal::RefusalKind::QueueFull,
--- a/crates/transport/node/tests/outcome/stopping.rs
+++ b/crates/transport/node/tests/outcome/stopping.rs
@@ -1,5 +1,6 @@
 //! Requests that are open while a planned stop runs out of time.
 
+use std::net;
 use std::sync;
 use std::time;
 
@@ -96,3 +97,42 @@
         assert!(server.runs().is_empty());
     });
 }
+
+/// Starts a server that answers each request after a delay.
+async fn start_slow_server(delay: time::Duration) -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut head = [0; 4096];
+                let _ = stream.read(&mut head).await;
+                tokio::time::sleep(delay).await;
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nslow").await;
+                std::future::pending::<()>().await;
+            });
+        }
+    });
+    address
+}
+
+// An idempotent request was taken from the server that worked on it, although the stop let no other
+// attempt start.
+#[test]
+fn attempt_is_not_abandoned_when_a_stop_lets_no_other_start() {
+    support::block_on(async {
+        // The wait for a response head is a quarter of the deadline.
+        let slow = start_slow_server(time::Duration::from_millis(1_600)).await;
+        let other = start_slow_server(time::Duration::from_millis(1_600)).await;
+        let instance = support::TestInstance::start(&[slow, other], 4_000).await;
+        let request = support::make_request("GET", "/open", "slow", axum::body::Body::empty());
+        let sent = send(&instance, request);
+        let service = instance.service();
+        let in_flight = || service.in_flight(slow) + service.in_flight(other);
+        support::wait_until(|| in_flight() == 1).await;
+        instance.shared.leave();
+        instance.shared.finish_requests_by(instance.shared.now());
+        let response = sent.await.unwrap();
+        assert_eq!(response.status, 200, "{response:?}");
+    });
+}
