Stop: a second signal refuses the open requests; the phases count from the signal

A second SIGTERM or SIGINT ended the process 0.2 s later with every open request closed in silence: it now refuses them like the end of the stop. second_signal_aborts_open_requests demanded that nothing be sent; it is replaced by second_signal_refuses_open_requests, which demands the refusal (504, unknown) of the request at a backend server and the same exit code.

The ends of linger and finish were counted anew in each phase, so that a process that was paused or starved within a stop ended later than its grace period allows; they now count from the signal. The reserve for the exit is a sixth of a short grace period instead of 0.7 s.

--- a/crates/marjoramwing/tests/cli_serve/stop.rs
+++ b/crates/marjoramwing/tests/cli_serve/stop.rs
@@ -250,7 +250,7 @@
 }
 
 #[tokio::test]
-async fn second_signal_aborts_open_requests() {
+async fn second_signal_refuses_open_requests() {
     let (backend, mut instance) = start_instance("stop-forced").await;
     let mut late = Caller::send(instance.callers, LATE).await;
     backend.wait_for_requests(1).await;
@@ -262,7 +262,7 @@
     assert_eq!(instance.wait_for_exit().await, 7);
     // `STOP_FORCED`.
     instance.wait_for_event(1004).await;
-    let mut rest = Vec::new();
-    let _ = late.0.read_to_end(&mut rest).await;
-    assert!(rest.is_empty(), "{}", String::from_utf8_lossy(&rest));
+    let refusal = late.read_until("\r\n\r\n").await.to_ascii_lowercase();
+    assert!(refusal.starts_with("http/1.1 504 "), "{refusal}");
+    assert!(refusal.contains("marjoramwing-outcome: unknown"), "{refusal}");
 }
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -88,19 +88,25 @@
         tokio::spawn(directory::serve_readiness(state(), listener, stop_ended.clone()));
     }
     let serving = server::serve_callers(sync::Arc::clone(&shared), callers, stop.clone());
-    let serving = tokio::spawn(serving);
+    let mut serving = tokio::spawn(serving);
     signals.wait().await;
+    let began = tokio::time::Instant::now();
     emit!(catalogue::STOP_BEGAN, open = shared.metrics.open_requests.get());
+    let schedule = stopping::StopSchedule::new(&shared);
+    shared.finish_requests_by(shared.now() + schedule.linger + schedule.finish);
     shared.leave();
     shared.admission.handle(action::LedgerEvent::Leave, shared.now());
     let _ = membership.send(keeper::MembershipEvent::Leave).await;
     let outcome = tokio::select! {
-        outcome = finish_requests(&shared, serving, &stop) => outcome,
+        outcome = finish_requests(&shared, schedule, began, &mut serving, &stop) => outcome,
         () = signals.wait() => {
             emit!(catalogue::STOP_FORCED);
             StopOutcome::Aborted
         }
     };
+    if outcome == StopOutcome::Aborted {
+        refuse_requests(&shared, &mut serving, &stop).await;
+    }
     stop_ended.cancel();
     if membership.send(keeper::MembershipEvent::Stop).await.is_ok() {
         tokio::time::sleep(LEAVE_FLUSH_TIME).await;
@@ -158,22 +164,22 @@
     membership_sender
 }
 
-/// Runs the phases of the stop schedule: lingers, finishes the open requests, refuses those that
-/// are left and waits for the handover of limits.
+/// Runs the phases of the stop schedule since the stop began: lingers, finishes the open requests
+/// and waits for the handover of limits.
 async fn finish_requests(
     shared: &shared::InstanceState,
-    mut serving: tokio::task::JoinHandle<()>,
+    schedule: stopping::StopSchedule,
+    began: tokio::time::Instant,
+    serving: &mut tokio::task::JoinHandle<()>,
     stop: &cancellation::CancellationToken,
 ) -> StopOutcome {
-    let schedule = stopping::StopSchedule::new(shared);
-    shared.finish_requests_by(shared.now() + schedule.linger + schedule.finish);
-    tokio::time::sleep(schedule.linger).await;
+    tokio::time::sleep_until(began + schedule.linger).await;
     stop.cancel();
-    let finished = tokio::time::timeout(schedule.finish, &mut serving).await;
+    let finish_ends = began + schedule.linger + schedule.finish;
+    let finished = tokio::time::timeout_at(finish_ends, serving).await;
     if finished.is_err() {
         emit!(catalogue::STOP_TIMED_OUT, open = shared.metrics.open_requests.get());
         shared.end_finish();
-        let _ = tokio::time::timeout(REFUSAL_FLUSH_TIME, serving).await;
     }
     let hands_over = !schedule.hand_over.is_zero();
     if hands_over && tokio::time::timeout(schedule.hand_over, hand_over(shared)).await.is_err() {
@@ -188,6 +194,19 @@
     }
 }
 
+/// Refuses the requests that are still open and waits until that is written.
+async fn refuse_requests(
+    shared: &shared::InstanceState,
+    serving: &mut tokio::task::JoinHandle<()>,
+    stop: &cancellation::CancellationToken,
+) {
+    stop.cancel();
+    shared.end_finish();
+    if !serving.is_finished() {
+        let _ = tokio::time::timeout(REFUSAL_FLUSH_TIME, serving).await;
+    }
+}
+
 /// Waits until this instance has released its lease, so that another holder may take its limits.
 async fn hand_over(shared: &shared::InstanceState) {
     while !shared.admission.has_left() {
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -187,6 +187,7 @@
 
     /// Ends the time to finish requests: those that are still undecided are refused at once.
     pub fn end_finish(&self) {
+        self.dispatch.stop_at(self.now());
         self.finish_ended.cancel();
     }
 
--- a/crates/transport/node/src/stopping.rs
+++ b/crates/transport/node/src/stopping.rs
@@ -14,8 +14,11 @@
 const MAX_HANDOVER_WAIT: time::Duration = time::Duration::from_secs(15);
 /// Fraction of the grace period in which new connections are still accepted.
 const LINGER_FRACTION: f64 = 0.5;
-/// Part of the grace period that is reserved for the exit of the process.
-const EXIT_RESERVE: time::Duration = time::Duration::from_millis(700);
+/// Longest part of the grace period that is reserved for the last refusals and the exit of the
+/// process.
+const MAX_EXIT_RESERVE: time::Duration = time::Duration::from_millis(700);
+/// The same, as a divisor of the grace period.
+const EXIT_RESERVE_DIVISOR: u32 = 6;
 
 /// Durations of the consecutive phases of a planned stop.
 #[derives::value]
@@ -44,7 +47,8 @@
             };
         };
         let linger = grace.mul_f64(LINGER_FRACTION);
-        let finish = (grace - linger).saturating_sub(EXIT_RESERVE).min(stop.max_wait);
+        let exit_reserve = MAX_EXIT_RESERVE.min(grace / EXIT_RESERVE_DIVISOR);
+        let finish = (grace - linger).saturating_sub(exit_reserve).min(stop.max_wait);
         Self { linger, finish, hand_over: time::Duration::ZERO }
     }
 }
