--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -69,7 +69,7 @@
     shared.metrics.requests.with_label_values(&[route_name, outcome]).inc();
     let response = result.unwrap_or_else(IntoResponse::into_response);
     shared.metrics.request_seconds.observe(shared.now().since(arrived).as_secs_f64());
-    trace.log(&shared, route_name, outcome, response.status().as_u16());
+    trace.log(route_name, outcome, response.status().as_u16());
     response
 }
 
@@ -181,9 +181,11 @@
         let team = identity.as_ref().map(|identity| identity.team);
         self.trace.record_team(team.map_or("", |team| self.tables.teams[team].name.as_str()));
         self.check_body(request.headers())?;
-        let send_before = self.admit(team).await?;
+        let admitted = self.admit(team);
+        let send_before = self.wait_unsent(admitted, refusal::RefusalKind::DeadlineUnsent).await?;
         self.trace.record_admitted(self.shared.now());
         let services = self.find_services()?;
+        self.trace.record_wait(trace::RequestWait::Body);
         let request = self.prepare(request, team, &services[0].body_memory).await?;
         let regions = allowed_regions(self.route, team.map(|team| &self.tables.teams[team]));
         let context = attempts::AttemptContext {
@@ -199,7 +201,9 @@
             send_before,
             trace: self.trace,
         };
+        self.trace.record_wait(trace::RequestWait::Claim);
         let claim = self.claim(&request, context.team).await?;
+        self.trace.record_wait(trace::RequestWait::Slot);
         let result = attempts::run_attempts(context).await;
         let not_run = |refusal: &refusal::Refusal| refusal.is_not_run();
         if let Some(claim) = claim
@@ -233,10 +237,8 @@
         }
         let Some(key) = claims::find_key(request.headers())? else { return Ok(None) };
         let id = claim::ClaimId::new(team, self.route.name.as_str(), key);
-        let time_left = self.deadline.since(self.shared.now());
-        let claims_unavailable = refusal::Refusal::not_run(refusal::RefusalKind::ClaimsUnavailable);
-        let claim = tokio::time::timeout(time_left, self.shared.dispatch.claims.claim(id)).await;
-        claim.unwrap_or(Err(claims_unavailable)).map(Some)
+        let claim = self.shared.dispatch.claims.claim(id);
+        self.wait_unsent(claim, refusal::RefusalKind::ClaimsUnavailable).await.map(Some)
     }
 
     /// Returns the services of the route's pools, in order of preference; never an empty
@@ -338,9 +340,26 @@
         let team = team.map(|team| self.tables.teams[team].name.as_str());
         let prepared =
             request::PreparedRequest::prepare(request, self.route, team, self.shared.names, memory);
+        self.wait_unsent(prepared, refusal::RefusalKind::DeadlineUnsent).await
+    }
+
+    /// Waits for a step that precedes the first attempt, at most until the deadline, after which
+    /// the request is refused with `timeout_kind`, or the end of a planned stop.
+    async fn wait_unsent<T>(
+        &self,
+        step: impl Future<Output = Result<T, refusal::Refusal>>,
+        timeout_kind: refusal::RefusalKind,
+    ) -> Result<T, refusal::Refusal> {
         let time_left = self.deadline.since(self.shared.now());
-        let deadline_unsent = refusal::Refusal::not_run(refusal::RefusalKind::DeadlineUnsent);
-        tokio::time::timeout(time_left, prepared).await.unwrap_or(Err(deadline_unsent))
+        tokio::select! {
+            biased;
+            ended = tokio::time::timeout(time_left, step) => {
+                ended.unwrap_or(Err(refusal::Refusal::not_run(timeout_kind)))
+            }
+            () = self.shared.finish_ended() => {
+                Err(refusal::Refusal::not_run(refusal::RefusalKind::Stopping))
+            }
+        }
     }
 }
 
--- a/crates/transport/node/src/callers/refusal.rs
+++ b/crates/transport/node/src/callers/refusal.rs
@@ -97,6 +97,11 @@
         "the backend server broke off; check whether the request took effect before you send it again"
     )]
     ExchangeFailed,
+    /// The handling of the request panicked.
+    #[display(
+        "this instance failed within the request; check whether it took effect before you send it again"
+    )]
+    HandlerFailed,
     /// The response is delimited only by the end of the connection, so a truncated one
     /// could not be detected.
     #[display(
@@ -111,6 +116,11 @@
     /// The deadline passed before any backend server ran the request.
     #[display("no backend server took the request before the route's deadline; send again later")]
     DeadlineUnsent,
+    /// The process stops before the request can be answered.
+    #[display(
+        "this instance stops before it can answer; send to another one, and look before repeating what must run once"
+    )]
+    Stopping,
 }
 
 /// An error response, with whether the request may have run.
@@ -183,6 +193,11 @@
             | RefusalKind::ClaimsUnavailable
             | RefusalKind::BodyMemoryFull
             | RefusalKind::DeadlineUnsent => http::StatusCode::SERVICE_UNAVAILABLE,
+            RefusalKind::Stopping => match self.outcome {
+                exchange::RequestOutcome::NotRun => http::StatusCode::SERVICE_UNAVAILABLE,
+                exchange::RequestOutcome::Unknown => http::StatusCode::GATEWAY_TIMEOUT,
+            },
+            RefusalKind::HandlerFailed => http::StatusCode::INTERNAL_SERVER_ERROR,
             RefusalKind::ExchangeFailed | RefusalKind::ResponseUnframed => {
                 http::StatusCode::BAD_GATEWAY
             }
@@ -215,15 +230,19 @@
             RefusalKind::NoServer => "no_server",
             RefusalKind::QueueFull => "queue_full",
             RefusalKind::ExchangeFailed => "broken_off",
+            RefusalKind::HandlerFailed => "failed",
             RefusalKind::ResponseUnframed => "answer_unbounded",
             RefusalKind::DeadlinePassed => "deadline_passed",
             RefusalKind::DeadlineUnsent => "deadline_unsent",
+            RefusalKind::Stopping => "stopping",
         }
     }
 
     fn retry_after(&self) -> Option<time::Duration> {
         match self.kind {
             RefusalKind::OverLimit { retry_after, .. } => Some(retry_after),
+            // Other instances can serve the request now.
+            RefusalKind::Stopping if self.is_not_run() => Some(time::Duration::ZERO),
             RefusalKind::NotReady
             | RefusalKind::KeysUnconfirmed
             | RefusalKind::ShiftCapped
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -37,6 +37,8 @@
 
 /// Time allowed for the last membership messages to be sent before the process ends.
 const LEAVE_FLUSH_TIME: time::Duration = time::Duration::from_millis(200);
+/// Time allowed for writing the refusals of requests that a planned stop does not finish.
+const REFUSAL_FLUSH_TIME: time::Duration = time::Duration::from_millis(300);
 /// Interval between checks whether the ledger has handed over all limits.
 const HANDOVER_POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
@@ -86,19 +88,25 @@
         tokio::spawn(directory::serve_readiness(state(), listener, stop_ended.clone()));
     }
     let serving = server::serve_callers(sync::Arc::clone(&shared), callers, stop.clone());
-    let serving = tokio::spawn(serving);
+    let mut serving = tokio::spawn(serving);
     signals.wait().await;
+    let began = tokio::time::Instant::now();
     emit!(catalogue::STOP_BEGAN, open = shared.metrics.open_requests.get());
+    let schedule = stopping::StopSchedule::new(&shared);
+    shared.finish_requests_by(shared.now() + schedule.linger + schedule.finish);
     shared.leave();
     shared.admission.handle(action::LedgerEvent::Leave, shared.now());
     let _ = membership.send(keeper::MembershipEvent::Leave).await;
     let outcome = tokio::select! {
-        outcome = finish_requests(&shared, serving, &stop) => outcome,
+        outcome = finish_requests(&shared, schedule, began, &mut serving, &stop) => outcome,
         () = signals.wait() => {
             emit!(catalogue::STOP_FORCED);
             StopOutcome::Aborted
         }
     };
+    if outcome == StopOutcome::Aborted {
+        refuse_requests(&shared, &mut serving, &stop).await;
+    }
     stop_ended.cancel();
     if membership.send(keeper::MembershipEvent::Stop).await.is_ok() {
         tokio::time::sleep(LEAVE_FLUSH_TIME).await;
@@ -156,17 +164,23 @@
     membership_sender
 }
 
-/// Runs the phases of the stop schedule: lingers, finishes the open requests and waits for the
-/// handover of limits.
+/// Runs the phases of the stop schedule since the stop began: lingers, finishes the open requests
+/// and waits for the handover of limits.
 async fn finish_requests(
     shared: &shared::InstanceState,
-    serving: tokio::task::JoinHandle<()>,
+    schedule: stopping::StopSchedule,
+    began: tokio::time::Instant,
+    serving: &mut tokio::task::JoinHandle<()>,
     stop: &cancellation::CancellationToken,
 ) -> StopOutcome {
-    let schedule = stopping::StopSchedule::new(shared);
-    tokio::time::sleep(schedule.linger).await;
+    tokio::time::sleep_until(began + schedule.linger).await;
     stop.cancel();
-    let finished = tokio::time::timeout(schedule.finish, serving).await;
+    let finish_ends = began + schedule.linger + schedule.finish;
+    let finished = tokio::time::timeout_at(finish_ends, serving).await;
+    if finished.is_err() {
+        emit!(catalogue::STOP_TIMED_OUT, open = shared.metrics.open_requests.get());
+        shared.end_finish();
+    }
     let hands_over = !schedule.hand_over.is_zero();
     if hands_over && tokio::time::timeout(schedule.hand_over, hand_over(shared)).await.is_err() {
         emit!(catalogue::HANDOVER_TIMED_OUT, waited_ms = schedule.hand_over.as_millis());
@@ -176,10 +190,20 @@
             emit!(catalogue::STOP_FINISHED);
             StopOutcome::Finished
         }
-        Err(_) => {
-            emit!(catalogue::STOP_TIMED_OUT, open = shared.metrics.open_requests.get());
-            StopOutcome::Aborted
-        }
+        Err(_) => StopOutcome::Aborted,
+    }
+}
+
+/// Refuses the requests that are still open and waits until that is written.
+async fn refuse_requests(
+    shared: &shared::InstanceState,
+    serving: &mut tokio::task::JoinHandle<()>,
+    stop: &cancellation::CancellationToken,
+) {
+    stop.cancel();
+    shared.end_finish();
+    if !serving.is_finished() {
+        let _ = tokio::time::timeout(REFUSAL_FLUSH_TIME, serving).await;
     }
 }
 
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 mod bodies;
+mod changes;
 mod claims;
 mod credentials;
 mod endless;
@@ -12,5 +13,6 @@
 mod ledger;
 mod service;
 mod shifts;
+mod stopping;
 mod stream;
 mod support;
