Store client: a watch or list over two eras is no continuation

A watch that the store answered after it had been restored from an older copy was passed on as a continuation of the position before, and the pages of a list that the return fell into were merged: what the copy lacks stayed known, what it holds again was missed.

A watch whose answer is of another era than the position in its request counts as lost history, so the caller lists. A list whose pages are of two eras is begun again, at most three times, and then fails as lost history.

A list that may be old (allowStale) and is of an era before the one known is returned as it is: the caller compares positions.

--- a/crates/transport/store-client/src/client.rs
+++ b/crates/transport/store-client/src/client.rs
@@ -35,6 +35,8 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Maximum pages of one list; a store that sends more is assumed to repeat pages.
 const MAX_PAGES: usize = 1_000;
+/// Times that a list is begun again because the store was restored between two of its pages.
+const MAX_RESTARTS: usize = 3;
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -187,7 +189,8 @@
     /// # Errors
     ///
     /// Returns an error if the call failed; [`StoreError::HistoryGone`] if the store
-    /// no longer has the changes.
+    /// no longer has the changes, or answers in another era than that of the requested position:
+    /// the same revision then stands for other changes.
     pub async fn watch_changes(
         &self,
         request: &operation::WatchRequest,
@@ -195,7 +198,11 @@
         let call = self.dialect.encode_watch(request);
         let response = self.call(call, request.wait + self.timeout).await?;
         let answer = self.dialect.decode_watch(request.kind, &response);
-        answer.map_err(|fault| self.call_error(fault))
+        let answer = answer.map_err(|fault| self.call_error(fault))?;
+        if !request.after.is_start() && answer.position.era != request.after.era {
+            return Err(StoreError::HistoryGone { address: self.address });
+        }
+        Ok(answer)
     }
 
     /// Reads the list of instances, which may lag behind their actual state.
@@ -221,14 +228,31 @@
 
     /// Reads all objects of a kind, page by page, with the list call of the platform dialect.
     ///
+    /// All pages are of one era; if the store is restored meanwhile, the list is begun again.
+    ///
     /// # Errors
     ///
-    /// Returns an error if a call failed, or if the list has more than `MAX_PAGES` pages.
+    /// Returns an error if a call failed, or if the list has more than `MAX_PAGES` pages;
+    /// [`StoreError::HistoryGone`] if the list was begun again `MAX_RESTARTS` times.
     pub async fn list(
         &self,
         kind: object::ObjectKind,
         freshness: call::ListFreshness,
     ) -> Result<operation::WatchAnswer, StoreError> {
+        for _ in 0..=MAX_RESTARTS {
+            if let Some(answer) = self.list_within_era(kind, freshness).await? {
+                return Ok(answer);
+            }
+        }
+        Err(StoreError::HistoryGone { address: self.address })
+    }
+
+    /// Reads all objects of a kind; returns `None` if the pages are of several eras.
+    async fn list_within_era(
+        &self,
+        kind: object::ObjectKind,
+        freshness: call::ListFreshness,
+    ) -> Result<Option<operation::WatchAnswer>, StoreError> {
         let mut merged: Option<operation::WatchAnswer> = None;
         let mut after = None;
         for _ in 0..MAX_PAGES {
@@ -237,6 +261,7 @@
             let page = platform::decode_list(kind, &response);
             let page = page.map_err(|fault| self.call_error(fault))?;
             match &mut merged {
+                Some(merged) if merged.position.era != page.answer.position.era => return Ok(None),
                 // The revision of the first page is kept, so the next watch returns changes
                 // made while listing.
                 Some(merged) => merged.changes.extend(page.answer.changes),
@@ -244,7 +269,7 @@
             }
             after = page.next_after;
             if after.is_none() {
-                return merged.ok_or(StoreError::Unreadable { address: self.address });
+                return Ok(merged);
             }
         }
         Err(StoreError::Unreadable { address: self.address })
