Configuration: positions are ordered by era, then by revision

After the store had come back from an older copy, every answer whose revision was below the known one was ignored: a configuration written in the new era stayed unread until the revision had passed those that were lost, and the known position was never reset, so each instance watched from a revision that the store does not have, was answered 410 and listed again with every tick.

- An answer of a later era replaces the known position; one from before the known position has no effect, and the next call is delayed as after a failure.
- "Missing" lowers the newest known version only if that was known when the read was sent and no fetch from a peer is pending; a late one confirmed the tables.
- When the era changes, reports of faults are checked against the store again, and an operation on a status object that was in flight is followed by a read: its version may stand for another state.

No check of an existing test changed; the faked store moves to a file of its own.

--- a/crates/coordination/configuration/src/fetch.rs
+++ b/crates/coordination/configuration/src/fetch.rs
@@ -56,6 +56,12 @@
         }
     }
 
+    /// Returns true if a fetch of an object is pending.
+    #[must_use]
+    pub const fn is_pending(&self, object: candidate::TableObject) -> bool {
+        self.pending[object as usize].is_some()
+    }
+
     /// Ends the pending fetch of an object if `version` satisfies it.
     pub fn finish(&mut self, object: candidate::TableObject, version: u64) {
         let slot = &mut self.pending[object as usize];
--- a/crates/coordination/configuration/src/keeper.rs
+++ b/crates/coordination/configuration/src/keeper.rs
@@ -113,7 +113,7 @@
     pub(crate) last_digest_number: u64,
     pub(crate) uploads_since_tick: usize,
     next_digest_at: entity_time::Timestamp,
-    status_reports: [status::StatusReport; candidate::TableObject::ALL.len()],
+    pub(crate) status_reports: [status::StatusReport; candidate::TableObject::ALL.len()],
     /// Versions last reported with [`ConfigurationAction::Refused`].
     last_refused: snapshot::TableVersions,
     trust: trust::KeyTrust,
--- a/crates/coordination/configuration/src/status.rs
+++ b/crates/coordination/configuration/src/status.rs
@@ -31,6 +31,8 @@
     due_at: Option<entity_time::Timestamp>,
     /// Whether a read or write of the status object is in flight.
     in_flight: bool,
+    /// Whether the operation in flight may have been based on a lost state of the store.
+    is_outdated: bool,
     /// Newest version that needs no further report.
     reported_version: u64,
     /// Whether this instance's last report listed faults and must be cleared once the object is
@@ -73,6 +75,15 @@
         Some(operation::StoreOperation::Read(status_name(state.object)))
     }
 
+    /// Records that the store was restored from an older copy, which may lack the last report.
+    ///
+    /// A version that was read before may stand for another state of the status object now, so an
+    /// operation in flight is followed by a read.
+    pub const fn record_restore(&mut self) {
+        self.is_outdated = self.in_flight;
+        self.reported_version = 0;
+    }
+
     /// Handles the answer to a read or write and returns the next operation, if any.
     pub fn handle_answer(
         &mut self,
@@ -80,6 +91,10 @@
         answer: &operation::StoreAnswer,
         now: entity_time::Timestamp,
     ) -> Option<operation::StoreOperation> {
+        if std::mem::take(&mut self.is_outdated) {
+            self.retry(now);
+            return None;
+        }
         let expected = match answer {
             operation::StoreAnswer::Found(stored) => {
                 let document = serde_json::from_slice::<StatusDocument>(&stored.value).ok();
@@ -98,16 +113,20 @@
             operation::StoreAnswer::Conflict(_)
             | operation::StoreAnswer::Rejected
             | operation::StoreAnswer::Unknown => {
-                // The next read shows whether a write without an answer took effect.
-                self.in_flight = false;
-                self.due_at = Some(now + RETRY_DELAY);
+                self.retry(now);
                 return None;
             }
         };
         Some(operation::StoreOperation::Write(status_write(state, expected)))
     }
 
-    fn finish(&mut self, version: u64) {
+    /// Schedules a read, which shows whether a write without an answer took effect.
+    fn retry(&mut self, now: entity_time::Timestamp) {
+        self.in_flight = false;
+        self.due_at = Some(now + RETRY_DELAY);
+    }
+
+    const fn finish(&mut self, version: u64) {
         self.in_flight = false;
         self.due_at = None;
         self.reported_version = version;
--- a/crates/coordination/configuration/src/store.rs
+++ b/crates/coordination/configuration/src/store.rs
@@ -1,4 +1,7 @@
 //! The keeper's calls to the store.
+//!
+//! Invariant: positions of the store are ordered by era, then by revision. The answer to a watch
+//! from before the known position has no effect.
 
 use std::time;
 
@@ -10,6 +13,7 @@
 use crate::candidate;
 use crate::group;
 use crate::keeper;
+use crate::status;
 
 type ActionList = Vec<keeper::ConfigurationAction>;
 
@@ -26,7 +30,7 @@
     /// Send time of the last watch whose changes have not all been read yet.
     unread_watch_sent_at: Option<entity_time::Timestamp>,
     reads: [ReadState; candidate::TableObject::ALL.len()],
-    /// Delay after the last failed call; reset when a watch or poll succeeds.
+    /// Delay after the last call without a usable answer; reset when a watch or poll succeeds.
     retry_delay: time::Duration,
 }
 
@@ -35,7 +39,10 @@
 enum ReadState {
     #[default]
     Idle,
-    InFlight,
+    InFlight {
+        /// Newest version known when the read was sent.
+        known: u64,
+    },
     Due(entity_time::Timestamp),
 }
 
@@ -66,9 +73,10 @@
     ) {
         self.start_watch(now, actions);
         for object in candidate::TableObject::ALL {
+            let known = group::version_of(&self.latest_known, object);
             let read = &mut self.calls.reads[object as usize];
             if matches!(read, ReadState::Due(due_at) if *due_at <= now) {
-                *read = ReadState::InFlight;
+                *read = ReadState::InFlight { known };
                 actions.push(keeper::ConfigurationAction::Read(object));
             }
         }
@@ -86,38 +94,32 @@
             self.record_failure(now, rng);
             return;
         };
-        self.schedule_next(now, rng);
         self.record_answer();
         // An answer from an older state of the store confirms nothing.
-        if answer.position.revision < self.calls.position.revision {
+        if answer.position < self.calls.position {
+            self.delay_calls(now, rng);
             return;
         }
-        self.calls.position = answer.position;
+        self.schedule_next(now, rng);
+        let known = std::mem::replace(&mut self.calls.position, answer.position);
+        if known.era < answer.position.era && !known.is_start() {
+            self.status_reports.iter_mut().for_each(status::StatusReport::record_restore);
+        }
         let mut received = Vec::new();
         for change in answer.changes {
             let Some(object) = candidate::TableObject::from_name(&change.name) else { continue };
             let latest_known = group::version_mut(&mut self.latest_known, object);
             *latest_known = change.version.0.max(*latest_known);
-            match change.value {
-                operation::ChangedValue::Included(text) => {
-                    received.push(keeper::ReceivedObject {
-                        object,
-                        version: change.version.0,
-                        text,
-                    });
-                }
+            let text = match change.value {
+                operation::ChangedValue::Included(text) => text,
                 // The reason is not a valid document either, so the selector records a fault that
                 // is then reported.
                 operation::ChangedValue::Malformed(reason) => {
-                    let text = bytes::Bytes::copy_from_slice(reason.as_bytes());
-                    received.push(keeper::ReceivedObject {
-                        object,
-                        version: change.version.0,
-                        text,
-                    });
+                    bytes::Bytes::copy_from_slice(reason.as_bytes())
                 }
-                operation::ChangedValue::Omitted | operation::ChangedValue::Deleted => {}
-            }
+                operation::ChangedValue::Omitted | operation::ChangedValue::Deleted => continue,
+            };
+            received.push(keeper::ReceivedObject { object, version: change.version.0, text });
         }
         self.offer_all(received, rng, actions);
         self.calls.unread_watch_sent_at = Some(sent_at);
@@ -133,7 +135,7 @@
         rng: &mut impl rand::Rng,
         actions: &mut ActionList,
     ) {
-        self.calls.reads[object as usize] = ReadState::Idle;
+        let read = std::mem::take(&mut self.calls.reads[object as usize]);
         match answer {
             operation::StoreAnswer::Found(stored) => {
                 self.record_answer();
@@ -141,9 +143,16 @@
             }
             operation::StoreAnswer::Missing => {
                 self.record_answer();
-                // The object does not exist any more, so there is no newer version to wait for.
+                // The object does not exist any more, so there is no newer version to wait for,
+                // unless that became known after the read was sent or a peer has it: a store that
+                // was restored may lack what a peer has read from it.
                 let newest = group::version_of(&self.selector.newest_read(), object);
-                *group::version_mut(&mut self.latest_known, object) = newest;
+                let latest_known = group::version_mut(&mut self.latest_known, object);
+                let is_late =
+                    !matches!(read, ReadState::InFlight { known } if known >= *latest_known);
+                if !is_late && !self.fetches.is_pending(object) {
+                    *latest_known = newest;
+                }
             }
             _ => self.record_failure(now, rng),
         }
@@ -225,10 +234,14 @@
         self.freshness.record_answer();
     }
 
-    /// Records a failed call and delays the next watch and poll, twice as long with each failure in
-    /// succession.
+    /// Records a failed call and delays the next watch and poll.
     fn record_failure(&mut self, now: entity_time::Timestamp, rng: &mut impl rand::Rng) {
         self.freshness.record_failure(now);
+        self.delay_calls(now, rng);
+    }
+
+    /// Delays the next watch and poll, twice as long with each unusable answer in succession.
+    fn delay_calls(&mut self, now: entity_time::Timestamp, rng: &mut impl rand::Rng) {
         let doubled = self.calls.retry_delay * 2;
         self.calls.retry_delay =
             doubled.clamp(self.settings.retry_delay, self.settings.max_retry_delay);
--- a/crates/coordination/configuration/tests/fleet.rs
+++ b/crates/coordination/configuration/tests/fleet.rs
@@ -7,7 +7,6 @@
 
 use marjoramwing_configuration::candidate::TableObject as Object;
 use marjoramwing_configuration::settings;
-use marjoramwing_configuration::status;
 use marjoramwing_configuration::trust;
 use support::fleet;
 
@@ -273,11 +272,6 @@
     assert!(time.is_some_and(|time| time <= MAX_APPLY_TIME), "took {time:?}");
 }
 
-fn status_of(fleet: &fleet::Fleet, object: Object) -> Option<status::StatusDocument> {
-    let found = fleet.store.find(&status::status_name(object))?;
-    serde_json::from_slice(&found.value).ok()
-}
-
 #[test]
 fn faulty_object_is_reported_once_and_cleared() {
     let mut fleet = start_fleet(12);
@@ -286,7 +280,7 @@
     assert!(fleet.time_to_apply(Object::Keys, keys, MAX_APPLY_TIME).is_some());
     fleet.run(seconds(30));
     let status =
-        status_of(&fleet, Object::Routes).expect("no status was written for the faulty object");
+        fleet.store.status_of(Object::Routes).expect("no status was written for the faulty object");
     assert_eq!((status.version, status.faults.len()), (version, 1));
     assert_eq!(fleet.store.writes, 1, "exactly one watcher must write the status");
     assert!(fleet.instances.iter().all(|instance| instance.keeper.applied().routes == 1));
@@ -295,7 +289,7 @@
     let version = put_change(&mut fleet, Object::Routes);
     assert!(fleet.time_to_apply(Object::Routes, version, MAX_APPLY_TIME).is_some());
     fleet.run(seconds(30));
-    let status = status_of(&fleet, Object::Routes).expect("the status object is gone");
+    let status = fleet.store.status_of(Object::Routes).expect("the status object is gone");
     assert_eq!((status.version, status.faults.len()), (version, 0));
     assert!(fleet.instances[0].keeper.dump(fleet.now).held.is_empty());
 }
--- a/crates/coordination/configuration/tests/support/fleet.rs
+++ b/crates/coordination/configuration/tests/support/fleet.rs
@@ -14,102 +14,19 @@
 use marjoramwing_entity::time as entity_time;
 use marjoramwing_membership::member;
 use marjoramwing_membership::view;
-use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
 use marjoramwing_objects::position;
+use marjoramwing_tables::snapshot;
 use rand::RngExt;
 use rand::SeedableRng;
 
+use super::store;
+
 const STEP: time::Duration = time::Duration::from_millis(50);
 const STEPS_PER_TICK: u64 = 4;
 const STORE_DELAY: time::Duration = time::Duration::from_millis(50);
 const STORE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
-/// Simulated store.
-#[derive(Default)]
-pub(crate) struct FakeStore {
-    pub(crate) objects: Vec<FakeObject>,
-    pub(crate) is_down: bool,
-    /// Probability that a read returns the previous version.
-    pub(crate) stale_rate: f64,
-    pub(crate) calls: u64,
-    pub(crate) writes: u64,
-    revision: u64,
-}
-
-pub(crate) struct FakeObject {
-    pub(crate) name: object::ObjectName,
-    pub(crate) version: u64,
-    pub(crate) value: bytes::Bytes,
-    previous: Option<(u64, bytes::Bytes)>,
-    revision: u64,
-}
-
-impl FakeStore {
-    pub(crate) fn put(&mut self, name: object::ObjectName, value: bytes::Bytes) -> u64 {
-        self.revision += 1;
-        let revision = self.revision;
-        if let Some(object) = self.objects.iter_mut().find(|object| object.name == name) {
-            object.previous = Some((object.version, object.value.clone()));
-            object.version += 1;
-            object.value = value;
-            object.revision = revision;
-            return object.version;
-        }
-        self.objects.push(FakeObject { name, version: 1, value, previous: None, revision });
-        1
-    }
-
-    pub(crate) fn find(&self, name: &object::ObjectName) -> Option<&FakeObject> {
-        self.objects.iter().find(|object| object.name == *name)
-    }
-
-    fn execute(
-        &mut self,
-        operation: &operation::StoreOperation,
-        rng: &mut rand_pcg::Pcg64Mcg,
-    ) -> operation::StoreAnswer {
-        self.calls += 1;
-        if self.is_down {
-            return operation::StoreAnswer::Unknown;
-        }
-        let is_stale = rng.random_bool(self.stale_rate);
-        let found = self.find(operation.object());
-        match operation {
-            operation::StoreOperation::Read(_) => {
-                let Some(object) = found else { return operation::StoreAnswer::Missing };
-                let newest = (object.version, object.value.clone());
-                let previous = object.previous.clone().filter(|_| is_stale);
-                let (version, value) = previous.unwrap_or(newest);
-                let version = object::ObjectVersion(version);
-                operation::StoreAnswer::Found(operation::StoredObject { version, value })
-            }
-            operation::StoreOperation::Write(write) => {
-                let current = found.map(|object| object::ObjectVersion(object.version));
-                if current != write.expected {
-                    return operation::StoreAnswer::Conflict(current);
-                }
-                self.writes += 1;
-                let version = self.put(write.name.clone(), write.value.clone());
-                operation::StoreAnswer::Written(object::ObjectVersion(version))
-            }
-        }
-    }
-
-    fn changes(&self, after: u64) -> operation::WatchAnswer {
-        let tables = self.objects.iter().filter(|o| o.name.kind == object::ObjectKind::Tables);
-        let newer = tables.filter(|object| object.revision > after);
-        let changes = newer.map(|object| operation::ObjectChange {
-            name: object.name.clone(),
-            version: object::ObjectVersion(object.version),
-            value: operation::ChangedValue::Omitted,
-        });
-        let changes = changes.collect();
-        let position = position::StorePosition::without_era(self.revision);
-        operation::WatchAnswer { position, changes, is_full_list: false }
-    }
-}
-
 pub(crate) struct FleetInstance {
     pub(crate) keeper: keeper::ConfigurationKeeper,
     pub(crate) address: net::SocketAddr,
@@ -118,12 +35,22 @@
     pub(crate) is_dead: bool,
     /// Whether neither the store nor any peer can be reached.
     pub(crate) is_partitioned: bool,
+    /// Whether the store turns the instance away.
+    pub(crate) lacks_store: bool,
+    /// Whether the answers of the store to the instance are lost.
+    pub(crate) loses_answers: bool,
     pub(crate) paused_until: entity_time::Timestamp,
+    /// How the instance's adapter counts versions, if not like [`store::FakeStore::order`].
+    pub(crate) order: Option<store::VersionOrder>,
+    /// Tables of the last [`keeper::ConfigurationAction::Apply`].
+    pub(crate) applied: Option<Arc<snapshot::TableSnapshot>>,
+    /// Number of [`keeper::ConfigurationAction::Refused`].
+    pub(crate) refusals: usize,
     watch: Option<OpenWatch>,
 }
 
 struct OpenWatch {
-    after: u64,
+    after: position::StorePosition,
     answer_at: entity_time::Timestamp,
     timeout_at: entity_time::Timestamp,
 }
@@ -135,7 +62,7 @@
 
 pub(crate) struct Fleet {
     pub(crate) instances: Vec<FleetInstance>,
-    pub(crate) store: FakeStore,
+    pub(crate) store: store::FakeStore,
     pub(crate) now: entity_time::Timestamp,
     /// Probability that a message is lost.
     pub(crate) loss_rate: f64,
@@ -143,6 +70,8 @@
     pub(crate) duplicate_rate: f64,
     /// Longest delay of a message; delays are random, so messages are reordered.
     pub(crate) delay_ms: u64,
+    /// Longest time by which an answer of the store is late, at random.
+    pub(crate) late_answer_ms: u64,
     /// Instances whose applied version of an object decreased; must stay empty.
     pub(crate) reverted: Vec<usize>,
     pub(crate) messages: u64,
@@ -168,11 +97,12 @@
         println!("seed {seed}");
         let mut fleet = Self {
             instances: Vec::new(),
-            store: FakeStore::default(),
+            store: store::FakeStore::default(),
             now: entity_time::Timestamp::from_millis(60_000),
             loss_rate: 0.0,
             duplicate_rate: 0.0,
             delay_ms: 110,
+            late_answer_ms: 0,
             reverted: Vec::new(),
             messages: 0,
             partitioned_region: None,
@@ -210,6 +140,7 @@
         let end = self.now + span;
         while self.now < end {
             self.now += STEP;
+            self.store.now = self.now;
             self.steps += 1;
             self.deliver_due();
             for index in 0..self.instances.len() {
@@ -274,7 +205,12 @@
             region,
             is_dead: false,
             is_partitioned: false,
+            lacks_store: false,
+            loses_answers: false,
             paused_until: entity_time::Timestamp::ZERO,
+            order: None,
+            applied: None,
+            refusals: 0,
             watch: None,
         }
     }
@@ -323,8 +259,7 @@
                 self.store.calls += 1;
                 let answer_at = self.now + wait + STORE_DELAY;
                 let timeout_at = answer_at + STORE_TIMEOUT;
-                self.instances[index].watch =
-                    Some(OpenWatch { after: after.revision, answer_at, timeout_at });
+                self.instances[index].watch = Some(OpenWatch { after, answer_at, timeout_at });
             }
             keeper::ConfigurationAction::Read(object) => {
                 let operation = operation::StoreOperation::Read(object.object_name());
@@ -335,22 +270,28 @@
                 let answer = self.call(index, &operation);
                 self.schedule_answer(index, keeper::ConfigurationEvent::Status { object, answer });
             }
-            keeper::ConfigurationAction::Apply(_)
-            | keeper::ConfigurationAction::Refused(_)
-            | keeper::ConfigurationAction::Trust(_) => {}
+            keeper::ConfigurationAction::Apply(applied) => {
+                self.instances[index].applied = Some(applied.snapshot);
+            }
+            keeper::ConfigurationAction::Refused(_) => self.instances[index].refusals += 1,
+            keeper::ConfigurationAction::Trust(_) => {}
         }
     }
 
     fn call(&mut self, index: usize, call: &operation::StoreOperation) -> operation::StoreAnswer {
-        if self.reaches_store(index) {
-            self.store.execute(call, &mut self.rng)
-        } else {
-            operation::StoreAnswer::Unknown
+        if !self.reaches_store(index) {
+            return operation::StoreAnswer::Unknown;
         }
+        // A lost answer belongs to a call that may have taken effect.
+        let order = self.instances[index].order.unwrap_or(self.store.order);
+        let answer = self.store.execute(call, order, &mut self.rng);
+        let is_lost = self.instances[index].loses_answers;
+        if is_lost { operation::StoreAnswer::Unknown } else { answer }
     }
 
     fn schedule_answer(&mut self, index: usize, event: keeper::ConfigurationEvent) {
-        let at = self.now + STORE_DELAY;
+        let delay = self.rng.random_range(0..=self.late_answer_ms);
+        let at = self.now + STORE_DELAY + time::Duration::from_millis(delay);
         self.enqueue(at, index, Delivery::Store(event));
     }
 
@@ -405,14 +346,17 @@
             return;
         }
         let Some(watch) = &self.instances[index].watch else { return };
-        let answer = if !self.reaches_store(index) || self.store.is_down {
+        let is_lost = self.instances[index].loses_answers;
+        let answer = if !self.reaches_store(index) || self.store.is_down || is_lost {
             if self.now < watch.timeout_at {
                 return;
             }
             None
         } else {
-            let answer = self.store.changes(watch.after);
-            if answer.changes.is_empty() && self.now < watch.answer_at {
+            let order = self.instances[index].order.unwrap_or(self.store.order);
+            let answer = self.store.watch(watch.after, order);
+            let is_due = answer.is_full_list || !answer.changes.is_empty();
+            if !is_due && self.now < watch.answer_at {
                 return;
             }
             Some(answer)
@@ -437,7 +381,8 @@
         let is_region_partitioned = self
             .partitioned_region
             .is_some_and(|region| (region == 0) != (region == instance.region));
-        let lacks_store = self.region_without_store == Some(instance.region);
+        let lacks_store =
+            instance.lacks_store || self.region_without_store == Some(instance.region);
         !instance.is_partitioned && !is_region_partitioned && !lacks_store
     }
 
--- a/crates/coordination/configuration/tests/support/mod.rs
+++ b/crates/coordination/configuration/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Texts of table objects for tests.
 
 pub(crate) mod fleet;
+pub(crate) mod store;
 
 use marjoramwing_configuration::candidate;
 
