Configuration: one without a readable version is reported

Operators saw nothing of a configuration whose version cannot be read: the adapter gives it version 0, which is no newer than anything, so the keeper dropped it without a word.

The keeper remembers the fault of such a value for each table until the store holds a readable one again: it counts as held (event 2002, dump with version 0, metric) and one watcher writes its fault to the status object, under the newest version, and clears it afterwards, also if the readable configuration is one that was known before. It is not applied, not passed on and hides nothing.

Tests, on the commit before: configuration_without_a_readable_number_is_reported_and_not_applied and known_configuration_ends_the_report_of_one_without_a_number fail (no event; no status object); now both pass.

--- a/crates/coordination/configuration/src/dump.rs
+++ b/crates/coordination/configuration/src/dump.rs
@@ -35,7 +35,7 @@
 pub struct HeldObject {
     /// The table object.
     pub object: candidate::TableObject,
-    /// Its newest version.
+    /// Its newest version; 0 if the store's value states none that can be read.
     pub version: u64,
     /// Why that version is not applied.
     pub faults: Vec<String>,
--- a/crates/coordination/configuration/src/keeper.rs
+++ b/crates/coordination/configuration/src/keeper.rs
@@ -13,6 +13,7 @@
 use marjoramwing_membership::view;
 use marjoramwing_objects::operation;
 use marjoramwing_objects::position;
+use marjoramwing_tables::fault;
 use marjoramwing_tables::snapshot;
 use rand::RngExt;
 
@@ -108,6 +109,8 @@
     pub(crate) calls: store::StoreCalls,
     /// Newest versions known to exist in the store or at a peer, which may not have been read yet.
     pub(crate) latest_known: snapshot::TableVersions,
+    /// Faults of the store's value of each object if that has no readable version.
+    pub(crate) unversioned: [fault::FaultList; candidate::TableObject::ALL.len()],
     pub(crate) pending_digests: Vec<PendingDigest>,
     /// Number of the last digest request that was sent.
     pub(crate) last_digest_number: u64,
@@ -155,6 +158,7 @@
             fetches: fetch::FetchTable::default(),
             calls: store::StoreCalls::new(first_call_at),
             latest_known: snapshot::TableVersions::default(),
+            unversioned: Default::default(),
             pending_digests: Vec::new(),
             last_digest_number: 0,
             uploads_since_tick: 0,
@@ -210,12 +214,11 @@
     /// Returns the keeper's state, as shown to operators.
     #[must_use]
     pub fn dump(&self, now: entity_time::Timestamp) -> dump::ConfigurationDump {
-        let held =
-            candidate::TableObject::ALL.into_iter().filter(|object| !self.is_applied(*object));
-        let held = held.map(|object| dump::HeldObject {
-            object,
-            version: group::version_of(&self.selector.newest_read(), object),
-            faults: self.selector.faults(object).faults.iter().map(ToString::to_string).collect(),
+        let states = candidate::TableObject::ALL.into_iter().map(|object| self.state(object));
+        let held = states.filter(|state| !state.is_applied).map(|state| dump::HeldObject {
+            object: state.object,
+            version: if state.is_unversioned { 0 } else { state.newest },
+            faults: state.faults.faults.iter().map(ToString::to_string).collect(),
         });
         dump::ConfigurationDump {
             applied: self.selector.applied(),
@@ -262,6 +265,7 @@
             self.fetches.finish(object, version);
             if self.selector.offer(object, version, text) {
                 has_new = true;
+                self.unversioned[object as usize] = fault::FaultList::default();
                 let latest_known = group::version_mut(&mut self.latest_known, object);
                 *latest_known = version.max(*latest_known);
             }
@@ -304,14 +308,14 @@
         let newest = self.selector.newest_read();
         for object in candidate::TableObject::ALL {
             let version = group::version_of(&newest, object);
-            let is_held = !self.is_applied(object);
+            let is_held = group::version_of(&self.selector.applied(), object) != version;
             if is_held && group::version_of(&self.last_refused, object) < version {
                 *group::version_mut(&mut self.last_refused, object) = version;
                 actions.push(ConfigurationAction::Refused(object));
             }
             if self.is_watcher() {
                 let delay = self.settings.status_delay.mul_f64(rng.random_range(1.0..2.5));
-                let state = object_state(&self.selector, object);
+                let state = object_state(&self.selector, &self.unversioned, object);
                 let report = &mut self.status_reports[object as usize];
                 let operation = report.advance(state, delay, now);
                 let operation =
@@ -328,14 +332,14 @@
         now: entity_time::Timestamp,
         actions: &mut Vec<ConfigurationAction>,
     ) {
-        let state = object_state(&self.selector, object);
+        let state = object_state(&self.selector, &self.unversioned, object);
         let operation = self.status_reports[object as usize].handle_answer(state, answer, now);
         actions
             .extend(operation.map(|operation| ConfigurationAction::Status { object, operation }));
     }
 
-    fn is_applied(&self, object: candidate::TableObject) -> bool {
-        object_state(&self.selector, object).is_applied
+    fn state(&self, object: candidate::TableObject) -> status::ObjectState<'_> {
+        object_state(&self.selector, &self.unversioned, object)
     }
 
     fn update_trust(
@@ -375,13 +379,17 @@
     }
 }
 
-fn object_state(
-    selector: &selector::VersionSelector,
+fn object_state<'a>(
+    selector: &'a selector::VersionSelector,
+    unversioned: &'a [fault::FaultList; candidate::TableObject::ALL.len()],
     object: candidate::TableObject,
-) -> status::ObjectState<'_> {
+) -> status::ObjectState<'a> {
     let newest = group::version_of(&selector.newest_read(), object);
-    let is_applied = group::version_of(&selector.applied(), object) == newest;
-    status::ObjectState { object, newest, is_applied, faults: selector.faults(object) }
+    let unversioned = &unversioned[object as usize];
+    let is_unversioned = !unversioned.is_empty();
+    let is_applied = !is_unversioned && group::version_of(&selector.applied(), object) == newest;
+    let faults = if is_unversioned { unversioned } else { selector.faults(object) };
+    status::ObjectState { object, newest, is_unversioned, is_applied, faults }
 }
 
 fn to_millis(duration: time::Duration) -> u64 {
--- a/crates/coordination/configuration/src/status.rs
+++ b/crates/coordination/configuration/src/status.rs
@@ -35,6 +35,8 @@
     is_outdated: bool,
     /// Newest version that needs no further report.
     reported_version: u64,
+    /// Whether the last report was of a value without a readable version.
+    reported_unversioned: bool,
     /// Whether this instance's last report listed faults and must be cleared once the object is
     /// applied.
     must_clear: bool,
@@ -47,9 +49,11 @@
     pub object: candidate::TableObject,
     /// Newest version of the object that was read, valid or not.
     pub newest: u64,
+    /// Whether the store's value has no readable version; it then counts as not applied.
+    pub is_unversioned: bool,
     /// Whether the newest version is applied.
     pub is_applied: bool,
-    /// Why the newest version is not applied.
+    /// Why the newest version, or the value without one, is not applied.
     pub faults: &'a fault::FaultList,
 }
 
@@ -61,8 +65,9 @@
         delay: time::Duration,
         now: entity_time::Timestamp,
     ) -> Option<operation::StoreOperation> {
-        let is_needed =
-            self.reported_version < state.newest && (!state.is_applied || self.must_clear);
+        let is_reported =
+            self.reported_version >= state.newest && !self.concerns_unversioned(state);
+        let is_needed = !is_reported && (!state.is_applied || self.must_clear);
         if !is_needed {
             self.due_at = None;
             return None;
@@ -82,6 +87,7 @@
     pub const fn record_restore(&mut self) {
         self.is_outdated = self.in_flight;
         self.reported_version = 0;
+        self.reported_unversioned = false;
     }
 
     /// Handles the answer to a read or write and returns the next operation, if any.
@@ -98,8 +104,8 @@
         let expected = match answer {
             operation::StoreAnswer::Found(stored) => {
                 let document = serde_json::from_slice::<StatusDocument>(&stored.value).ok();
-                if document.is_some_and(|document| document.version >= state.newest) {
-                    self.finish(state.newest);
+                if document.is_some_and(|document| self.is_covered(state, &document)) {
+                    self.finish(state);
                     return None;
                 }
                 Some(stored.version)
@@ -107,7 +113,7 @@
             operation::StoreAnswer::Missing => None,
             operation::StoreAnswer::Written(_) => {
                 self.must_clear = !state.is_applied;
-                self.finish(state.newest);
+                self.finish(state);
                 return None;
             }
             operation::StoreAnswer::Conflict(_)
@@ -126,10 +132,24 @@
         self.due_at = Some(now + RETRY_DELAY);
     }
 
-    const fn finish(&mut self, version: u64) {
+    /// Returns true if a stored report makes that of this instance needless.
+    fn is_covered(&self, state: ObjectState<'_>, stored: &StatusDocument) -> bool {
+        let is_same = stored.faults == status_document(state).faults;
+        stored.version > state.newest
+            || stored.version == state.newest && (is_same || !self.concerns_unversioned(state))
+    }
+
+    /// Returns true if a value without a readable version has appeared or gone since the last
+    /// report.
+    const fn concerns_unversioned(&self, state: ObjectState<'_>) -> bool {
+        self.reported_unversioned != state.is_unversioned
+    }
+
+    const fn finish(&mut self, state: ObjectState<'_>) {
         self.in_flight = false;
         self.due_at = None;
-        self.reported_version = version;
+        self.reported_version = state.newest;
+        self.reported_unversioned = state.is_unversioned;
     }
 }
 
@@ -139,12 +159,15 @@
     object::ObjectName::new(object::ObjectKind::Status, &object.to_string())
 }
 
+fn status_document(state: ObjectState<'_>) -> StatusDocument {
+    let faults = state.faults.faults.iter().take(MAX_FAULTS).map(ToString::to_string).collect();
+    StatusDocument { version: state.newest, faults }
+}
+
 fn status_write(
     state: ObjectState<'_>,
     expected: Option<object::ObjectVersion>,
 ) -> operation::ConditionalWrite {
-    let faults = state.faults.faults.iter().take(MAX_FAULTS).map(ToString::to_string).collect();
-    let document = StatusDocument { version: state.newest, faults };
-    let value = serde_json::to_vec(&document).expect("a status document is JSON");
+    let value = serde_json::to_vec(&status_document(state)).expect("a status document is JSON");
     operation::ConditionalWrite { name: status_name(state.object), expected, value: value.into() }
 }
--- a/crates/coordination/configuration/src/store.rs
+++ b/crates/coordination/configuration/src/store.rs
@@ -8,6 +8,7 @@
 use marjoramwing_entity::time as entity_time;
 use marjoramwing_objects::operation;
 use marjoramwing_objects::position;
+use marjoramwing_tables::fault;
 use rand::RngExt;
 
 use crate::candidate;
@@ -112,6 +113,10 @@
             *latest_known = change.version.0.max(*latest_known);
             let text = match change.value {
                 operation::ChangedValue::Included(text) => text,
+                operation::ChangedValue::Malformed(reason) if change.version.0 == 0 => {
+                    self.refuse_unversioned(object, reason, actions);
+                    continue;
+                }
                 // The reason is not a valid document either, so the selector records a fault that
                 // is then reported.
                 operation::ChangedValue::Malformed(reason) => {
@@ -119,6 +124,7 @@
                 }
                 operation::ChangedValue::Omitted | operation::ChangedValue::Deleted => continue,
             };
+            self.unversioned[object as usize] = fault::FaultList::default();
             received.push(keeper::ReceivedObject { object, version: change.version.0, text });
         }
         self.offer_all(received, rng, actions);
@@ -163,6 +169,22 @@
         self.confirm_if_current();
     }
 
+    /// Reports a value of the store that has no readable version, which is never applied: its place
+    /// among the other versions is unknown.
+    fn refuse_unversioned(
+        &mut self,
+        object: candidate::TableObject,
+        reason: std::sync::Arc<str>,
+        actions: &mut ActionList,
+    ) {
+        let mut faults = fault::FaultList::default();
+        faults.add(object.to_string(), fault::FaultKind::Syntax(reason));
+        let known = std::mem::replace(&mut self.unversioned[object as usize], faults);
+        if known != self.unversioned[object as usize] {
+            actions.push(keeper::ConfigurationAction::Refused(object));
+        }
+    }
+
     /// Starts the next watch if it is due; instances that do not watch poll with a watch that ends
     /// immediately.
     fn start_watch(&mut self, now: entity_time::Timestamp, actions: &mut ActionList) {
--- a/crates/coordination/configuration/tests/restored_store.rs
+++ b/crates/coordination/configuration/tests/restored_store.rs
@@ -225,6 +225,43 @@
     assert_eq!((status.version, status.faults.len()), (version, 1));
 }
 
+/// A configuration without a readable number was dropped without a word; it must neither come into
+/// force nor hide a later one.
+#[test]
+fn configuration_without_a_readable_number_is_reported_and_not_applied() {
+    let mut fleet = start_fleet(12);
+    let good = put_applied(&mut fleet, 8, "kept");
+    fleet.store.put_unreadable_number();
+    fleet.run(seconds(10));
+    assert_in_force(&fleet, "kept");
+    assert!(fleet.instances.iter().all(|instance| instance.refusals == 1));
+    let held = fleet.instances[0].keeper.dump(fleet.now).held;
+    assert_eq!((held.len(), held[0].version, held[0].faults.len()), (1, 0, 1));
+    let status = fleet.store.status_of(Object::Routes).expect("no report");
+    assert_eq!((status.version, status.faults.len()), (good, 1));
+    assert_eq!(fleet.store.writes, 1, "exactly one instance must write the report");
+    let version = put_applied(&mut fleet, 11, "new");
+    fleet.run(seconds(10));
+    let status = fleet.store.status_of(Object::Routes).expect("the report is gone");
+    assert_eq!((status.version, status.faults.len()), (version, 0));
+    assert!(fleet.instances[0].keeper.dump(fleet.now).held.is_empty());
+    assert_in_force(&fleet, "new");
+}
+
+/// The same configuration written again has no new version, which must still end the report.
+#[test]
+fn known_configuration_ends_the_report_of_one_without_a_number() {
+    let mut fleet = start_fleet(13);
+    put_applied(&mut fleet, 8, "kept");
+    fleet.store.put_unreadable_number();
+    fleet.run(seconds(10));
+    assert_eq!(fleet.store.status_of(Object::Routes).map(|status| status.faults.len()), Some(1));
+    fleet.store.put_configuration(8, "kept");
+    fleet.run(seconds(10));
+    assert_eq!(fleet.store.status_of(Object::Routes).map(|status| status.faults.len()), Some(0));
+    assert!(fleet.instances[0].keeper.dump(fleet.now).held.is_empty());
+}
+
 /// Writes configurations while some instances still take the store's revision as the version.
 ///
 /// Numbers are greater than revisions, so an instance of the earlier build that hears of one takes
