--- a/crates/coordination/configuration/src/store.rs
+++ b/crates/coordination/configuration/src/store.rs
@@ -1,15 +1,20 @@
 //! The keeper's calls to the store.
+//!
+//! Invariant: positions of the store are ordered by era, then by revision. The answer to a watch
+//! from before the known position has no effect.
 
 use std::time;
 
 use marjoramwing_entity::time as entity_time;
 use marjoramwing_objects::operation;
 use marjoramwing_objects::position;
+use marjoramwing_tables::fault;
 use rand::RngExt;
 
 use crate::candidate;
 use crate::group;
 use crate::keeper;
+use crate::status;
 
 type ActionList = Vec<keeper::ConfigurationAction>;
 
@@ -26,7 +31,7 @@
     /// Send time of the last watch whose changes have not all been read yet.
     unread_watch_sent_at: Option<entity_time::Timestamp>,
     reads: [ReadState; candidate::TableObject::ALL.len()],
-    /// Delay after the last failed call; reset when a watch or poll succeeds.
+    /// Delay after the last call without a usable answer; reset when a watch or poll succeeds.
     retry_delay: time::Duration,
 }
 
@@ -35,7 +40,10 @@
 enum ReadState {
     #[default]
     Idle,
-    InFlight,
+    InFlight {
+        /// Newest version known when the read was sent.
+        known: u64,
+    },
     Due(entity_time::Timestamp),
 }
 
@@ -66,9 +74,10 @@
     ) {
         self.start_watch(now, actions);
         for object in candidate::TableObject::ALL {
+            let known = group::version_of(&self.latest_known, object);
             let read = &mut self.calls.reads[object as usize];
             if matches!(read, ReadState::Due(due_at) if *due_at <= now) {
-                *read = ReadState::InFlight;
+                *read = ReadState::InFlight { known };
                 actions.push(keeper::ConfigurationAction::Read(object));
             }
         }
@@ -86,38 +95,37 @@
             self.record_failure(now, rng);
             return;
         };
-        self.schedule_next(now, rng);
         self.record_answer();
         // An answer from an older state of the store confirms nothing.
-        if answer.position.revision < self.calls.position.revision {
+        if answer.position < self.calls.position {
+            self.delay_calls(now, rng);
             return;
         }
-        self.calls.position = answer.position;
+        self.schedule_next(now, rng);
+        let known = std::mem::replace(&mut self.calls.position, answer.position);
+        if known.era < answer.position.era && !known.is_start() {
+            self.status_reports.iter_mut().for_each(status::StatusReport::record_restore);
+        }
         let mut received = Vec::new();
         for change in answer.changes {
             let Some(object) = candidate::TableObject::from_name(&change.name) else { continue };
             let latest_known = group::version_mut(&mut self.latest_known, object);
             *latest_known = change.version.0.max(*latest_known);
-            match change.value {
-                operation::ChangedValue::Included(text) => {
-                    received.push(keeper::ReceivedObject {
-                        object,
-                        version: change.version.0,
-                        text,
-                    });
+            let text = match change.value {
+                operation::ChangedValue::Included(text) => text,
+                operation::ChangedValue::Malformed(reason) if change.version.0 == 0 => {
+                    self.refuse_unversioned(object, reason, actions);
+                    continue;
                 }
                 // The reason is not a valid document either, so the selector records a fault that
                 // is then reported.
                 operation::ChangedValue::Malformed(reason) => {
-                    let text = bytes::Bytes::copy_from_slice(reason.as_bytes());
-                    received.push(keeper::ReceivedObject {
-                        object,
-                        version: change.version.0,
-                        text,
-                    });
+                    bytes::Bytes::copy_from_slice(reason.as_bytes())
                 }
-                operation::ChangedValue::Omitted | operation::ChangedValue::Deleted => {}
-            }
+                operation::ChangedValue::Omitted | operation::ChangedValue::Deleted => continue,
+            };
+            self.unversioned[object as usize] = fault::FaultList::default();
+            received.push(keeper::ReceivedObject { object, version: change.version.0, text });
         }
         self.offer_all(received, rng, actions);
         self.calls.unread_watch_sent_at = Some(sent_at);
@@ -133,7 +141,7 @@
         rng: &mut impl rand::Rng,
         actions: &mut ActionList,
     ) {
-        self.calls.reads[object as usize] = ReadState::Idle;
+        let read = std::mem::take(&mut self.calls.reads[object as usize]);
         match answer {
             operation::StoreAnswer::Found(stored) => {
                 self.record_answer();
@@ -141,9 +149,16 @@
             }
             operation::StoreAnswer::Missing => {
                 self.record_answer();
-                // The object does not exist any more, so there is no newer version to wait for.
+                // The object does not exist any more, so there is no newer version to wait for,
+                // unless that became known after the read was sent or a peer has it: a store that
+                // was restored may lack what a peer has read from it.
                 let newest = group::version_of(&self.selector.newest_read(), object);
-                *group::version_mut(&mut self.latest_known, object) = newest;
+                let latest_known = group::version_mut(&mut self.latest_known, object);
+                let is_late =
+                    !matches!(read, ReadState::InFlight { known } if known >= *latest_known);
+                if !is_late && !self.fetches.is_pending(object) {
+                    *latest_known = newest;
+                }
             }
             _ => self.record_failure(now, rng),
         }
@@ -154,6 +169,22 @@
         self.confirm_if_current();
     }
 
+    /// Reports a value of the store that has no readable version, which is never applied: its place
+    /// among the other versions is unknown.
+    fn refuse_unversioned(
+        &mut self,
+        object: candidate::TableObject,
+        reason: std::sync::Arc<str>,
+        actions: &mut ActionList,
+    ) {
+        let mut faults = fault::FaultList::default();
+        faults.add(object.to_string(), fault::FaultKind::Syntax(reason));
+        let known = std::mem::replace(&mut self.unversioned[object as usize], faults);
+        if known != self.unversioned[object as usize] {
+            actions.push(keeper::ConfigurationAction::Refused(object));
+        }
+    }
+
     /// Starts the next watch if it is due; instances that do not watch poll with a watch that ends
     /// immediately.
     fn start_watch(&mut self, now: entity_time::Timestamp, actions: &mut ActionList) {
@@ -225,10 +256,14 @@
         self.freshness.record_answer();
     }
 
-    /// Records a failed call and delays the next watch and poll, twice as long with each failure in
-    /// succession.
+    /// Records a failed call and delays the next watch and poll.
     fn record_failure(&mut self, now: entity_time::Timestamp, rng: &mut impl rand::Rng) {
         self.freshness.record_failure(now);
+        self.delay_calls(now, rng);
+    }
+
+    /// Delays the next watch and poll, twice as long with each unusable answer in succession.
+    fn delay_calls(&mut self, now: entity_time::Timestamp, rng: &mut impl rand::Rng) {
         let doubled = self.calls.retry_delay * 2;
         self.calls.retry_delay =
             doubled.clamp(self.settings.retry_delay, self.settings.max_retry_delay);
