Registry: a restored store undoes no departure and hides no change

After the store comes back from a copy some seconds old, its revisions go back. The registry compared revisions only, so it ignored every answer of the new era until the revisions had passed the old ones: servers that drained or left meanwhile got requests, new ones got none, an evacuation was neither followed nor lifted.

Positions are ordered by era, then by revision, also those of single servers. A new era starts the re-registration period, also without a failed call. An entry of the copy that is older than what is known is ignored for 10 s, in which the store expires that of a server that is gone: entries of a server are ordered by the start of its process, then by the number of its heartbeat, which the adapter now passes on and which is no change by itself. The number alone does not bring back a server whose entry was seen to be deleted: heartbeats that change nothing else are no events, so the copy may hold a higher number than the last known one. Servers that left are remembered for 60 s, 4,096 at most. The last owner of an address keeps it. A domain that is missing stays drained for 10 s; a deletion in the new era acts at once. Neither period ends while the store is away again, but no entry is ignored for more than 60 s. Events 2018 and 2019 tell of a missing domain and an ignored entry.

platform: server_becomes_a_registration expects the document's new field, and two cases more cover an entry without a readable number.

--- a/crates/coordination/registry/src/change.rs
+++ b/crates/coordination/registry/src/change.rs
@@ -27,4 +27,10 @@
     DomainDrained(Arc<str>),
     /// A failure domain is no longer drained.
     DomainRestored(Arc<str>),
+    /// A drained failure domain is missing in a restored store and stays drained for a grace
+    /// period.
+    DomainMissing(Arc<str>),
+    /// An entry in a restored store may be older than what is known of its server, so it is
+    /// ignored until the store had time to expire it.
+    Outdated(Arc<str>),
 }
--- a/crates/coordination/registry/src/lib.rs
+++ b/crates/coordination/registry/src/lib.rs
@@ -5,5 +5,8 @@
 //! - [`view`]: snapshot of the servers in each pool.
 
 pub mod change;
+mod departure;
+mod entry;
+mod evacuation;
 pub mod registry;
 pub mod view;
--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -88,6 +88,10 @@
     DOMAIN_DRAINED = 2016, INFO, "failure domain is drained; no new requests go to its servers", "none";
     /// A failure domain is no longer drained.
     DOMAIN_RESTORED = 2017, INFO, "failure domain is no longer drained; its servers receive requests again", "none";
+    /// A drained failure domain is missing in a restored object API.
+    DOMAIN_MISSING = 2018, WARN, "drained failure domain is missing after the object API was restored; it stays drained for a grace period", "drain the failure domain again if it must stay drained";
+    /// An entry of a restored object API may be older than what is known of its server.
+    SERVER_OUTDATED = 2019, INFO, "registration in the restored object API is older than what is known; ignored while it may expire", "none";
 
     /// A caller's connection ended with an error.
     CALLER_CONNECTION_FAILED = 3001, DEBUG, "caller connection ended with an error", "none";
--- a/crates/state/tables/src/registration.rs
+++ b/crates/state/tables/src/registration.rs
@@ -30,6 +30,9 @@
     /// Unix milliseconds of the start of the server's process; 0 if unknown.
     #[serde(default)]
     pub started_ms: u64,
+    /// Number of the process's heartbeat that wrote this entry; `None` if unknown.
+    #[serde(default)]
+    pub sequence: Option<u64>,
 }
 
 /// Whether a registered server accepts new requests.
@@ -58,6 +61,8 @@
     pub draining: bool,
     /// Incarnation of the server that registered.
     pub identity: pool::ServerIdentity,
+    /// Number of the incarnation's heartbeat that wrote this entry; `None` if unknown.
+    pub sequence: Option<u64>,
 }
 
 impl ServerRegistration {
@@ -82,9 +87,16 @@
                 started_ms: raw.started_ms,
                 cold_for: time::Duration::from_millis(raw.cold_ms),
             },
+            sequence: raw.sequence,
         })
     }
 
+    /// Returns true if the registrations differ in no more than the number of the heartbeat.
+    #[must_use]
+    pub fn has_same_content(&self, other: &Self) -> bool {
+        self.pool == other.pool && self.to_server() == other.to_server()
+    }
+
     /// Returns the entry of the server in its pool.
     #[must_use]
     pub fn to_server(&self) -> pool::BackendServer {
--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -48,7 +48,8 @@
             continue;
         }
         shared.dispatch.set_registered(registry.view());
-        changes.iter().for_each(|change| log_change(change, registry.revision()));
+        let position = registry.position();
+        changes.iter().for_each(|change| log_change(change, position.revision));
     }
 }
 
@@ -144,5 +145,11 @@
         change::RegistryChange::DomainRestored(domain) => {
             emit!(catalogue::DOMAIN_RESTORED, domain = %domain, revision);
         }
+        change::RegistryChange::DomainMissing(domain) => {
+            emit!(catalogue::DOMAIN_MISSING, domain = %domain, revision);
+        }
+        change::RegistryChange::Outdated(server) => {
+            emit!(catalogue::SERVER_OUTDATED, server = %server, revision);
+        }
     }
 }
