Announcement: an instance writes its entry again in each new era

An instance wrote its entry in the store once, at its start. A store that was restored from a copy older than that lacked the entry for good: newcomers did not find the instance by the list, and divided bounds without it.

The watches of the registrations publish the era of each answer in the shared state. When it rises, each instance writes its entry again after a random delay of up to 1 s: one call if the entry is missing, two if the copy has it, since the first attempt states no revision and the conflict answer does. A revision of the era before is never used.

--- a/crates/transport/node/src/control/announcement.rs
+++ b/crates/transport/node/src/control/announcement.rs
@@ -16,21 +16,50 @@
 /// Initial and maximum delay before a failed call is retried.
 const FIRST_RETRY_DELAY: time::Duration = time::Duration::from_millis(250);
 const MAX_RETRY_DELAY: time::Duration = time::Duration::from_secs(4);
+/// Maximum delay before the entry is written again in a new era of the store; instances share the
+/// store's rate of writes.
+const MAX_REWRITE_DELAY: time::Duration = time::Duration::from_secs(1);
+
+/// Writes the instance's entry at the start, and again in each new era of the store, until the
+/// task is cancelled.
+///
+/// A store that was restored from an older copy may lack the entry. The entry is only a discovery
+/// hint; membership decides which instances are live.
+///
+/// # Panics
+///
+/// Panics if the entry cannot be serialized; it has only string keys, so it always can.
+pub async fn announce(shared: sync::Arc<shared::InstanceState>, client: client::StoreClient) {
+    let mut eras = shared.watch_store_era();
+    loop {
+        let mut written_in = *eras.borrow_and_update();
+        write_entry(&shared, &client).await;
+        // The first era that is known is the one of the first write.
+        while written_in.is_none() || *eras.borrow() <= written_in {
+            if eras.changed().await.is_err() {
+                return;
+            }
+            written_in = written_in.or(*eras.borrow());
+        }
+        tokio::time::sleep(MAX_REWRITE_DELAY.mul_f64(rand::random_range(0.0..1.0))).await;
+    }
+}
 
 /// Writes the instance's entry, replacing the one of an earlier incarnation; retries until the
 /// store has accepted it.
 ///
-/// The entry is only a discovery hint; membership decides which instances are live.
+/// An answer of an earlier era tells no revision that this write may rely on, so the first attempt
+/// states none and the conflict answer does.
 ///
 /// # Panics
 ///
 /// Panics if the entry cannot be serialized; it has only string keys, so it always can.
-pub async fn announce(shared: sync::Arc<shared::InstanceState>, client: client::StoreClient) {
+async fn write_entry(shared: &shared::InstanceState, client: &client::StoreClient) {
     let name = object::ObjectName::new(
         object::ObjectKind::Instances,
         shared.settings.identity.name.as_str(),
     );
-    let value = serde_json::to_vec(&own_entry(&shared)).expect("an entry has only string keys");
+    let value = serde_json::to_vec(&own_entry(shared)).expect("an entry has only string keys");
     let value = bytes::Bytes::from(value);
     let mut expected = None;
     let mut retry_delay = FIRST_RETRY_DELAY;
--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -79,6 +79,7 @@
         };
         let event = match answer {
             Ok(answer) => {
+                shared.record_store_era(answer.position.era);
                 after = answer.position;
                 // 0 would list all objects again.
                 after.revision = after.revision.max(1);
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -13,6 +13,7 @@
 use marjoramwing_entity::time;
 use marjoramwing_exchange::names;
 use marjoramwing_membership::view;
+use marjoramwing_objects::position;
 use marjoramwing_settings::settings;
 use marjoramwing_tables::credential;
 use marjoramwing_tables::route;
@@ -53,6 +54,8 @@
     pub log_limiter: trace::LogLimiter,
     /// Metrics of the instance.
     pub metrics: metrics::InstanceMetrics,
+    /// Newest era of the store that any answer stated; `None` before the first answer.
+    store_era: watch::Sender<Option<position::StoreEra>>,
     clock: clock::MonotonicClock,
     leaving: atomic::AtomicBool,
     /// Whether keyed requests may be served; true until a confirmation is first required.
@@ -76,6 +79,7 @@
             names: header_names(settings.dialect),
             settings,
             member_changes: watch::Sender::default(),
+            store_era: watch::Sender::default(),
             steering: steering::SteeringControl::default(),
             log_limiter: trace::LogLimiter::default(),
             metrics: metrics::InstanceMetrics::new(),
@@ -138,6 +142,21 @@
         self.member_changes.subscribe()
     }
 
+    /// Records the era that an answer of the store states; an earlier one changes nothing.
+    pub fn record_store_era(&self, era: position::StoreEra) {
+        self.store_era.send_if_modified(|known| {
+            let is_newer = Some(era) > *known;
+            *known = (*known).max(Some(era));
+            is_newer
+        });
+    }
+
+    /// Subscribes to changes of the store's era.
+    #[must_use]
+    pub fn watch_store_era(&self) -> watch::Receiver<Option<position::StoreEra>> {
+        self.store_era.subscribe()
+    }
+
     /// Distrusts keys and reports not ready until [`Self::set_key_trust`] trusts the keys.
     pub fn require_confirmation(&self) {
         self.keys_trusted.store(false, atomic::Ordering::Release);
