Bounds: a list of instances that lost entries raises no share

A restored store lacks the entries of instances that are younger than its copy. An instance that has just started, or that no report has reached, replaced the instances it had listed by the shorter list and took a larger share of a team's limit, of the rate of cold servers and of the retries that an idle service may make, while all others kept theirs.

Entries are never removed, so a shorter list is one that lost some. The split of limits counts the largest list; the roster adds the names of each list read since the start. Live instances that the list lacks count beside it: before, only the larger of the two numbers did.

Tests, before and now:

ledger, split: restored_store_that_lists_{no,one,two}_instance(s)_keeps_the_bound failed with 'admitted 686 of 680' each; 27 passed now dispatch, roster: restored_store_that_lists_{no,one,half the}_instance(s)_raises_no_share and live_instances_that_a_restored_store_lacks_count (21 in place of 31) failed; 13 passed now

An instance whose very first list comes from the restored store knows only what that holds.

--- a/crates/coordination/dispatch/src/roster.rs
+++ b/crates/coordination/dispatch/src/roster.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariant: instances that start at the same time, before they know of each other, divide a
 //! bound as if all instances that the platform lists were running. An instance that has just
-//! started and has not read the list sends nothing to cold servers.
+//! started and has not read the list sends nothing to cold servers. A later list that lacks
+//! instances, such as that of a store restored from an older copy, raises no share.
 
 use std::sync::Arc;
 use std::time as duration;
@@ -23,7 +24,7 @@
     own: Arc<str>,
     /// Names of the live instances, including this one.
     members: Vec<Arc<str>>,
-    /// Names that the platform lists, of instances running or not.
+    /// Names that the platform has listed since the start, of instances running or not.
     listed: Option<Vec<Arc<str>>>,
     /// Largest number of instances that were live at the same time.
     max_members: usize,
@@ -46,11 +47,21 @@
         has_changed
     }
 
-    /// Replaces the listed instances; returns true if they matter now and have changed.
+    /// Adds the listed instances; returns true if they matter now and any is new.
+    ///
+    /// Those of earlier lists still count, since a restored store lacks the entries that are
+    /// younger than its copy.
     pub fn set_listed(&mut self, listed: Vec<Arc<str>>, now: time::Timestamp) -> bool {
-        let has_changed = self.listed.as_ref() != Some(&listed);
-        self.listed = Some(listed);
-        has_changed && self.is_starting(now)
+        if !self.is_starting(now) {
+            return false;
+        }
+        let is_first = self.listed.is_none();
+        let known = self.listed.get_or_insert_default();
+        let known_count = known.len();
+        known.extend(listed);
+        known.sort_unstable();
+        known.dedup();
+        is_first || known.len() > known_count
     }
 
     /// Returns true while the list counts.
@@ -65,7 +76,7 @@
         let known = self.max_members.max(1);
         match &self.listed {
             _ if !self.is_starting(now) => known,
-            Some(listed) => known.max(listed.len()),
+            Some(listed) => known.max(listed.len() + self.unlisted(listed).count()),
             None => known.max(DEFAULT_FLEET_SIZE),
         }
     }
@@ -81,14 +92,18 @@
         let rank = match (&self.listed, self.is_starting(now)) {
             (_, false) => self.rank_among(self.members.iter(), server),
             (Some(listed), true) => {
-                let unlisted = self.members.iter().filter(|member| !listed.contains(member));
-                self.rank_among(listed.iter().chain(unlisted), server)
+                self.rank_among(listed.iter().chain(self.unlisted(listed)), server)
             }
             (None, true) => return 0,
         };
         allowance.share(rank, self.fleet_size(now))
     }
 
+    /// Returns the live instances that are not listed.
+    fn unlisted<'a>(&'a self, listed: &'a [Arc<str>]) -> impl Iterator<Item = &'a Arc<str>> {
+        self.members.iter().filter(|member| !listed.contains(member))
+    }
+
     /// Returns the number of instances that rendezvous hashing ranks before this one for a server.
     fn rank_among<'a>(&self, names: impl Iterator<Item = &'a Arc<str>>, server: &str) -> usize {
         let key = rendezvous::seed_of(server);
--- a/crates/coordination/dispatch/tests/roster.rs
+++ b/crates/coordination/dispatch/tests/roster.rs
@@ -117,3 +117,38 @@
     assert!(!roster.set_listed(fleet[..30].to_vec(), after_startup()));
     assert_eq!(roster.fleet_size(after_startup()), 7);
 }
+
+/// A store that was restored from an older copy lacks the entries that are younger. An instance that
+/// has just started would take a larger share of the cold bound, and of the retries that an idle
+/// service may make, while all others keep theirs.
+fn check_shrunken_list(left: usize, known: usize) {
+    let fleet = names(31);
+    let mut shares = 0;
+    for name in &fleet {
+        let mut roster = start(name);
+        roster.set_listed(fleet.clone(), at_start());
+        roster.set_members(fleet[..known].to_vec());
+        let before = share(&roster, at_start());
+        assert!(!roster.set_listed(fleet[..left].to_vec(), at_start()));
+        assert_eq!((share(&roster, at_start()), roster.fleet_size(at_start())), (before, 31));
+        shares += before;
+    }
+    assert!(2.0 * f64::from(shares) <= BOUND, "{shares}");
+}
+
+marjoramwing_testing::cases! { check_shrunken_list:
+    restored_store_that_lists_no_instance_raises_no_share => (0, 1);
+    restored_store_that_lists_one_instance_raises_no_share => (1, 1);
+    restored_store_that_lists_half_the_instances_raises_no_share => (15, 7);
+}
+
+/// The first list of an instance comes from the restored store. Live instances that it lacks were
+/// not counted, so that the shares summed to more than the bound.
+#[test]
+fn live_instances_that_a_restored_store_lacks_count() {
+    let fleet = names(31);
+    let mut roster = start(&fleet[0]);
+    roster.set_listed(fleet[..15].to_vec(), at_start());
+    roster.set_members(fleet[11..].iter().chain(&fleet[..1]).cloned().collect());
+    assert_eq!(roster.fleet_size(at_start()), 31);
+}
--- a/crates/coordination/ledger/src/split.rs
+++ b/crates/coordination/ledger/src/split.rs
@@ -92,8 +92,9 @@
     peers: collections::BTreeMap<incarnation::Incarnation, PeerReport>,
     /// Number of other instances known from membership.
     other_count: usize,
-    /// Number of instances that the platform lists, running or not.
-    listed_count: usize,
+    /// Largest number of instances that the platform has listed, running or not; `None` before
+    /// the first list.
+    listed_count: Option<usize>,
     /// Number of other instances with a recent report, as of the last step.
     reporting_count: usize,
     started_at: time::Timestamp,
@@ -158,7 +159,7 @@
             limits: collections::BTreeMap::new(),
             peers: collections::BTreeMap::new(),
             other_count: 0,
-            listed_count: DEFAULT_FLEET_SIZE,
+            listed_count: None,
             reporting_count: 0,
             started_at: now,
             steps: 0,
@@ -166,8 +167,11 @@
     }
 
     /// Sets the number of instances that the platform lists, running or not.
+    ///
+    /// A smaller number changes nothing: entries are never removed, but a restored store lacks
+    /// those that are younger than its copy.
     pub fn set_listed_count(&mut self, listed: usize) {
-        self.listed_count = listed.max(1);
+        self.listed_count = self.listed_count.max(Some(listed.max(1)));
     }
 
     /// Replaces the set of limits; an edit adds no tokens.
@@ -279,7 +283,11 @@
         let known = self.other_count.max(self.peers.len()) + 1;
         let is_new = now.since(self.started_at) < STARTUP_PERIOD;
         let uses_list = is_new || self.peers.is_empty();
-        let instances = if uses_list { known.max(self.listed_count) } else { known };
+        let instances = if uses_list {
+            known.max(self.listed_count.unwrap_or(DEFAULT_FLEET_SIZE))
+        } else {
+            known
+        };
         local::FleetSize { instances, reporting: (self.reporting_count + 1).min(instances) }
     }
 
--- a/crates/coordination/ledger/tests/split.rs
+++ b/crates/coordination/ledger/tests/split.rs
@@ -314,6 +314,24 @@
     check_restart(1, false);
 }
 
+/// All instances restart and read the list; then the store is restored from a copy that lacks the
+/// younger entries. Each instance that no report has reached takes the limit of several.
+fn check_shrunken_list(left: usize) {
+    let mut fleet = Fleet::new();
+    fleet.run(0, 5_000, &[114.0; INSTANCES], true);
+    fleet.splits = (0..INSTANCES).map(|_| fleet.start(5_500, INSTANCES)).collect();
+    fleet.splits.iter_mut().for_each(|split| split.set_listed_count(left));
+    fleet.run(5_500, 7_000, &[114.0; INSTANCES], false);
+    fleet.run(7_000, 12_000, &[114.0; INSTANCES], true);
+    fleet.check_bound();
+}
+
+marjoramwing_testing::cases! { check_shrunken_list:
+    restored_store_that_lists_no_instance_keeps_the_bound => (0);
+    restored_store_that_lists_one_instance_keeps_the_bound => (1);
+    restored_store_that_lists_two_instances_keeps_the_bound => (2);
+}
+
 #[test]
 fn instances_without_reports_keep_the_bound() {
     let mut fleet = Fleet::new();
