Claims: an instance forgets the objects of an earlier era

An instance caches the objects that hold the claims of idempotency keys, and writes them on the condition of the version that it knows. A restored store gives out versions again: a write at a known version then replaced claims of the new era that the instance had never read, and a key was claimed twice. Only requests with Idempotency-Key on routes that must not repeat were affected.

When the era rises, the objects are forgotten and read before the next write; an operation in flight is followed by a read, which tells by the claim's number what took effect.

Until an instance has seen the new era, its write can still replace a claim.

--- a/crates/coordination/dispatch/src/claim.rs
+++ b/crates/coordination/dispatch/src/claim.rs
@@ -99,6 +99,8 @@
     /// Claims to remove from the object; they no longer count in it.
     released: Vec<ClaimNumber>,
     in_flight: Option<PendingOperation>,
+    /// Whether the answer to the operation in flight may be of an earlier era of the store.
+    is_outdated: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -185,6 +187,17 @@
         self.advance(shard)
     }
 
+    /// Forgets what is known of the objects, since the store was restored from an older copy.
+    ///
+    /// It gives out the same versions again, so a write at a known one could replace claims that
+    /// were never read. The objects are read before the next write.
+    pub fn forget_objects(&mut self) {
+        for shard in &mut self.shards {
+            shard.cached = None;
+            shard.is_outdated = shard.in_flight.is_some();
+        }
+    }
+
     /// Records the store's answer to a shard's operation.
     pub fn record_answer(
         &mut self,
@@ -193,6 +206,7 @@
     ) -> ClaimActions {
         let disabled = self.disabled;
         let state = &mut self.shards[shard.index()];
+        let is_outdated = std::mem::take(&mut state.is_outdated);
         let mut settled = match (state.in_flight.take(), answer) {
             (None, _) => Vec::new(),
             (Some(PendingOperation::Read), answer) => state.record_read(answer),
@@ -200,6 +214,9 @@
                 state.record_write(write, answer, disabled)
             }
         };
+        if is_outdated {
+            state.cached = None;
+        }
         let mut actions = self.advance(shard);
         settled.append(&mut actions.settled);
         ClaimActions { operation: actions.operation, settled }
--- a/crates/coordination/dispatch/tests/claim.rs
+++ b/crates/coordination/dispatch/tests/claim.rs
@@ -219,6 +219,55 @@
     assert_eq!((trial.count(Claimed), trial.count(Duplicate)), (2, 0));
 }
 
+/// Returns keys whose claims share an object.
+fn keys_of_one_object() -> impl Iterator<Item = u64> {
+    let shard_of = |key: u64| {
+        let incarnation = incarnation::Incarnation::from_u64(9);
+        let mut keeper = claim::ClaimKeeper::new(incarnation, Nothing);
+        let id = claim::ClaimId::new("team", "route", &key.to_string());
+        keeper.claim(id).1.operation.map(|operation| operation.shard)
+    };
+    (1..).filter(move |key| shard_of(*key) == shard_of(1))
+}
+
+/// The store is restored and gives out a version again that an instance knows; its next write
+/// replaces a claim of the new era that it has not read, and the key is claimed twice.
+fn check_reused_version(is_answer_in_flight: bool) {
+    let mut rng = rand_pcg::Pcg64::seed_from_u64(1);
+    let mut trial = ClaimTrial::new(Nothing);
+    let keys: Vec<_> = keys_of_one_object().take(3).collect();
+    trial.claim(0, keys[0]);
+    trial.step(0.0, &mut rng);
+    let mut late = None;
+    if is_answer_in_flight {
+        let (_, pending) = trial.pending.pop().unwrap();
+        late = Some((pending.shard, trial.store.run(&pending.operation)));
+    } else {
+        trial.step(0.0, &mut rng);
+    }
+    trial.store.objects.clear();
+    trial.keepers.iter_mut().for_each(claim::ClaimKeeper::forget_objects);
+    for (instance, key) in [(1, keys[1]), (0, keys[2]), (2, keys[1])] {
+        trial.claim(instance, key);
+        if let Some((shard, answer)) = late.take_if(|_| instance == 0) {
+            let actions = trial.keepers[0].record_answer(shard, &answer);
+            trial.apply(0, actions);
+        }
+        while !trial.pending.is_empty() {
+            trial.step(0.0, &mut rng);
+        }
+    }
+    let of_key = trial.verdicts.iter().filter(|(key, _)| *key == keys[1]);
+    let verdicts: Vec<_> = of_key.map(|(_, verdict)| *verdict).collect();
+    assert_eq!(verdicts, [Claimed, Duplicate]);
+    assert_eq!(trial.count(Claimed), 3);
+}
+
+cases! { check_reused_version:
+    claim_of_a_restored_store_is_not_replaced => (false);
+    claim_of_a_restored_store_is_not_replaced_after_a_late_answer => (true);
+}
+
 /// 1,000 claims arrive while reads and writes of the 64 objects are in flight.
 #[test]
 fn claims_are_grouped_into_few_writes() {
--- a/crates/transport/node/src/callers/claims.rs
+++ b/crates/transport/node/src/callers/claims.rs
@@ -77,6 +77,11 @@
         Self { client, state: sync::Mutex::new(ClaimState { keeper, waiters }) }
     }
 
+    /// Forgets what is known of the store's objects, since it was restored from an older copy.
+    pub fn forget_objects(&self) {
+        self.lock().keeper.forget_objects();
+    }
+
     /// Claims a key for a request and waits for the verdict.
     ///
     /// # Errors
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -144,11 +144,14 @@
 
     /// Records the era that an answer of the store states; an earlier one changes nothing.
     pub fn record_store_era(&self, era: position::StoreEra) {
-        self.store_era.send_if_modified(|known| {
+        let is_newer = self.store_era.send_if_modified(|known| {
             let is_newer = Some(era) > *known;
             *known = (*known).max(Some(era));
             is_newer
         });
+        if is_newer {
+            self.dispatch.claims.forget_objects();
+        }
     }
 
     /// Subscribes to changes of the store's era.
