--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -13,6 +13,7 @@
 use marjoramwing_entity::time;
 use marjoramwing_exchange::names;
 use marjoramwing_membership::view;
+use marjoramwing_objects::position;
 use marjoramwing_settings::settings;
 use marjoramwing_tables::credential;
 use marjoramwing_tables::route;
@@ -54,6 +55,8 @@
     pub log_limiter: trace::LogLimiter,
     /// Metrics of the instance.
     pub metrics: metrics::InstanceMetrics,
+    /// Newest era of the store that any answer stated; `None` before the first answer.
+    store_era: watch::Sender<Option<position::StoreEra>>,
     clock: clock::MonotonicClock,
     leaving: atomic::AtomicBool,
     /// Cancelled when the time to finish requests in a planned stop has passed.
@@ -79,6 +82,7 @@
             names: header_names(settings.dialect),
             settings,
             member_changes: watch::Sender::default(),
+            store_era: watch::Sender::default(),
             steering: steering::SteeringControl::default(),
             log_limiter: trace::LogLimiter::default(),
             metrics: metrics::InstanceMetrics::new(),
@@ -142,6 +146,24 @@
         self.member_changes.subscribe()
     }
 
+    /// Records the era that an answer of the store states; an earlier one changes nothing.
+    pub fn record_store_era(&self, era: position::StoreEra) {
+        let is_newer = self.store_era.send_if_modified(|known| {
+            let is_newer = Some(era) > *known;
+            *known = (*known).max(Some(era));
+            is_newer
+        });
+        if is_newer {
+            self.dispatch.claims.forget_objects();
+        }
+    }
+
+    /// Subscribes to changes of the store's era.
+    #[must_use]
+    pub fn watch_store_era(&self) -> watch::Receiver<Option<position::StoreEra>> {
+        self.store_era.subscribe()
+    }
+
     /// Distrusts keys and reports not ready until [`Self::set_key_trust`] trusts the keys.
     pub fn require_confirmation(&self) {
         self.keys_trusted.store(false, atomic::Ordering::Release);
