--- a/crates/marjoramwing/tests/process_soak.rs
+++ b/crates/marjoramwing/tests/process_soak.rs
@@ -8,9 +8,9 @@
 
 const BINARY: &str = env!("CARGO_BIN_EXE_marjoramwing");
 const DURATION: duration::Duration = duration::Duration::from_secs(8);
-/// Ends a run that does not recover; the recovery time that users require is checked
-/// only by the manual soak.
-const RECOVERY_TIMEOUT: duration::Duration = duration::Duration::from_secs(60);
+/// Ends a run that does not recover or does not apply a configuration; the times that users
+/// require are checked only by the manual soak.
+const TIMEOUT: duration::Duration = duration::Duration::from_secs(60);
 
 fn check_seed(seed: u64) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
@@ -20,7 +20,8 @@
         duration: DURATION,
         instances: 3,
         servers_each: 3,
-        recovery_timeout: RECOVERY_TIMEOUT,
+        recovery_timeout: TIMEOUT,
+        configuration_timeout: TIMEOUT,
         prints_faults: false,
     }));
     assert!(report.is_clean(), "{report}");
