Soak: seed 7, in which an instance goes back to an older configuration

In the plan of seed 7 the store comes back from a copy twice; on the present instances the configurations after it are not applied, and an instance that had applied the last one serves an older one again.

--- a/crates/marjoramwing/tests/process_soak.rs
+++ b/crates/marjoramwing/tests/process_soak.rs
@@ -30,4 +30,6 @@
 marjoramwing_testing::cases! { check_seed:
     guarantees_hold_under_seed_1 => (1);
     guarantees_hold_under_seed_2 => (2);
+    // After a return of the store, an instance applied the new configuration and went back.
+    guarantees_hold_under_seed_7 => (7);
 }
