Registry: grace periods end although calls fail now and then

Each failed call and the answer after it restarted the periods in which servers and operators write again: with one failure each 1.5 s a server that the copy lacked was still in use after 300 s, and with one each 5 s a failure domain whose evacuation was lost was still drained. Periods now restart five times at most; the hold of an entry that seems outdated had a maximum of its own and shares the type.

Tests, both red before: missing_server_leaves_although_calls_fail_now_and_then, lost_evacuation_ends_although_calls_fail_now_and_then.

--- a/crates/coordination/registry/src/entry.rs
+++ b/crates/coordination/registry/src/entry.rs
@@ -15,14 +15,13 @@
 use marjoramwing_tables::registration;
 
 use crate::change;
+use crate::grace;
 
 /// Time after which an entry that seemed outdated is accepted.
 ///
 /// The store removes the entry of a server that is gone after three missed heartbeats, so what is
 /// still there is written by a running server.
 const OUTDATED_HOLD: duration::Duration = duration::Duration::from_secs(10);
-/// Maximum time for which such an entry is ignored if the store is away again and again.
-const MAX_OUTDATED_HOLD: duration::Duration = duration::Duration::from_secs(60);
 
 /// How an entry was learned.
 #[derives::value]
@@ -158,20 +157,18 @@
 #[derives::record]
 pub(crate) struct OutdatedEntry {
     pub(crate) entry: ServerEntry,
-    /// Time at which the entry is accepted if the store still has it.
-    pub(crate) accept_at: time::Timestamp,
-    /// Maximum of `accept_at`.
-    latest_at: time::Timestamp,
+    /// Period after which the entry is accepted if the store still has it.
+    pub(crate) hold: grace::GracePeriod,
 }
 
 impl OutdatedEntry {
     /// Creates the record of an entry that is ignored from now on.
     pub(crate) fn new(entry: ServerEntry, now: time::Timestamp) -> Self {
-        Self { entry, accept_at: now + OUTDATED_HOLD, latest_at: now + MAX_OUTDATED_HOLD }
+        Self { entry, hold: grace::GracePeriod::until(now + OUTDATED_HOLD) }
     }
 
     /// Ignores the entry for the whole time again, up to the maximum.
     pub(crate) fn extend_hold(&mut self, now: time::Timestamp) {
-        self.accept_at = self.latest_at.min(now + OUTDATED_HOLD);
+        self.hold.restart(now, OUTDATED_HOLD);
     }
 }
--- a/crates/coordination/registry/src/evacuation.rs
+++ b/crates/coordination/registry/src/evacuation.rs
@@ -12,6 +12,7 @@
 use marjoramwing_objects::position;
 
 use crate::change;
+use crate::grace;
 
 /// Time within which operators drain a domain again after the store was restored.
 const REDRAIN_GRACE: duration::Duration = duration::Duration::from_secs(10);
@@ -19,8 +20,8 @@
 /// The drained failure domains, as last reported by the store.
 #[derive(Debug, Default)]
 pub(crate) struct DrainedDomains {
-    /// Each domain with the time at which it is restored; `None` while its entry exists.
-    domains: collections::BTreeMap<Arc<str>, Option<time::Timestamp>>,
+    /// Each domain with the period after which it is restored; `None` while its entry exists.
+    domains: collections::BTreeMap<Arc<str>, Option<grace::GracePeriod>>,
     position: position::StorePosition,
 }
 
@@ -74,17 +75,18 @@
     ) {
         let listed: collections::BTreeSet<_> =
             answer.changes.iter().map(|change| &change.name.name).collect();
-        self.domains.retain(|domain, restore_at| {
+        self.domains.retain(|domain, period| {
             if listed.contains(domain) {
                 return true;
             }
             if is_restored {
-                if restore_at.replace(now + REDRAIN_GRACE).is_none() {
+                let started = grace::GracePeriod::until(now + REDRAIN_GRACE);
+                if period.replace(started).is_none() {
                     changes.push(change::RegistryChange::DomainMissing(Arc::clone(domain)));
                 }
                 return true;
             }
-            let is_kept = restore_at.is_some();
+            let is_kept = period.is_some();
             if !is_kept {
                 changes.push(change::RegistryChange::DomainRestored(Arc::clone(domain)));
             }
@@ -92,10 +94,10 @@
         });
     }
 
-    /// Gives operators the whole grace period again.
+    /// Gives operators the whole grace period again, unless that was done too often.
     pub(crate) fn restart_grace(&mut self, now: time::Timestamp) {
-        for restore_at in self.domains.values_mut().flatten() {
-            *restore_at = now + REDRAIN_GRACE;
+        for period in self.domains.values_mut().flatten() {
+            period.restart(now, REDRAIN_GRACE);
         }
     }
 
@@ -105,8 +107,8 @@
         now: time::Timestamp,
         changes: &mut Vec<change::RegistryChange>,
     ) {
-        self.domains.retain(|domain, restore_at| {
-            let is_kept = restore_at.is_none_or(|at| now < at);
+        self.domains.retain(|domain, period| {
+            let is_kept = period.is_none_or(|period| !period.has_ended(now));
             if !is_kept {
                 changes.push(change::RegistryChange::DomainRestored(Arc::clone(domain)));
             }
--- a/crates/coordination/registry/src/lib.rs
+++ b/crates/coordination/registry/src/lib.rs
@@ -8,5 +8,6 @@
 mod departure;
 mod entry;
 mod evacuation;
+mod grace;
 pub mod registry;
 pub mod view;
--- a/crates/coordination/registry/src/registry.rs
+++ b/crates/coordination/registry/src/registry.rs
@@ -17,6 +17,7 @@
 use crate::departure;
 use crate::entry;
 use crate::evacuation;
+use crate::grace;
 use crate::view;
 
 /// Time within which running servers register again after the store becomes reachable.
@@ -46,8 +47,8 @@
 #[derive(Debug, Clone)]
 struct KnownServer {
     entry: entry::ServerEntry,
-    /// Time at which the server is removed; `None` while its entry exists.
-    removal_at: Option<time::Timestamp>,
+    /// Period after which the server is removed; `None` while its entry exists.
+    removal: Option<grace::GracePeriod>,
 }
 
 /// An answer with registrations, as far as it matters for each of them.
@@ -145,8 +146,8 @@
         let era = self.position.era;
         for known in self.servers.values_mut() {
             let is_missing = known.entry.absence_in(era) == entry::ServerPresence::Missing;
-            if let Some(at) = known.removal_at.as_mut().filter(|_| is_missing) {
-                *at = now + REREGISTRATION_GRACE;
+            if let Some(period) = known.removal.as_mut().filter(|_| is_missing) {
+                period.restart(now, REREGISTRATION_GRACE);
             }
         }
         self.outdated.values_mut().for_each(|outdated| outdated.extend_hold(now));
@@ -256,7 +257,7 @@
             return self.insert(id, entry, context.now, changes);
         }
         if let Some(known) = self.servers.get_mut(&id) {
-            known.removal_at = None;
+            known.removal = None;
         }
         changes.push(change::RegistryChange::Outdated(Arc::clone(&id)));
         self.outdated.insert(id, entry::OutdatedEntry::new(entry, context.now));
@@ -306,7 +307,7 @@
         for other in superseded {
             self.depart(&other, entry::ServerPresence::Removed, now, changes);
         }
-        self.servers.insert(id, KnownServer { entry, removal_at: None });
+        self.servers.insert(id, KnownServer { entry, removal: None });
     }
 
     /// Removes a server, or keeps it until `keep_until` if its entry may have expired.
@@ -328,12 +329,13 @@
             let presence = known.entry.absence_in(context.position.era);
             return self.depart(id, presence, context.now, changes);
         }
-        match known.removal_at {
+        let period = grace::GracePeriod::until(context.keep_until);
+        match &mut known.removal {
             None => {
-                known.removal_at = Some(context.keep_until);
+                known.removal = Some(period);
                 changes.push(change::RegistryChange::Missing(Arc::clone(id)));
             }
-            Some(at) if is_restored => known.removal_at = Some(at.max(context.keep_until)),
+            Some(removal) if is_restored => *removal = period,
             Some(_) => {}
         }
     }
@@ -376,8 +378,10 @@
     /// Removes the servers that have not returned in time, and accepts the entries that the store
     /// still has although they seemed outdated.
     fn expire(&mut self, now: time::Timestamp, changes: &mut Vec<change::RegistryChange>) {
-        let expired =
-            self.servers.iter().filter(|(_, known)| known.removal_at.is_some_and(|at| at <= now));
+        let expired = self
+            .servers
+            .iter()
+            .filter(|(_, known)| known.removal.is_some_and(|period| period.has_ended(now)));
         let expired =
             expired.map(|(id, known)| (Arc::clone(id), known.entry.absence_in(self.position.era)));
         for (id, presence) in expired.collect::<Vec<_>>() {
@@ -389,7 +393,7 @@
         if self.failing {
             return;
         }
-        let accepted = self.outdated.extract_if(.., |_, outdated| outdated.accept_at <= now);
+        let accepted = self.outdated.extract_if(.., |_, outdated| outdated.hold.has_ended(now));
         for (id, outdated) in accepted.collect::<Vec<_>>() {
             self.insert(id, outdated.entry, now, changes);
         }
--- a/crates/coordination/registry/tests/restored/main.rs
+++ b/crates/coordination/registry/tests/restored/main.rs
@@ -8,6 +8,7 @@
 use marjoramwing_registry::registry;
 
 mod domains;
+mod failing_calls;
 mod fixture;
 
 /// Time within which running servers register again, in milliseconds.
