Store client: a later era ends the watches of an earlier one

The client keeps the newest era that any answer stated, refusals included, and ends a watch of an earlier era as one whose history is gone, so that its caller lists at once. An instance all of whose connections are silent still waits for one of them.

--- a/crates/transport/store-client/src/client.rs
+++ b/crates/transport/store-client/src/client.rs
@@ -5,6 +5,7 @@
 //! is reported as unknown.
 
 use std::net;
+use std::sync;
 use std::time;
 
 use http_body_util::BodyExt;
@@ -17,7 +18,9 @@
 use marjoramwing_object_api::path;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
+use marjoramwing_objects::position;
 use marjoramwing_platform::store as platform;
+use tokio::sync::watch;
 
 use crate::dialect;
 
@@ -88,6 +91,8 @@
     address: net::SocketAddr,
     timeout: time::Duration,
     dialect: dialect::StoreDialect,
+    /// Newest era that any answer stated.
+    era: sync::Arc<watch::Sender<position::StoreEra>>,
 }
 
 impl StoreClient {
@@ -108,7 +113,8 @@
         let http = legacy::Client::builder(rt::TokioExecutor::new())
             .retry_canceled_requests(false)
             .build(connector);
-        Self { http, address, timeout, dialect }
+        let era = sync::Arc::new(watch::Sender::default());
+        Self { http, address, timeout, dialect, era }
     }
 
     /// Runs one operation and maps errors to [`operation::StoreAnswer::Rejected`] if
@@ -189,14 +195,21 @@
     /// # Errors
     ///
     /// Returns an error if the call failed; [`StoreError::HistoryGone`] if the store
-    /// no longer has the changes, or answers in another era than that of the requested position:
-    /// the same revision then stands for other changes.
+    /// no longer has the changes, or any call is answered in a later era, or this one in another era,
+    /// than that of the requested position: the same revision then stands for other changes.
     pub async fn watch_changes(
         &self,
         request: &operation::WatchRequest,
     ) -> Result<operation::WatchAnswer, StoreError> {
         let call = self.dialect.encode_watch(request);
-        let response = self.call(call, request.wait + self.timeout).await?;
+        // A watch of an earlier era may hang, or wait for a revision that means another change.
+        let response = tokio::select! {
+            biased;
+            response = self.call(call, request.wait + self.timeout) => response?,
+            () = self.wait_for_era_after(request.after) => {
+                return Err(StoreError::HistoryGone { address: self.address });
+            }
+        };
         let answer = self.dialect.decode_watch(request.kind, &response);
         let answer = answer.map_err(|fault| self.call_error(fault))?;
         if !request.after.is_start() && answer.position.era != request.after.era {
@@ -275,6 +288,14 @@
         Err(StoreError::Unreadable { address: self.address })
     }
 
+    /// Waits until an answer states a later era than that of a known position.
+    async fn wait_for_era_after(&self, known: position::StorePosition) {
+        let mut era = self.era.subscribe();
+        if known.is_start() || era.wait_for(|era| *era > known.era).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     async fn call(
         &self,
         call: call::StoreCall,
@@ -312,7 +333,22 @@
         let (head, body) = response.into_parts();
         let limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
         let body = limited.collect().await.map_err(|_| StoreError::NoResponse { address })?;
-        Ok(call::CallResponse { status: head.status, headers: head.headers, body: body.to_bytes() })
+        let response = call::CallResponse {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        };
+        self.record_era(&response);
+        Ok(response)
+    }
+
+    fn record_era(&self, response: &call::CallResponse) {
+        let era = self.dialect.era_of(response);
+        self.era.send_if_modified(|known| {
+            let is_later = era > *known;
+            *known = era.max(*known);
+            is_later
+        });
     }
 
     fn call_error(&self, fault: call::CallFault) -> StoreError {
--- a/crates/transport/store-client/src/dialect.rs
+++ b/crates/transport/store-client/src/dialect.rs
@@ -5,6 +5,7 @@
 use marjoramwing_object_api::native;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
+use marjoramwing_objects::position;
 use marjoramwing_platform::store as platform;
 
 /// Dialects that the client supports.
@@ -55,6 +56,14 @@
         }
     }
 
+    /// Returns the era of the store that a response states; 0 if it states none.
+    pub(crate) fn era_of(self, response: &call::CallResponse) -> position::StoreEra {
+        match self {
+            Self::Native => position::StoreEra::default(),
+            Self::Platform => platform::era_of(response),
+        }
+    }
+
     /// Returns true if the objects must be listed before the first watch.
     pub(crate) const fn lists_first(self) -> bool {
         matches!(self, Self::Platform)
