--- a/crates/coordination/configuration/tests/restored_store.rs
+++ b/crates/coordination/configuration/tests/restored_store.rs
@@ -14,7 +14,7 @@
 
 /// Longest time until a configuration is in force, as the users' bounds state it.
 const MAX_APPLY_TIME: time::Duration = time::Duration::from_millis(2_500);
-/// Time after the end of a disturbance from which on the bounds hold.
+/// Time after the end of a disruption from which the bounds hold.
 const STABILITY_TIME: time::Duration = time::Duration::from_secs(4);
 const COUNT: usize = 9;
 const REGIONS: usize = 3;
@@ -177,7 +177,7 @@
     assert_in_force(&fleet, "new");
 }
 
-/// An instance that starts after the return reads the older copy before it hears of the newer
+/// An instance that starts after the return reads the older copy before it learns of the newer
 /// configuration, which its peers still have.
 #[test]
 fn instance_started_after_the_return_learns_the_lost_configuration() {
--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -43,7 +43,7 @@
     /// All requests completed and the process exits.
     STOP_FINISHED = 1003, INFO, "planned stop finished", "none";
     /// A second signal ended the process while requests were open.
-    STOP_FORCED = 1004, WARN, "second stop signal; open requests are aborted", "send one signal and wait";
+    STOP_FORCED = 1004, WARN, "second stop signal; open requests are refused", "send one signal and wait";
     /// Requests were still open when the maximum wait of a planned stop expired.
     STOP_TIMED_OUT = 1005, WARN, "planned stop timed out with requests still open", "look for backend servers that do not answer";
 
