Registry: the log tells when the object API reported changes

An instance's own log could not tell a watch that hangs from a grace period or a late view: event 2008 and the gauge watch_age_ms now say when the store answered last, by kind. No decision changes.

--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -72,6 +72,8 @@
     STORE_CALL_FAILED = 2006, WARN, "call of the object API failed; retrying", "check the platform's object API and the network path to it";
     /// The object API is in another era than before.
     STORE_RESTORED = 2007, WARN, "object API was restored from an older copy; what was written since is gone until it is written again", "check that the operators' last changes were written again";
+    /// A watch returned changes of the registrations or of the drained failure domains.
+    STORE_CHANGES_RECEIVED = 2008, INFO, "object API reported changes", "none";
     /// A backend server registered itself.
     SERVER_JOINED = 2010, INFO, "backend server registered", "none";
     /// A backend server accepts no new requests.
--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use marjoramwing_entity::time as entity_time;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
 use marjoramwing_object_api::call;
@@ -35,6 +36,7 @@
         tokio::spawn(watch_kind(kind, shared, client.clone(), sender.clone()));
     }
     let mut registry = registry::ServerRegistry::default();
+    let mut ages = WatchAges::default();
     let mut ticks = tokio::time::interval(TICK_PERIOD);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -43,6 +45,7 @@
             _ = ticks.tick() => Some(registry::RegistryEvent::Tick),
         };
         let Some(event) = event else { return };
+        ages.record(&event, &shared);
         let changes = registry.handle(event, shared.now());
         if changes.is_empty() {
             continue;
@@ -53,6 +56,36 @@
     }
 }
 
+/// Times of the store's last answers, for the metrics.
+#[derive(Debug, Default)]
+struct WatchAges {
+    servers: Option<entity_time::Timestamp>,
+    drains: Option<entity_time::Timestamp>,
+}
+
+impl WatchAges {
+    fn record(&mut self, event: &registry::RegistryEvent, shared: &shared::InstanceState) {
+        let now = shared.now();
+        match event {
+            registry::RegistryEvent::Servers(_) => self.servers = Some(now),
+            registry::RegistryEvent::Drains(_) => self.drains = Some(now),
+            registry::RegistryEvent::Tick => {
+                let ages = [
+                    (object::ObjectKind::Servers, self.servers),
+                    (object::ObjectKind::Drains, self.drains),
+                ];
+                for (kind, answered_at) in ages {
+                    let age_ms = answered_at.map(|at| now.since(at).as_millis());
+                    let age_ms = age_ms.map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
+                    let gauge = &shared.metrics.watch_age_ms;
+                    gauge.with_label_values(&[&kind.to_string()]).set(age_ms);
+                }
+            }
+            registry::RegistryEvent::Failed(_) | registry::RegistryEvent::Answered => {}
+        }
+    }
+}
+
 /// Watches one kind of object and sends each answer to the registry.
 async fn watch_kind(
     kind: object::ObjectKind,
@@ -79,6 +112,7 @@
         };
         let event = match answer {
             Ok(answer) => {
+                log_answer(kind, &answer, shared.now().since(sent_at));
                 shared.record_store_era(answer.position.era);
                 after = answer.position;
                 // 0 would list all objects again.
@@ -120,6 +154,13 @@
     }
 }
 
+fn log_answer(kind: object::ObjectKind, answer: &operation::WatchAnswer, waited: time::Duration) {
+    if !answer.changes.is_empty() {
+        emit!(catalogue::STORE_CHANGES_RECEIVED, kind = %kind, position = %answer.position,
+            changes = answer.changes.len(), waited_ms = waited.as_millis());
+    }
+}
+
 fn log_change(change: &change::RegistryChange, revision: u64) {
     match change {
         change::RegistryChange::Joined(server) => {
--- a/crates/transport/node/src/metrics.rs
+++ b/crates/transport/node/src/metrics.rs
@@ -30,6 +30,9 @@
     pub held_objects: prometheus::IntGauge,
     /// Milliseconds since the store confirmed the tables; -1 before the first time.
     pub tables_age_ms: prometheus::IntGauge,
+    /// Milliseconds since the store last answered a watch, by kind of object; -1 before the first
+    /// time.
+    pub watch_age_ms: prometheus::IntGaugeVec,
     /// 1 if requests with keys are served, else 0.
     pub keys_trusted: prometheus::IntGauge,
     /// Request log lines suppressed by the limit per second.
@@ -92,6 +95,10 @@
                 &registry,
                 gauge("tables_age_ms", "Time since the store confirmed the tables."),
             ),
+            watch_age_ms: register(
+                &registry,
+                gauges("watch_age_ms", "Time since the store answered a watch.", &["kind"]),
+            ),
             keys_trusted: register(
                 &registry,
                 gauge("keys_trusted", "Whether keyed requests are served."),
