Watches: a change is noticed although the open watch hangs

Cause: the store lost the answer to the watch of the registrations, whose connection stayed open, and an instance trusted the silence until the watch's timeout of 29.5 s. Nine of 13 instances logged no change from 18.3 s on and no failed call; the class is silence taken as news for longer than the promise that depends on it. Configuration and drained failure domains were watched in the same way.

While a watch is open, a call without a wait now asks for the changes since the last known position. The instances take turns and report what they found, so the calls do not grow with the fleet; one that lacks a reported change, or gets no report, checks by itself.

--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -74,6 +74,8 @@
     STORE_RESTORED = 2007, WARN, "object API was restored from an older copy; what was written since is gone until it is written again", "check that the operators' last changes were written again";
     /// A watch returned changes of the registrations or of the drained failure domains.
     STORE_CHANGES_RECEIVED = 2008, INFO, "object API reported changes", "none";
+    /// A check found changes before the open watch has returned them.
+    STORE_WATCH_HUNG = 2009, INFO, "a check found changes that the open watch of the object API had not returned; watching again", "none if it happens once; otherwise check the network path to the platform's object API";
     /// A backend server registered itself.
     SERVER_JOINED = 2010, INFO, "backend server registered", "none";
     /// A backend server accepts no new requests.
--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -5,6 +5,7 @@
 //! deployment's secret; other messages are accepted only after the handshake.
 //!
 //! - [`configuration`]: configuration messages.
+//! - [`coverage`]: reports of what the store has confirmed, by which watches that hang are noticed.
 //! - [`demand`]: reports of demand, by which rate limits are split between instances.
 //! - [`frame`]: codec for frames.
 //! - [`handshake`]: mutual authentication by the shared secret.
@@ -14,6 +15,7 @@
 //! - [`report`]: traffic reports between regions.
 
 pub mod configuration;
+pub mod coverage;
 pub mod demand;
 pub mod frame;
 pub mod handshake;
--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -1,6 +1,7 @@
 //! Envelope of the messages between instances, and the handshake's messages.
 
 use crate::configuration;
+use crate::coverage;
 use crate::demand;
 use crate::ledger;
 use crate::membership;
@@ -13,7 +14,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// Content of the frame; absent in a heartbeat. Tag 6 is unused.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 7, 8")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 7, 8, 9")]
     pub body: Option<Body>,
 }
 
@@ -41,6 +42,9 @@
     /// Report of the demand under rate limits.
     #[prost(message, tag = "8")]
     Demand(demand::Demand),
+    /// Report of what the store has confirmed about one kind of object.
+    #[prost(message, tag = "9")]
+    Coverage(coverage::Coverage),
 }
 
 /// Identifies one end of a link.
--- a/crates/transport/node/src/control/configuration.rs
+++ b/crates/transport/node/src/control/configuration.rs
@@ -18,6 +18,7 @@
 use rand::SeedableRng;
 use tokio::sync::mpsc;
 
+use crate::control::watching;
 use crate::peers::mesh;
 use crate::shared;
 
@@ -32,6 +33,7 @@
     shared: sync::Arc<shared::InstanceState>,
     mesh: mesh::PeerMesh,
     client: client::StoreClient,
+    watches: sync::Arc<watching::WatchControl>,
     events: mpsc::Receiver<keeper::ConfigurationEvent>,
     /// Sends the store's answers to this task as events.
     answers: mpsc::Sender<keeper::ConfigurationEvent>,
@@ -48,7 +50,7 @@
     pub fn new(
         shared: sync::Arc<shared::InstanceState>,
         mesh: mesh::PeerMesh,
-        client: client::StoreClient,
+        watches: sync::Arc<watching::WatchControl>,
         answers: mpsc::Sender<keeper::ConfigurationEvent>,
         events: mpsc::Receiver<keeper::ConfigurationEvent>,
     ) -> Self {
@@ -64,7 +66,8 @@
         Self {
             shared,
             mesh,
-            client,
+            client: watches.client().clone(),
+            watches,
             events,
             answers,
             keeper,
@@ -130,11 +133,11 @@
     }
 
     fn watch(&self, after: position::StorePosition, wait: time::Duration) {
-        let (client, answers) = (self.client.clone(), self.answers.clone());
+        let (watches, answers) = (sync::Arc::clone(&self.watches), self.answers.clone());
         let kind = object::ObjectKind::Tables;
         tokio::spawn(async move {
             let request = operation::WatchRequest { kind, after, wait };
-            let answer = client.watch(&request).await.ok();
+            let answer = watches.watch_or_list(&request).await.ok();
             let _ = answers.send(keeper::ConfigurationEvent::Watched(answer)).await;
         });
     }
--- a/crates/transport/node/src/control/mod.rs
+++ b/crates/transport/node/src/control/mod.rs
@@ -9,6 +9,7 @@
 //! - [`registry`]: watches the registrations of backend servers.
 //! - [`reload`]: reloads the settings file.
 //! - [`store`]: creates the client of the platform's store.
+//! - [`watching`]: watches that are checked while they are silent.
 
 pub mod announcement;
 pub mod configuration;
@@ -19,3 +20,4 @@
 pub mod registry;
 pub mod reload;
 pub mod store;
+pub mod watching;
--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 
 use crate::control::pause;
+use crate::control::watching;
 use crate::shared;
 
 /// Long-poll timeout of a watch.
@@ -29,11 +30,14 @@
 const EVENT_QUEUE: usize = 64;
 
 /// Applies registration and drain changes until the task is cancelled.
-pub async fn watch_registry(shared: sync::Arc<shared::InstanceState>, client: client::StoreClient) {
+pub async fn watch_registry(
+    shared: sync::Arc<shared::InstanceState>,
+    watches: sync::Arc<watching::WatchControl>,
+) {
     let (sender, mut events) = mpsc::channel(EVENT_QUEUE);
     for kind in [object::ObjectKind::Servers, object::ObjectKind::Drains] {
         let shared = sync::Arc::clone(&shared);
-        tokio::spawn(watch_kind(kind, shared, client.clone(), sender.clone()));
+        tokio::spawn(watch_kind(kind, shared, sync::Arc::clone(&watches), sender.clone()));
     }
     let mut registry = registry::ServerRegistry::default();
     let mut ages = WatchAges::default();
@@ -90,7 +94,7 @@
 async fn watch_kind(
     kind: object::ObjectKind,
     shared: sync::Arc<shared::InstanceState>,
-    client: client::StoreClient,
+    watches: sync::Arc<watching::WatchControl>,
     events: mpsc::Sender<registry::RegistryEvent>,
 ) {
     // Position of the last answer; the start if all objects of the kind have to be listed.
@@ -107,8 +111,8 @@
         let wait = if has_failed { time::Duration::ZERO } else { WATCH_WAIT };
         let request = operation::WatchRequest { kind, after, wait };
         let answer = match after.is_start() {
-            true => client.list(kind, freshness).await,
-            false => client.watch_changes(&request).await,
+            true => watches.list(kind, freshness).await,
+            false => watches.watch(&request).await,
         };
         let event = match answer {
             Ok(answer) => {
--- a/crates/transport/node/src/inbox.rs
+++ b/crates/transport/node/src/inbox.rs
@@ -1,5 +1,7 @@
 //! Routing of received envelopes to the protocols of the instance.
 
+use std::sync;
+
 use marjoramwing_configuration::keeper as configuration;
 use marjoramwing_membership::keeper;
 use marjoramwing_peer::message;
@@ -7,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::admission::driver;
+use crate::control::watching;
 use crate::peers::session;
 
 /// Destination of each kind of envelope.
@@ -22,6 +25,8 @@
     pub reports: mpsc::Sender<report::ReportEvent>,
     /// Receives messages about limits.
     pub ledger: driver::LedgerDriver,
+    /// Receives reports of what the store has confirmed.
+    pub watches: sync::Arc<watching::WatchControl>,
 }
 
 /// Routes received envelopes until the channel of the mesh is closed.
@@ -48,6 +53,7 @@
             }
             message::Body::Ledger(raw) => routes.ledger.receive(envelope.from, raw),
             message::Body::Demand(raw) => routes.ledger.receive_demand(envelope.from, raw),
+            message::Body::Coverage(raw) => routes.watches.receive(raw),
             message::Body::Report(raw) => {
                 let Ok(message) = raw.try_into() else { continue };
                 let event = report::ReportEvent::Received { from: envelope.from, message };
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -25,6 +25,7 @@
 use crate::control::registry;
 use crate::control::reload;
 use crate::control::store;
+use crate::control::watching;
 use crate::directory;
 use crate::inbox;
 use crate::listeners;
@@ -123,9 +124,15 @@
     received: mpsc::Receiver<session::ReceivedEnvelope>,
 ) -> mpsc::Sender<keeper::MembershipEvent> {
     let client = store::make_client(&shared.settings);
+    let watches =
+        watching::WatchControl::new(sync::Arc::clone(shared), mesh.clone(), client.clone());
+    let watches = sync::Arc::new(watches);
     if shared.settings.dialect == settings::InterfaceDialect::Platform {
         tokio::spawn(announcement::announce(sync::Arc::clone(shared), client.clone()));
-        tokio::spawn(registry::watch_registry(sync::Arc::clone(shared), client.clone()));
+        tokio::spawn(registry::watch_registry(
+            sync::Arc::clone(shared),
+            sync::Arc::clone(&watches),
+        ));
     }
     let (membership_sender, events) = mpsc::channel(membership::EVENT_QUEUE);
     let driver = membership::MembershipDriver::new(sync::Arc::clone(shared), mesh.clone(), events);
@@ -139,7 +146,7 @@
     let driver = configuration::ConfigurationDriver::new(
         sync::Arc::clone(shared),
         mesh.clone(),
-        client.clone(),
+        sync::Arc::clone(&watches),
         configuration_sender.clone(),
         events,
     );
@@ -159,6 +166,7 @@
         configuration: configuration_sender,
         reports,
         ledger,
+        watches,
     };
     tokio::spawn(inbox::route_envelopes(received, routes));
     membership_sender
--- a/crates/transport/store-client/src/client.rs
+++ b/crates/transport/store-client/src/client.rs
@@ -296,6 +296,12 @@
         }
     }
 
+    /// Returns the error of a call that got no response in time.
+    #[must_use]
+    pub const fn no_response(&self) -> StoreError {
+        StoreError::NoResponse { address: self.address }
+    }
+
     async fn call(
         &self,
         call: call::StoreCall,
@@ -314,7 +320,7 @@
             .expect("store calls have valid paths and headers");
         match tokio::time::timeout(timeout, self.exchange(request)).await {
             Ok(result) => result,
-            Err(_) => Err(StoreError::NoResponse { address: self.address }),
+            Err(_) => Err(self.no_response()),
         }
     }
 
