Registry: one failed call is no outage

Entries expire only after three missed heartbeats: the grace period now needs 1.5 s without any answer of the store, to this instance or, by its report, to another one.

registry::entry_deleted_beside_a_failed_call_is_removed_at_once failed before; the older tests of outages are unchanged and pass.

--- a/crates/coordination/registry/src/registry.rs
+++ b/crates/coordination/registry/src/registry.rs
@@ -29,6 +29,10 @@
 /// has left must not get work for long.
 const REMOVAL_GRACE: duration::Duration = duration::Duration::from_millis(800);
 
+/// Shortest time without an answer in which entries may have expired: the store removes them after
+/// three missed heartbeats, of which one may have been due before and one after that time.
+const MIN_OUTAGE: duration::Duration = duration::Duration::from_millis(1_500);
+
 /// An input of the registry.
 #[derive(Debug, Clone)]
 pub enum RegistryEvent {
@@ -38,6 +42,8 @@
     Drains(operation::WatchAnswer),
     /// A call for registrations that was sent at this time failed.
     Failed(time::Timestamp),
+    /// The store is known to have answered this instance or another one at this time.
+    Confirmed(time::Timestamp),
     /// The store answered, but the registrations still have to be listed.
     Answered,
     /// Time has passed.
@@ -105,6 +111,7 @@
             RegistryEvent::Failed(sent_at) => {
                 self.failing |= self.answered_at.is_none_or(|answered_at| answered_at <= sent_at);
             }
+            RegistryEvent::Confirmed(at) => self.answered_at = self.answered_at.max(Some(at)),
             RegistryEvent::Answered => self.record_answer(None, now),
             RegistryEvent::Tick => self.expire(now, &mut changes),
         }
@@ -119,11 +126,13 @@
         if era.is_some() && era < self.era {
             return;
         }
-        self.answered_at = Some(now);
+        let answered_before = self.answered_at.replace(now);
         if std::mem::take(&mut self.failing) {
             self.history_gone_at = None;
-            self.await_registrations(now);
-            self.restart_periods(now);
+            if answered_before.is_none_or(|before| now.since(before) >= MIN_OUTAGE) {
+                self.await_registrations(now);
+                self.restart_periods(now);
+            }
         }
         let Some(era) = era else {
             self.history_gone_at.get_or_insert(now);
--- a/crates/coordination/registry/tests/registry.rs
+++ b/crates/coordination/registry/tests/registry.rs
@@ -156,6 +156,18 @@
     assert!(harness.active_servers(6_100).is_empty());
 }
 
+/// Guards against requests to a server that left while a single call failed: heartbeats were missed
+/// by nobody, so its entry was removed and has not expired.
+#[test]
+fn entry_deleted_beside_a_failed_call_is_removed_at_once() {
+    let mut harness = RegistryHarness::default();
+    harness.report(&[("a", registration(1, "ready", 1))], true, 0);
+    harness.drain(operation::ChangedValue::Deleted, 9_000);
+    harness.fail(9_800);
+    harness.report(&[("a", operation::ChangedValue::Deleted)], false, 10_200);
+    assert!(harness.active_servers(10_200).is_empty());
+}
+
 #[test]
 fn draining_server_whose_entry_expires_is_removed_at_once() {
     let mut harness = RegistryHarness::default();
--- a/crates/coordination/watches/src/monitor.rs
+++ b/crates/coordination/watches/src/monitor.rs
@@ -92,6 +92,13 @@
         self.kinds.get(&kind).map(|monitored| monitored.coverage.position)
     }
 
+    /// Returns the last time at which the store confirmed what is known of a kind, to this instance
+    /// or to another one.
+    #[must_use]
+    pub fn confirmed_at(&self, kind: object::ObjectKind) -> Option<time::Timestamp> {
+        self.kinds.get(&kind).map(|monitored| monitored.coverage.confirmed_at)
+    }
+
     /// Returns what to report to the other instances about a kind.
     #[must_use]
     pub fn report(
--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -85,7 +85,9 @@
                     gauge.with_label_values(&[&kind.to_string()]).set(age_ms);
                 }
             }
-            registry::RegistryEvent::Failed(_) | registry::RegistryEvent::Answered => {}
+            registry::RegistryEvent::Failed(_)
+            | registry::RegistryEvent::Confirmed(_)
+            | registry::RegistryEvent::Answered => {}
         }
     }
 }
@@ -143,6 +145,12 @@
                 if kind != object::ObjectKind::Servers {
                     continue;
                 }
+                if let Some(at) = watches.confirmed_at(kind) {
+                    let confirmed = registry::RegistryEvent::Confirmed(at);
+                    if events.send(confirmed).await.is_err() {
+                        return;
+                    }
+                }
                 registry::RegistryEvent::Failed(sent_at)
             }
         };
--- a/crates/transport/node/src/control/watching.rs
+++ b/crates/transport/node/src/control/watching.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Returns the last time at which the store is known to have answered about a kind.
+    #[must_use]
+    pub fn confirmed_at(&self, kind: object::ObjectKind) -> Option<entity_time::Timestamp> {
+        self.lock().confirmed_at(kind)
+    }
+
     /// Records the report of another instance; drops one that cannot be decoded.
     pub fn receive(&self, raw: coverage::Coverage) {
         let Ok(received) = coverage::KindReport::try_from(raw) else { return };
