Dispatch: instances share the rate that a limited server names

Cause: nothing read the header; a server's statement about itself had no place in the model.

Statements of a server are read once, from the head of its answers, and kept with its run. A limit is divided among at most as many instances as it allows requests per second, evenly spaced; in a larger fleet they take turns. Changes and ends are reported to the other instances. While a server of a service is limited, its queue has an end: what the servers do not take in time is refused at once as not run, with the time at which there is room (docs/design/statements.md). The meter of demand moves from the ledger to the entity crate, since dispatch needs it too.

--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -3,29 +3,36 @@
 //! - [`budget`]: limits retries to a ratio of live traffic.
 //! - [`claim`]: claims of idempotency keys.
 //! - [`cold`]: rate limit for requests to a cold server.
+//! - `departure`: statements of servers that have left the pool.
 //! - [`distance`]: network distance to a backend server.
 //! - [`exchange`]: state of all attempts at one request, and which step may follow.
 //! - [`failback`]: limits how fast requests return to the local region.
 //! - [`gate`]: synchronizes sending a request's first byte with abandoning it.
 //! - [`health`]: ejection and slow start.
+//! - `limited`: the queue of a service some of whose servers are limited.
 //! - [`mechanism`]: mechanisms that tests can disable.
 //! - [`picker`]: selection of a backend server.
 //! - `placement`: the servers that a session's requests prefer.
 //! - [`policy`]: dispatch parameters for each deployment objective.
 //! - [`queue`]: fair queue of the requests that need a slot.
 //! - [`roster`]: the instances among which bounds are divided.
+//! - [`share`]: the instances among which the rate of a limited server is divided.
+//! - `shared_rate`: a rate that a server takes from all instances together, divided among them.
 //! - `server`: state of one backend server as seen by this instance.
 //! - [`service`]: dispatch of one service, the run-time side of one pool.
 //! - [`session`]: session affinity.
+//! - [`statement`]: what a backend server says of itself in its answers.
 
 pub mod budget;
 pub mod claim;
 pub mod cold;
+mod departure;
 pub mod distance;
 pub mod exchange;
 pub mod failback;
 pub mod gate;
 pub mod health;
+mod limited;
 pub mod mechanism;
 pub mod picker;
 mod placement;
@@ -35,3 +42,6 @@
 mod server;
 pub mod service;
 pub mod session;
+pub mod share;
+mod shared_rate;
+pub mod statement;
--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -18,6 +18,7 @@
 use marjoramwing_tables::name;
 use marjoramwing_tables::pool;
 
+use crate::departure;
 use crate::distance;
 use crate::failback;
 use crate::health;
@@ -26,6 +27,8 @@
 use crate::policy;
 use crate::server;
 use crate::session;
+use crate::share;
+use crate::statement;
 
 /// Fraction of a pool that may be ejected at once, as a divisor.
 const EJECTED_DIVISOR: usize = 3;
@@ -119,6 +122,27 @@
     backup_use: placement::BackupUse,
 }
 
+/// How soon and how fast requests can be sent to servers of which some are limited.
+#[derives::value]
+pub struct ServerRestriction {
+    /// Earliest time at which one of them may be sent a request, apart from free slots.
+    pub next_at: time::Timestamp,
+    /// Rate of this instance at the limited ones, in thousandths of a request per second.
+    pub rate_milli: u64,
+    /// Shortest time in which one of them can be expected to respond, in microseconds.
+    pub response_us: u64,
+}
+
+impl ServerRestriction {
+    fn join(self, other: Self) -> Self {
+        Self {
+            next_at: self.next_at.min(other.next_at),
+            rate_milli: self.rate_milli + other.rate_milli,
+            response_us: self.response_us.min(other.response_us),
+        }
+    }
+}
+
 /// Selects among the backend servers of one pool.
 #[derive(Debug, Clone)]
 pub struct BackendPicker {
@@ -131,6 +155,10 @@
     service_time_us: u64,
     /// `None` if the return of requests to the local region is not limited.
     failback: Option<failback::FailbackLimiter>,
+    /// The instances among which the rates of limited servers are divided.
+    fleet: share::ShareFleet,
+    /// Statements of servers that have left, which may return.
+    departed: departure::DepartedStatements,
 }
 
 impl BackendPicker {
@@ -146,6 +174,8 @@
             indexes,
             service_time_us: INITIAL_SERVICE_TIME_US,
             failback: None,
+            fleet: share::ShareFleet::default(),
+            departed: departure::DepartedStatements::default(),
         }
     }
 
@@ -167,13 +197,105 @@
                 self.servers.len() - 1
             });
             let state = &mut self.servers[index];
+            let run_before = state.run();
             state.update_registration(server, now);
+            if state.run() != run_before {
+                let returned = state.run().and_then(|run| self.departed.take(&run, now));
+                state.statements = returned.unwrap_or_default();
+            }
             state.slots = server.slots;
             state.request_load = server::LOAD_SCALE / u64::from(server.slots.max(1));
             state.listed = !server.draining;
         }
         self.region_slots = placement::RegionSlots::of(&self.servers);
-        self.remove_unlisted();
+        self.remove_unlisted(now);
+    }
+
+    /// Sets the instances among which the rates of limited servers are divided.
+    pub fn set_share_fleet(&mut self, fleet: share::ShareFleet, now: time::Timestamp) {
+        self.fleet = fleet;
+        for server in &mut self.servers {
+            server.statements.divide(server.share_key, &self.fleet, now);
+        }
+    }
+
+    /// Divides the rates of limited servers again whose turn has ended.
+    pub fn start_turns(&mut self, now: time::Timestamp) {
+        for server in &mut self.servers {
+            server.statements.divide_if_due(server.share_key, &self.fleet, now);
+        }
+    }
+
+    /// Records what an answer says about its server; returns what it changes.
+    ///
+    /// An answer of another run than the one that is registered changes nothing.
+    pub fn record_answer(
+        &mut self,
+        address: net::SocketAddr,
+        run: Option<&statement::ServerRun>,
+        statement: statement::AnswerStatement,
+        now: time::Timestamp,
+    ) -> Option<statement::StatementChange> {
+        let index = *self.indexes.get(&address)?;
+        let server = &mut self.servers[index];
+        if server.run().as_ref() != run {
+            return None;
+        }
+        let change = server.statements.record_answer(statement, now);
+        server.statements.divide_if_due(server.share_key, &self.fleet, now);
+        change
+    }
+
+    /// Records what another instance reports about a limited server; returns what it changes.
+    pub fn record_limit_report(
+        &mut self,
+        report: &statement::LimitReport,
+        now: time::Timestamp,
+    ) -> Option<statement::StatementChange> {
+        let is_run = |server: &&mut server::ServerState| {
+            server.registered.as_ref().is_some_and(|registered| {
+                registered.id == report.run.id && registered.started_ms == report.run.started_ms
+            })
+        };
+        let server = self.servers.iter_mut().find(is_run)?;
+        let change = server.statements.record_report(report, now);
+        server.statements.divide_if_due(server.share_key, &self.fleet, now);
+        change
+    }
+
+    /// Returns what to report to the other instances about limited servers.
+    pub fn take_limit_reports(&mut self, now: time::Timestamp) -> Vec<statement::LimitReport> {
+        let reports = self.servers.iter_mut().filter_map(|server| {
+            let run = server.run()?;
+            server.statements.take_report(&run, now)
+        });
+        reports.collect()
+    }
+
+    /// Returns how soon and how fast requests can be sent if any server in service is limited;
+    /// `None` if none is.
+    #[must_use]
+    pub fn restriction(&self, now: time::Timestamp) -> Option<ServerRestriction> {
+        let mut in_service = self.servers.iter().filter(|server| server.is_in_service());
+        in_service.clone().find(|server| server.statements.rate_milli().is_some())?;
+        let first = self.restriction_of(in_service.next()?, now);
+        Some(in_service.fold(first, |all, server| all.join(self.restriction_of(server, now))))
+    }
+
+    fn restriction_of(
+        &self,
+        server: &server::ServerState,
+        now: time::Timestamp,
+    ) -> ServerRestriction {
+        let mean_us = match server.service_time_us {
+            0 => self.service_time_us,
+            known => known,
+        };
+        ServerRestriction {
+            next_at: server.statements.next_at().max(now),
+            rate_milli: server.statements.rate_milli().unwrap_or(0),
+            response_us: mean_us + server.distance.round_trip_us(),
+        }
     }
 
     /// Limits how fast requests return to the local region; recorded counts are kept.
@@ -232,11 +354,10 @@
         }
     }
 
-    /// Returns the identifier of a server that registered itself.
+    /// Returns the run of a server that registered itself.
     #[must_use]
-    pub fn server_id(&self, address: net::SocketAddr) -> Option<Arc<str>> {
-        let server = &self.servers[*self.indexes.get(&address)?];
-        server.registered.as_ref().map(|registered| Arc::clone(&registered.id))
+    pub fn server_run(&self, address: net::SocketAddr) -> Option<statement::ServerRun> {
+        self.servers[*self.indexes.get(&address)?].run()
     }
 
     /// Stops new requests to the servers that the instance listing reports as leaving; replaces
@@ -327,6 +448,7 @@
             }
             server.in_flight += 1;
             server.cold.record(now);
+            server.statements.record_request(now);
             session.into_iter().for_each(|session| server.sessions.record(session));
         }
         if let Some(failback) = &mut self.failback {
@@ -366,7 +488,7 @@
             }
             ReportedResult::Cancelled => {}
         }
-        self.remove_unlisted();
+        self.remove_unlisted(now);
     }
 
     /// Returns the number of requests that this instance has open at a server.
@@ -393,7 +515,7 @@
             let report_end = (server.reported_at + server.report_validity()).as_micros();
             let report_end = if uses_reports { report_end } else { 0 };
             let report_end = time::Timestamp::from_micros(report_end);
-            [server.blocked_until, server.cold.next_at(), report_end]
+            [server.blocked_until, server.cold.next_at(), server.statements.next_at(), report_end]
         });
         ends.filter(|end| *end > now).min()
     }
@@ -499,12 +621,16 @@
         self.indexes.get(&address).map(|index| &mut self.servers[*index])
     }
 
-    fn remove_unlisted(&mut self) {
+    fn remove_unlisted(&mut self, now: time::Timestamp) {
         let is_removable = |server: &server::ServerState| !server.listed && server.in_flight == 0;
         if !self.servers.iter().any(is_removable) {
             return;
         }
-        self.servers.retain(|server| !is_removable(server));
+        for server in self.servers.extract_if(.., |server| is_removable(server)) {
+            if let Some(run) = server.run() {
+                self.departed.record(run, server.statements, now);
+            }
+        }
         let indexes = self.servers.iter().enumerate();
         self.indexes = indexes.map(|(index, server)| (server.address, index)).collect();
     }
--- a/crates/coordination/dispatch/src/queue.rs
+++ b/crates/coordination/dispatch/src/queue.rs
@@ -168,6 +168,22 @@
         }
     }
 
+    /// Returns all queued requests in the order in which their teams are served, one of each team in
+    /// turn.
+    #[must_use]
+    pub fn in_order(&self) -> Vec<&QueuedRequest> {
+        let requests = self.team_queues.values().flat_map(|team_queue| {
+            team_queue
+                .queued
+                .values()
+                .enumerate()
+                .map(|(index, queued)| (team_queue.served.saturating_add(index as u64), queued))
+        });
+        let mut requests: Vec<_> = requests.collect();
+        requests.sort_by_key(|(order, _)| *order);
+        requests.into_iter().map(|(_, queued)| queued).collect()
+    }
+
     /// Returns the requests that may be served now, in order; a limited number per
     /// team.
     ///
--- a/crates/coordination/dispatch/src/roster.rs
+++ b/crates/coordination/dispatch/src/roster.rs
@@ -12,6 +12,7 @@
 use marjoramwing_entity::time;
 
 use crate::cold;
+use crate::share;
 
 /// Time after the start for which the list counts; by then members know of each other.
 const STARTUP_PERIOD: duration::Duration = duration::Duration::from_secs(4);
@@ -99,6 +100,20 @@
         allowance.share(rank, self.fleet_size(now))
     }
 
+    /// Returns the instances among which the rates of limited servers are divided.
+    #[must_use]
+    pub fn share_fleet(&self, now: time::Timestamp) -> share::ShareFleet {
+        let (size, is_starting) = (self.fleet_size(now), self.is_starting(now));
+        match &self.listed {
+            Some(listed) if is_starting => {
+                let names = listed.iter().chain(self.unlisted(listed));
+                share::ShareFleet::new(&self.own, names, size, true)
+            }
+            // The own name is among the members once membership has started.
+            _ => share::ShareFleet::new(&self.own, self.members.iter(), size, !is_starting),
+        }
+    }
+
     /// Returns the live instances that are not listed.
     fn unlisted<'a>(&'a self, listed: &'a [Arc<str>]) -> impl Iterator<Item = &'a Arc<str>> {
         self.members.iter().filter(|member| !listed.contains(member))
--- a/crates/coordination/dispatch/src/server.rs
+++ b/crates/coordination/dispatch/src/server.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time as duration;
 
+use marjoramwing_entity::rendezvous;
 use marjoramwing_entity::time;
 use marjoramwing_tables::name;
 use marjoramwing_tables::pool;
@@ -14,6 +15,7 @@
 use crate::distance;
 use crate::health;
 use crate::session;
+use crate::statement;
 
 /// Time over which the weight of a load report falls to zero, as a power of two in microseconds.
 const REPORT_DECAY_BITS: u32 = 20;
@@ -52,6 +54,9 @@
     pub(crate) seed: session::ServerSeed,
     pub(crate) sessions: session::RecentSessions,
     pub(crate) cold: cold::ColdLimiter,
+    pub(crate) statements: statement::ServerStatements,
+    /// Key by which instances are ranked for this server.
+    pub(crate) share_key: u64,
     /// Mean service time of this server, in microseconds; 0 before its first response.
     pub(crate) service_time_us: u64,
     pub(crate) slots: u32,
@@ -88,6 +93,8 @@
             seed: server_seed(server),
             sessions: session::RecentSessions::default(),
             cold: cold::ColdLimiter::WARM,
+            statements: statement::ServerStatements::default(),
+            share_key: share_key(server),
             service_time_us: 0,
             slots: server.slots,
             request_load: LOAD_SCALE / u64::from(server.slots.max(1)),
@@ -107,11 +114,12 @@
     /// Returns true if the server may be sent a request, apart from its free slots.
     ///
     /// It may not while it is unlisted, leaving, ejected or in the backoff after a shed,
-    /// while its cold rate is used up, or beyond the slots usable in slow start.
+    /// while its cold rate or this instance's part of its limit is used up, or beyond the slots usable in slow start.
     pub(crate) fn is_usable(&self, now: time::Timestamp) -> bool {
         now >= self.blocked_until
             && self.is_in_service()
             && self.cold.allows(now)
+            && self.statements.allows(now)
             && (self.health.is_past_slow_start(now)
                 || self.in_flight < self.health.usable_slots(self.slots, now))
     }
@@ -201,6 +209,14 @@
             + utilization_us
     }
 
+    /// Returns the run of the server; `None` if it did not register itself.
+    pub(crate) fn run(&self) -> Option<statement::ServerRun> {
+        self.registered.as_ref().map(|registered| statement::ServerRun {
+            id: Arc::clone(&registered.id),
+            started_ms: registered.started_ms,
+        })
+    }
+
     pub(crate) fn block_until(&mut self, until: time::Timestamp) {
         self.blocked_until = self.blocked_until.max(until);
     }
@@ -260,6 +276,14 @@
     }
 }
 
+/// Derives the key for a rate that the instances share from the same names as the seed.
+fn share_key(server: &pool::BackendServer) -> u64 {
+    match &server.registered {
+        Some(registered) => rendezvous::seed_of(&registered.id),
+        None => rendezvous::seed_of(&server.address.to_string()),
+    }
+}
+
 /// Derives the seed from the identifier or address by which all instances know a server.
 fn server_seed(server: &pool::BackendServer) -> session::ServerSeed {
     match &server.registered {
--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -17,21 +17,29 @@
 
 use std::collections;
 use std::net;
-use std::sync::Arc;
 use std::time as duration;
 
 use marjoramwing_derives as derives;
+use marjoramwing_entity::meter;
 use marjoramwing_entity::time;
 use marjoramwing_tables::name;
 use marjoramwing_tables::pool;
 
 use crate::budget;
 use crate::distance;
+use crate::limited;
 use crate::mechanism;
 use crate::picker;
 use crate::policy;
 use crate::queue;
 use crate::session;
+use crate::share;
+use crate::statement;
+
+/// Time constant of the rates of requests by which the load is known.
+const LOAD_DECAY: duration::Duration = duration::Duration::from_secs(2);
+/// Ratio of requests to granted slots, in hundredths, from which limited servers are overloaded.
+const OVERLOAD_PERCENT: f64 = 110.0;
 
 /// A slot that was granted to a queued request.
 #[derives::value]
@@ -62,6 +70,11 @@
     NoServer,
     /// The process stops before a response can be expected.
     Stopping,
+    /// Servers are limited, and none takes the request in time.
+    Limited {
+        /// Time after which the servers have taken those before it.
+        retry_after: duration::Duration,
+    },
 }
 
 /// Result of one pass over the queue: the requests that left it.
@@ -74,6 +87,17 @@
     pub expired: Vec<queue::TicketKey>,
     /// Requests that cannot be answered before the process stops.
     pub stopped: Vec<queue::TicketKey>,
+    /// Requests that no server takes in time, since some are limited.
+    pub limited: Vec<LimitedRequest>,
+}
+
+/// A queued request that no server takes in time, since some are limited.
+#[derives::value]
+pub struct LimitedRequest {
+    /// The request.
+    pub ticket: queue::TicketKey,
+    /// Time after which the servers have taken those before it.
+    pub retry_after: duration::Duration,
 }
 
 /// Decides where and when one service's requests are sent.
@@ -86,6 +110,9 @@
     /// Time by which responses must have arrived, since the process stops; `None` while no stop
     /// is planned.
     stops_at: Option<time::Timestamp>,
+    /// Requests that ask for a slot, and those that get one.
+    asked: meter::RateMeter,
+    granted: meter::RateMeter,
 }
 
 impl ServiceDispatcher {
@@ -97,6 +124,8 @@
             queue: queue::FairQueue::new(&policy),
             budget: budget::RetryBudget::new(policy.retry_ratio, policy.retry_burst),
             stops_at: None,
+            asked: meter::RateMeter::new(LOAD_DECAY),
+            granted: meter::RateMeter::new(LOAD_DECAY),
             policy,
         }
     }
@@ -143,6 +172,36 @@
         self.picker.set_cold_rates(rate_of);
     }
 
+    /// Sets the instances among which the rates of limited servers are divided.
+    pub fn set_share_fleet(&mut self, fleet: share::ShareFleet, now: time::Timestamp) {
+        self.picker.set_share_fleet(fleet, now);
+    }
+
+    /// Records what an answer says about its server; returns what it changes.
+    pub fn record_answer(
+        &mut self,
+        server: net::SocketAddr,
+        run: Option<&statement::ServerRun>,
+        statement: statement::AnswerStatement,
+        now: time::Timestamp,
+    ) -> Option<statement::StatementChange> {
+        self.picker.record_answer(server, run, statement, now)
+    }
+
+    /// Records what another instance reports about a limited server; returns what it changes.
+    pub fn record_limit_report(
+        &mut self,
+        report: &statement::LimitReport,
+        now: time::Timestamp,
+    ) -> Option<statement::StatementChange> {
+        self.picker.record_limit_report(report, now)
+    }
+
+    /// Returns what to report to the other instances about limited servers.
+    pub fn take_limit_reports(&mut self, now: time::Timestamp) -> Vec<statement::LimitReport> {
+        self.picker.take_limit_reports(now)
+    }
+
     /// Sets the number of retries that an idle service may make at once.
     pub const fn set_retry_burst(&mut self, burst: f64) {
         self.budget.set_burst(burst);
@@ -153,10 +212,10 @@
         self.picker.record_connect_time(server, round_trip);
     }
 
-    /// Returns the identifier of a server that registered itself.
+    /// Returns the run of a server that registered itself.
     #[must_use]
-    pub fn server_id(&self, server: net::SocketAddr) -> Option<Arc<str>> {
-        self.picker.server_id(server)
+    pub fn server_run(&self, server: net::SocketAddr) -> Option<statement::ServerRun> {
+        self.picker.server_run(server)
     }
 
     /// Requests a slot for an attempt; queues the request if others are queued or no slot
@@ -176,11 +235,18 @@
         if !self.picker.has_server(&request.criteria()) {
             return SlotOutcome::NoServer;
         }
+        self.picker.start_turns(now);
+        self.asked.add(1, now);
         if self.queue.is_empty()
             && let Some(server) = self.try_acquire_slot(&request.criteria(), seed, now)
         {
             return SlotOutcome::Granted(server);
         }
+        if let Some(load) = self.limited_load(now)
+            && let Some(retry_after) = load.refusal(&request, self.queue.len(), now)
+        {
+            return SlotOutcome::Limited { retry_after };
+        }
         match self.queue.push(request) {
             queue::PushOutcome::Queued(ticket) => SlotOutcome::Queued { ticket, evicted: None },
             queue::PushOutcome::Evicted { ticket, evicted } => {
@@ -200,7 +266,9 @@
         if self.is_stopping(now) {
             return None;
         }
+        self.picker.start_turns(now);
         let server = self.picker.pick(criteria, seed, now)?;
+        self.granted.add(1, now);
         self.picker.occupy_slot(server, criteria.session, now);
         Some(server)
     }
@@ -253,14 +321,17 @@
         } else {
             Vec::new()
         };
+        self.picker.start_turns(now);
         self.queue.demote_missed_targets(now + self.picker.min_latency());
         let mut granted = Vec::new();
         while let Some(grant) = self.next_grant(seed.wrapping_add(granted.len() as u64), now) {
             self.queue.remove_granted(grant.ticket);
+            self.granted.add(1, now);
             self.picker.occupy_slot(grant.server, grant.session, now);
             granted.push(grant);
         }
-        DispatchBatch { granted, expired, stopped: Vec::new() }
+        let limited = self.remove_limited(now);
+        DispatchBatch { granted, expired, stopped: Vec::new(), limited }
     }
 
     /// Removes the queued requests that no server can serve any more, since the servers that met
@@ -303,6 +374,33 @@
         self.last_start().is_some_and(|last_start| now >= last_start)
     }
 
+    /// Returns the load of the service if any of its servers is limited.
+    fn limited_load(&self, now: time::Timestamp) -> Option<limited::LimitedLoad> {
+        let restriction = self.picker.restriction(now)?;
+        let granted = self.granted.per_second(now);
+        let is_overloaded = self.asked.per_second(now) * 100.0 > granted * OVERLOAD_PERCENT;
+        Some(limited::LimitedLoad::new(restriction, granted, is_overloaded))
+    }
+
+    /// Removes the queued requests that the servers do not take in time, if any server is limited.
+    fn remove_limited(&mut self, now: time::Timestamp) -> Vec<LimitedRequest> {
+        let Some(load) = self.limited_load(now) else { return Vec::new() };
+        let mut removed = Vec::new();
+        let mut ahead = 0;
+        for queued in self.queue.in_order() {
+            match load.refusal(&queued.request, ahead, now) {
+                Some(retry_after) => {
+                    removed.push(LimitedRequest { ticket: queued.ticket, retry_after });
+                }
+                None => ahead += 1,
+            }
+        }
+        for request in &removed {
+            self.queue.remove(request.ticket);
+        }
+        removed
+    }
+
     /// Returns the time from which no slot is granted, if a stop is planned.
     fn last_start(&self) -> Option<time::Timestamp> {
         let stops_at = self.stops_at?;
--- a/crates/coordination/dispatch/tests/delay/choice.rs
+++ b/crates/coordination/dispatch/tests/delay/choice.rs
@@ -110,7 +110,8 @@
     let server = pool.servers.iter_mut().next().unwrap().1;
     server.registered.as_mut().unwrap().id = "i-9".into();
     picker.set_servers(&pool, support::at(1));
-    assert_eq!(picker.server_id(support::address(1)).as_deref(), Some("i-9"));
+    let run = picker.server_run(support::address(1));
+    assert_eq!(run.as_ref().map(|run| &*run.id), Some("i-9"));
     assert_eq!(picker.in_flight(support::address(1)), 1);
 }
 
--- a/crates/coordination/dispatch/tests/fleet/trial.rs
+++ b/crates/coordination/dispatch/tests/fleet/trial.rs
@@ -196,6 +196,7 @@
             }
             service::SlotOutcome::Full
             | service::SlotOutcome::NoServer
+            | service::SlotOutcome::Limited { .. }
             | service::SlotOutcome::Stopping => {
                 self.counts.dropped += 1;
             }
--- a/crates/coordination/ledger/src/ledger.rs
+++ b/crates/coordination/ledger/src/ledger.rs
@@ -8,6 +8,7 @@
 use std::time as duration;
 
 use marjoramwing_entity::incarnation;
+use marjoramwing_entity::meter;
 use marjoramwing_entity::time;
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
@@ -16,7 +17,6 @@
 use crate::action;
 use crate::borrowing;
 use crate::bucket;
-use crate::demand;
 use crate::directory;
 use crate::lease;
 use crate::lending;
@@ -74,7 +74,7 @@
     pub(crate) held_epoch: u64,
     /// Pending requests, and what this instance has borrowed of the limit.
     pub(crate) borrowed: borrowing::BorrowedLimit,
-    pub(crate) demand: demand::DemandMeter,
+    pub(crate) demand: meter::RateMeter,
 }
 
 impl ShareLedger {
@@ -337,7 +337,7 @@
             held: None,
             held_epoch: 0,
             borrowed: borrowing::BorrowedLimit::default(),
-            demand: demand::DemandMeter::default(),
+            demand: meter::RateMeter::default(),
         }
     }
 
--- a/crates/coordination/ledger/src/lending.rs
+++ b/crates/coordination/ledger/src/lending.rs
@@ -8,12 +8,12 @@
 use std::time as duration;
 
 use marjoramwing_entity::incarnation;
+use marjoramwing_entity::meter;
 use marjoramwing_entity::time;
 use marjoramwing_tables::team;
 
 use crate::borrowing;
 use crate::bucket;
-use crate::demand;
 use crate::mechanism;
 use crate::message;
 use crate::share;
@@ -62,7 +62,7 @@
     /// Rate and burst of the limit.
     pub limit: team::RateLimit,
     /// Demand at the holder itself.
-    pub demand: demand::DemandMeter,
+    pub demand: meter::RateMeter,
     /// Identifier for a new loan, unique within one incarnation.
     pub next_loan: u64,
     /// Expiry of the holder's lease.
--- a/crates/coordination/ledger/src/lib.rs
+++ b/crates/coordination/ledger/src/lib.rs
@@ -8,7 +8,6 @@
 //! - [`baseline`]: a static even split, for comparison.
 //! - [`borrowing`]: requests for tokens to a limit's holder, and the loan received from it.
 //! - [`bucket`]: the token bucket of one share.
-//! - [`demand`]: a meter of the requests per second under one limit.
 //! - [`directory`]: which instance holds each limit.
 //! - [`dump`]: the ledger's state for operators.
 //! - [`holding`]: claiming, holding and dropping limits, and exchanging messages about them.
@@ -27,7 +26,6 @@
 pub mod baseline;
 pub mod borrowing;
 pub mod bucket;
-pub mod demand;
 pub mod directory;
 pub mod dump;
 pub mod holding;
--- a/crates/coordination/ledger/src/local.rs
+++ b/crates/coordination/ledger/src/local.rs
@@ -9,10 +9,10 @@
 use std::time as duration;
 
 use marjoramwing_derives as derives;
+use marjoramwing_entity::meter;
 use marjoramwing_entity::time;
 use marjoramwing_tables::team;
 
-use crate::demand;
 use crate::split;
 
 /// Time constant of the demand average; a long one keeps the fractions from oscillating.
@@ -54,7 +54,7 @@
 pub(crate) struct LocalLimit {
     limit: team::RateLimit,
     tolerance: split::LimitTolerance,
-    demand: demand::DemandMeter,
+    demand: meter::RateMeter,
     /// Requests per second at all instances, as last reported.
     fleet_demand: f64,
     /// Fraction of the limit that this instance may spend.
@@ -84,7 +84,7 @@
         Self {
             limit,
             tolerance,
-            demand: demand::DemandMeter::new(DEMAND_DECAY),
+            demand: meter::RateMeter::new(DEMAND_DECAY),
             fleet_demand: f64::INFINITY,
             fraction: 1.0 / fleet.instances as f64,
             next_fraction: 1.0 / fleet.instances as f64,
--- a/crates/coordination/ledger/src/split.rs
+++ b/crates/coordination/ledger/src/split.rs
@@ -19,11 +19,11 @@
 
 use marjoramwing_derives as derives;
 use marjoramwing_entity::incarnation;
+use marjoramwing_entity::meter;
 use marjoramwing_entity::time;
 use marjoramwing_tables::team;
 
 use crate::action;
-use crate::demand;
 use crate::limit;
 use crate::local;
 
@@ -119,7 +119,7 @@
 /// What another instance last reported on one limit.
 #[derive(Debug)]
 struct PeerLimit {
-    demand: demand::DemandMeter,
+    demand: meter::RateMeter,
     /// Fraction of the limit that the instance had when it last reported.
     fraction: f64,
     /// Total number of requests that the instance has admitted, as last reported.
@@ -147,7 +147,7 @@
 
 impl PeerLimit {
     const NONE: Self =
-        Self { demand: demand::DemandMeter::new(local::DEMAND_DECAY), fraction: 0.0, admitted: 0 };
+        Self { demand: meter::RateMeter::new(local::DEMAND_DECAY), fraction: 0.0, admitted: 0 };
 }
 
 impl DemandSplit {
@@ -218,8 +218,7 @@
         let peer = self.peers.entry(from).or_insert_with(|| PeerReport::new(now));
         (peer.reported_at, peer.has_new_report) = (now, true);
         for reported in demands {
-            let demand =
-                demand::DemandMeter::with_rate(local::DEMAND_DECAY, reported.per_second, now);
+            let demand = meter::RateMeter::with_rate(local::DEMAND_DECAY, reported.per_second, now);
             let limit = peer.limits.entry(reported.id).or_insert(PeerLimit::NONE);
             // For a newly known peer this counts its whole total, since all of it may be recent.
             let new_admitted = reported.admitted.saturating_sub(limit.admitted);
--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -118,6 +118,10 @@
     BACKEND_ANSWER_CROSSED = 4003, WARN, "backend server sent a response that does not match the request; discarded", "check the backend server";
     /// A backend server's response ended early, before any of it was forwarded.
     BACKEND_ANSWER_CUT = 4004, WARN, "backend server's response ended early; none of it was forwarded", "check the backend server";
+    /// A backend server takes a limited rate from all instances together.
+    SERVER_LIMITED = 4005, INFO, "backend server names a limit; the instances share its rate", "none if it ends; otherwise add servers to the pool";
+    /// A backend server takes any rate again.
+    SERVER_UNLIMITED = 4006, INFO, "backend server names no limit any more", "none";
 
     /// A peer link was opened.
     PEER_CONNECTED = 5001, DEBUG, "peer link opened", "none";
--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`frame`]: codec for frames.
 //! - [`handshake`]: mutual authentication by the shared secret.
 //! - [`ledger`]: messages between the ledgers, which hold and lend rate limits.
+//! - [`limits`]: reports of the limits that backend servers name.
 //! - [`membership`]: messages of the membership protocol.
 //! - [`message`]: the envelope and the messages of the handshake.
 //! - [`report`]: traffic reports between regions.
@@ -20,6 +21,7 @@
 pub mod frame;
 pub mod handshake;
 pub mod ledger;
+pub mod limits;
 pub mod membership;
 pub mod message;
 pub mod report;
--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -4,6 +4,7 @@
 use crate::coverage;
 use crate::demand;
 use crate::ledger;
+use crate::limits;
 use crate::membership;
 use crate::report;
 
@@ -14,7 +15,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// Content of the frame; absent in a heartbeat. Tag 6 is unused.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 7, 8, 9")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 7, 8, 9, 10")]
     pub body: Option<Body>,
 }
 
@@ -45,6 +46,9 @@
     /// Report of what the store has confirmed about one kind of object.
     #[prost(message, tag = "9")]
     Coverage(coverage::Coverage),
+    /// Report of the limits that backend servers name.
+    #[prost(message, tag = "10")]
+    Limits(limits::ServerLimits),
 }
 
 /// Identifies one end of a link.
--- a/crates/transport/node/src/backends/service.rs
+++ b/crates/transport/node/src/backends/service.rs
@@ -14,7 +14,11 @@
 use marjoramwing_dispatch::policy;
 use marjoramwing_dispatch::queue;
 use marjoramwing_dispatch::service;
+use marjoramwing_dispatch::share;
+use marjoramwing_dispatch::statement;
 use marjoramwing_entity::time;
+use marjoramwing_events::catalogue;
+use marjoramwing_events::emit;
 use marjoramwing_tables::name;
 use marjoramwing_tables::pool as tables_pool;
 use tokio::sync::oneshot;
@@ -54,6 +58,8 @@
     /// Returns the requests per second that this instance may send to a cold server, by
     /// the identifier of the server.
     pub cold_rate_of: &'a dyn Fn(&str) -> u32,
+    /// Instances among which the rates of limited servers are divided.
+    pub share_fleet: share::ShareFleet,
     /// Number of retries that an idle service may make at once.
     pub retry_burst: f64,
     /// Maximum decrease within 2 s of the fraction of requests served by other regions.
@@ -71,6 +77,9 @@
     DeadlineExceeded,
     /// The request could not be answered before the process stops.
     Stopping,
+    /// All eligible servers are limited and none takes the request in time; one does after this
+    /// time.
+    Limited(duration::Duration),
 }
 
 impl ServiceControl {
@@ -105,6 +114,8 @@
             state.dispatcher.set_localities(parameters.locality_of);
             state.dispatcher.set_cold_rates(parameters.cold_rate_of);
             state.dispatcher.set_retry_burst(parameters.retry_burst);
+            let share_fleet = parameters.share_fleet.clone();
+            state.dispatcher.set_share_fleet(share_fleet, self.clock.now());
             let step = parameters.failback_step.into_iter();
             step.for_each(|step| state.dispatcher.limit_failback(step));
         }
@@ -145,9 +156,9 @@
         let mut state = self.lock();
         let seed = state.next_seed();
         let server = state.dispatcher.try_acquire_slot(criteria, seed, now)?;
-        let server_id = state.dispatcher.server_id(server);
+        let run = state.dispatcher.server_run(server);
         drop(state);
-        Some(self.guard(server, server_id))
+        Some(self.guard(server, run))
     }
 
     /// Acquires a slot; waits in the queue until one is granted or the deadline passes.
@@ -167,13 +178,16 @@
             let seed = state.next_seed();
             match state.dispatcher.request_slot(request, seed, now) {
                 service::SlotOutcome::Granted(server) => {
-                    let server_id = state.dispatcher.server_id(server);
+                    let run = state.dispatcher.server_run(server);
                     drop(state);
-                    return Ok(self.guard(server, server_id));
+                    return Ok(self.guard(server, run));
                 }
                 service::SlotOutcome::Full => return Err(SlotFault::QueueFull),
                 service::SlotOutcome::NoServer => return Err(SlotFault::NoServer),
                 service::SlotOutcome::Stopping => return Err(SlotFault::Stopping),
+                service::SlotOutcome::Limited { retry_after } => {
+                    return Err(SlotFault::Limited(retry_after));
+                }
                 service::SlotOutcome::Queued { ticket, evicted } => {
                     let evicted = evicted.and_then(|key| state.waiters.remove(&key));
                     evicted.map(|sender| sender.send(Err(SlotFault::QueueFull)));
@@ -190,6 +204,33 @@
         }
     }
 
+    /// Records what a response says about the server of an attempt.
+    fn record_answer(self: &sync::Arc<Self>, guard: &SlotGuard, said: statement::AnswerStatement) {
+        let now = self.clock.now();
+        let change =
+            self.lock().dispatcher.record_answer(guard.address, guard.run.as_ref(), said, now);
+        if let Some(change) = change {
+            log_change(change, guard.server_id().unwrap_or_default());
+            self.dispatch_queued();
+        }
+    }
+
+    /// Records what another instance reports about limited servers.
+    pub fn record_limit_reports(self: &sync::Arc<Self>, reports: &[statement::LimitReport]) {
+        let now = self.clock.now();
+        for report in reports {
+            let change = self.lock().dispatcher.record_limit_report(report, now);
+            change.into_iter().for_each(|change| log_change(change, &report.run.id));
+        }
+        self.dispatch_queued();
+    }
+
+    /// Returns what to report to the other instances about limited servers.
+    #[must_use]
+    pub fn take_limit_reports(&self) -> Vec<statement::LimitReport> {
+        self.lock().dispatcher.take_limit_reports(self.clock.now())
+    }
+
     /// Records a request's first attempt for the retry budget.
     pub fn record_request(&self) {
         self.lock().dispatcher.record_request();
@@ -237,13 +278,16 @@
             let batch = state.dispatcher.dispatch_queued(seed, now);
             for grant in batch.granted {
                 let sender = state.waiters.remove(&grant.ticket);
-                let server_id = state.dispatcher.server_id(grant.server);
-                granted.push(GrantedSlot { sender, guard: self.guard(grant.server, server_id) });
+                let run = state.dispatcher.server_run(grant.server);
+                granted.push(GrantedSlot { sender, guard: self.guard(grant.server, run) });
             }
             let expired =
                 batch.expired.into_iter().map(|ticket| (ticket, SlotFault::DeadlineExceeded));
             let stopped = batch.stopped.into_iter().map(|ticket| (ticket, SlotFault::Stopping));
-            for (ticket, fault) in expired.chain(stopped) {
+            let limited = batch.limited.into_iter();
+            let limited =
+                limited.map(|request| (request.ticket, SlotFault::Limited(request.retry_after)));
+            for (ticket, fault) in expired.chain(stopped).chain(limited) {
                 failed.extend(state.waiters.remove(&ticket).map(|sender| (sender, fault)));
             }
             self.schedule_wakeup(&mut state, now);
@@ -271,14 +315,14 @@
     fn guard(
         self: &sync::Arc<Self>,
         address: net::SocketAddr,
-        server_id: Option<sync::Arc<str>>,
+        run: Option<statement::ServerRun>,
     ) -> SlotGuard {
         let report = picker::AttemptReport {
             result: picker::ReportedResult::Cancelled,
             open_requests: None,
         };
         let started_at = self.clock.now();
-        SlotGuard { service: sync::Arc::clone(self), address, server_id, started_at, report }
+        SlotGuard { service: sync::Arc::clone(self), address, run, started_at, report }
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, ServiceState> {
@@ -293,6 +337,17 @@
     }
 }
 
+fn log_change(change: statement::StatementChange, server: &str) {
+    match change {
+        statement::StatementChange::Limited(rate) => {
+            emit!(catalogue::SERVER_LIMITED, server = %server, rate_milli = rate.milli());
+        }
+        statement::StatementChange::Unlimited => {
+            emit!(catalogue::SERVER_UNLIMITED, server = %server);
+        }
+    }
+}
+
 /// A granted slot and the channel to the queued request that gets it.
 struct GrantedSlot {
     sender: Option<oneshot::Sender<SlotResult>>,
@@ -328,7 +383,8 @@
 pub struct SlotGuard {
     service: sync::Arc<ServiceControl>,
     address: net::SocketAddr,
-    server_id: Option<sync::Arc<str>>,
+    /// Run of the server when the slot was granted, if it registered itself.
+    run: Option<statement::ServerRun>,
     started_at: time::Timestamp,
     report: picker::AttemptReport,
 }
@@ -343,7 +399,12 @@
     /// Returns the identifier of the server, if it registered itself.
     #[must_use]
     pub fn server_id(&self) -> Option<&str> {
-        self.server_id.as_deref()
+        self.run.as_ref().map(|run| &*run.id)
+    }
+
+    /// Records what a response of the server says about it.
+    pub fn record_answer(&self, statement: statement::AnswerStatement) {
+        self.service.record_answer(self, statement);
     }
 
     /// Returns the service to which the server belongs.
--- a/crates/transport/node/src/callers/attempt.rs
+++ b/crates/transport/node/src/callers/attempt.rs
@@ -22,6 +22,7 @@
 use crate::backends::service;
 use crate::callers::attempts;
 use crate::callers::request;
+use crate::callers::statement;
 
 /// A finished attempt and its result.
 pub(crate) struct AttemptEnd {
@@ -107,6 +108,9 @@
                 return sent.map_or_else(AttemptResult::Failed, |_| AttemptResult::Mismatched);
             }
         };
+        if names.misdirected != Some(response.status()) {
+            guard.record_answer(statement::read_statement(&response, names));
+        }
         let open_requests = reported_load(response.headers(), names);
         match gate.attempt_state().after(response_event(&response, names)) {
             exchange::AttemptState::Answered if !ids.match_response(&response) => {
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -39,6 +39,9 @@
 /// another backend server is tried.
 const HEAD_TIMEOUT_DIVISOR: u32 = 4;
 
+/// Fraction of the time left, as a divisor, that a caller waits before it sends again.
+const CALLER_WAIT_DIVISOR: u32 = 3;
+
 /// Inputs of all attempts at one request.
 #[derive(Debug, Clone, Copy)]
 pub struct AttemptContext<'a> {
@@ -377,6 +380,11 @@
         let stopping = self.fault == Some(service::SlotFault::Stopping) || self.is_stopping();
         let kind = match (outcome, late) {
             _ if stopping => refusal::RefusalKind::Stopping,
+            (exchange::RequestOutcome::NotRun, false)
+                if let Some(retry_after) = self.limited_for() =>
+            {
+                refusal::RefusalKind::ServersLimited { retry_after }
+            }
             (exchange::RequestOutcome::NotRun, false) if full => refusal::RefusalKind::QueueFull,
             (exchange::RequestOutcome::NotRun, true) => refusal::RefusalKind::DeadlineUnsent,
             (exchange::RequestOutcome::NotRun, false) => refusal::RefusalKind::NoServer,
@@ -386,6 +394,14 @@
         refusal::Refusal { kind, outcome }
     }
 
+    /// Returns the time after which a limited server takes requests, as far as the caller can wait
+    /// for it, if the last attempt got no slot because all are limited.
+    fn limited_for(&self) -> Option<duration::Duration> {
+        let Some(service::SlotFault::Limited(retry_after)) = self.fault else { return None };
+        let longest_wait = self.context.deadline.since(self.now()) / CALLER_WAIT_DIVISOR;
+        Some(retry_after.min(longest_wait))
+    }
+
     fn now(&self) -> time::Timestamp {
         self.context.shared.now()
     }
--- a/crates/transport/node/src/callers/mod.rs
+++ b/crates/transport/node/src/callers/mod.rs
@@ -31,5 +31,6 @@
 pub mod refusal;
 pub mod request;
 pub mod server;
+mod statement;
 pub mod target;
 pub mod trace;
--- a/crates/transport/node/src/callers/refusal.rs
+++ b/crates/transport/node/src/callers/refusal.rs
@@ -89,6 +89,12 @@
     /// No backend server accepted the request.
     #[display("no backend server of this route takes requests now; send again later")]
     NoServer,
+    /// All backend servers take a limited rate, and none takes the request in time.
+    #[display("the backend servers of this route take no more requests now; send again later")]
+    ServersLimited {
+        /// Time after which one takes requests again, as far as the caller can wait for it.
+        retry_after: time::Duration,
+    },
     /// The queue of the service is full.
     #[display("too many requests wait for this service; send again later")]
     QueueFull,
@@ -189,6 +195,7 @@
             | RefusalKind::KeysUnconfirmed
             | RefusalKind::ShiftCapped
             | RefusalKind::NoServer
+            | RefusalKind::ServersLimited { .. }
             | RefusalKind::QueueFull
             | RefusalKind::ClaimsUnavailable
             | RefusalKind::BodyMemoryFull
@@ -228,6 +235,7 @@
             RefusalKind::NotReady => "not_ready",
             RefusalKind::ShiftCapped => "shift_capped",
             RefusalKind::NoServer => "no_server",
+            RefusalKind::ServersLimited { .. } => "servers_limited",
             RefusalKind::QueueFull => "queue_full",
             RefusalKind::ExchangeFailed => "broken_off",
             RefusalKind::HandlerFailed => "failed",
@@ -240,7 +248,8 @@
 
     fn retry_after(&self) -> Option<time::Duration> {
         match self.kind {
-            RefusalKind::OverLimit { retry_after, .. } => Some(retry_after),
+            RefusalKind::OverLimit { retry_after, .. }
+            | RefusalKind::ServersLimited { retry_after } => Some(retry_after),
             // Other instances can serve the request now.
             RefusalKind::Stopping if self.is_not_run() => Some(time::Duration::ZERO),
             RefusalKind::NotReady
--- a/crates/transport/node/src/control/mod.rs
+++ b/crates/transport/node/src/control/mod.rs
@@ -3,6 +3,7 @@
 //! - [`announcement`]: publishes the instance's entry in the store.
 //! - [`configuration`]: drives the configuration keeper.
 //! - [`dump`]: state of these tasks in the state dump.
+//! - [`limits`]: exchanges the limits that backend servers name.
 //! - [`listing`]: polls the platform's list of instances and backend servers.
 //! - [`membership`]: drives the membership keeper.
 //! - [`pause`]: delay between two watches.
@@ -14,6 +15,7 @@
 pub mod announcement;
 pub mod configuration;
 pub mod dump;
+pub mod limits;
 pub mod listing;
 pub mod membership;
 pub mod pause;
--- a/crates/transport/node/src/control/watching.rs
+++ b/crates/transport/node/src/control/watching.rs
@@ -179,11 +179,7 @@
     fn report(&self, kind: object::ObjectKind) {
         let Some(report) = self.lock().report(kind, self.shared.now()) else { return };
         let raw = coverage::Coverage::from(coverage::KindReport { kind, report });
-        for member in &self.shared.members.load().members {
-            if member.incarnation.is_some_and(|other| other != self.shared.incarnation) {
-                self.mesh.send(member.peer_address, message::Body::Coverage(raw));
-            }
-        }
+        self.mesh.send_to_others(&message::Body::Coverage(raw));
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, monitor::WatchMonitor> {
--- a/crates/transport/node/src/dispatch.rs
+++ b/crates/transport/node/src/dispatch.rs
@@ -9,6 +9,7 @@
 use marjoramwing_dispatch::distance;
 use marjoramwing_dispatch::policy;
 use marjoramwing_dispatch::roster;
+use marjoramwing_dispatch::statement;
 use marjoramwing_entity::incarnation;
 use marjoramwing_entity::primary;
 use marjoramwing_entity::time;
@@ -165,6 +166,15 @@
         }
     }
 
+    /// Returns what to report to the other instances about limited servers, by pool.
+    #[must_use]
+    pub fn take_limit_reports(&self) -> Vec<(name::PoolName, Vec<statement::LimitReport>)> {
+        let services = self.services.load();
+        let reports =
+            services.iter().map(|(name, service)| (name.clone(), service.take_limit_reports()));
+        reports.filter(|(_, reports)| !reports.is_empty()).collect()
+    }
+
     /// Recomputes the shares of the bounds once the startup has ended.
     pub fn end_startup(&self) {
         let mut sources = self.lock();
@@ -231,6 +241,7 @@
             cold_rate_of: &|server| {
                 allowance.map_or(1, |allowance| sources.roster.cold_share(allowance, server, now))
             },
+            share_fleet: sources.roster.share_fleet(now),
             retry_burst: self.retry_burst(fleet_size, bounds),
             failback_step: bounds.max_shift.map(|shift| shift * FAILBACK_STEP_FRACTION),
         });
--- a/crates/transport/node/src/inbox.rs
+++ b/crates/transport/node/src/inbox.rs
@@ -9,8 +9,10 @@
 use tokio::sync::mpsc;
 
 use crate::admission::driver;
+use crate::control::limits;
 use crate::control::watching;
 use crate::peers::session;
+use crate::shared;
 
 /// Destination of each kind of envelope.
 ///
@@ -23,6 +25,8 @@
     pub configuration: mpsc::Sender<configuration::ConfigurationEvent>,
     /// Receives reports on traffic between regions.
     pub reports: mpsc::Sender<report::ReportEvent>,
+    /// Receives the limits that backend servers name.
+    pub shared: sync::Arc<shared::InstanceState>,
     /// Receives messages about limits.
     pub ledger: driver::LedgerDriver,
     /// Receives reports of what the store has confirmed.
@@ -54,6 +58,7 @@
             message::Body::Ledger(raw) => routes.ledger.receive(envelope.from, raw),
             message::Body::Demand(raw) => routes.ledger.receive_demand(envelope.from, raw),
             message::Body::Coverage(raw) => routes.watches.receive(raw),
+            message::Body::Limits(raw) => limits::receive_limits(&routes.shared, raw),
             message::Body::Report(raw) => {
                 let Ok(message) = raw.try_into() else { continue };
                 let event = report::ReportEvent::Received { from: envelope.from, message };
--- a/crates/transport/node/src/peers/mesh.rs
+++ b/crates/transport/node/src/peers/mesh.rs
@@ -73,6 +73,19 @@
         }
     }
 
+    /// Queues an envelope for each other instance that is known.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a task panicked while it held the table of links.
+    pub fn send_to_others(&self, body: &message::Body) {
+        for member in &self.shared.members.load().members {
+            if member.incarnation.is_some_and(|other| other != self.shared.incarnation) {
+                self.send(member.peer_address, body.clone());
+            }
+        }
+    }
+
     /// Closes the link to a peer, so that the next envelope opens a new one.
     ///
     /// # Panics
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -20,6 +20,7 @@
 use crate::callers::server;
 use crate::control::announcement;
 use crate::control::configuration;
+use crate::control::limits;
 use crate::control::listing;
 use crate::control::membership;
 use crate::control::registry;
@@ -165,9 +166,11 @@
         membership: membership_sender.clone(),
         configuration: configuration_sender,
         reports,
+        shared: sync::Arc::clone(shared),
         ledger,
         watches,
     };
+    tokio::spawn(limits::share_limits(sync::Arc::clone(shared), mesh.clone()));
     tokio::spawn(inbox::route_envelopes(received, routes));
     membership_sender
 }
