Planned stop: a request that comes late is taken only if it ends before the stop

From 3 s after the signal a request is now taken only if its deadline lies before the end; else it is refused at once as not run, Retry-After 0, since other instances take it. service::late_request_that_may_outlast_the_stop_is_refused fails without the rule.

--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -110,6 +110,8 @@
     /// Time by which responses must have arrived, since the process stops; `None` while no stop
     /// is planned.
     stops_at: Option<time::Timestamp>,
+    /// Time from which only requests start that end before `stops_at` in any case.
+    finish_only_from: time::Timestamp,
     /// Requests that ask for a slot, and those that get one.
     asked: meter::RateMeter,
     granted: meter::RateMeter,
@@ -124,6 +126,7 @@
             queue: queue::FairQueue::new(&policy),
             budget: budget::RetryBudget::new(policy.retry_ratio, policy.retry_burst),
             stops_at: None,
+            finish_only_from: time::Timestamp::NEVER,
             asked: meter::RateMeter::new(LOAD_DECAY),
             granted: meter::RateMeter::new(LOAD_DECAY),
             policy,
@@ -142,6 +145,12 @@
         self.stops_at = Some(at);
     }
 
+    /// Sets the time from which requests start only if their deadline lies before the stop, so that
+    /// none of them is cut.
+    pub const fn finish_only_from(&mut self, at: time::Timestamp) {
+        self.finish_only_from = at;
+    }
+
     /// Replaces the servers by those of a pool.
     pub fn set_servers(&mut self, pool: &pool::Pool, now: time::Timestamp) {
         self.picker.set_servers(pool, now);
@@ -229,7 +238,7 @@
         seed: u64,
         now: time::Timestamp,
     ) -> SlotOutcome {
-        if self.is_stopping(now) {
+        if self.is_stopping(now) || self.may_outlast_stop(request.deadline, now) {
             return SlotOutcome::Stopping;
         }
         if !self.picker.has_server(&request.criteria()) {
@@ -263,7 +272,9 @@
         seed: u64,
         now: time::Timestamp,
     ) -> Option<net::SocketAddr> {
-        if self.is_stopping(now) {
+        let may_outlast =
+            criteria.deadline.is_some_and(|deadline| self.may_outlast_stop(deadline, now));
+        if self.is_stopping(now) || may_outlast {
             return None;
         }
         self.picker.start_turns(now);
@@ -401,6 +412,11 @@
         removed
     }
 
+    /// Returns true if a request that starts now may be cut by the stop.
+    fn may_outlast_stop(&self, deadline: time::Timestamp, now: time::Timestamp) -> bool {
+        now >= self.finish_only_from && self.stops_at.is_some_and(|stops_at| deadline > stops_at)
+    }
+
     /// Returns the time from which no slot is granted, if a stop is planned.
     fn last_start(&self) -> Option<time::Timestamp> {
         let stops_at = self.stops_at?;
--- a/crates/coordination/dispatch/tests/service.rs
+++ b/crates/coordination/dispatch/tests/service.rs
@@ -391,6 +391,28 @@
     nothing_starts_after_a_stop => (100, 10_001, false);
 }
 
+/// Checks a request that arrives `now_ms` into a stop after 10 s, late from 3 s on.
+fn check_late_request(now_ms: u64, deadline_ms: u64, is_granted: bool) {
+    let mut dispatcher = make_measured_service(1_000);
+    dispatcher.stop_at(time::Timestamp::from_millis(10_000));
+    dispatcher.finish_only_from(time::Timestamp::from_millis(3_000));
+    let now = time::Timestamp::from_millis(now_ms);
+    let outcome = dispatcher.request_slot(make_request("a", deadline_ms), 0, now);
+    let expected = match is_granted {
+        true => service::SlotOutcome::Granted(address(1)),
+        false => service::SlotOutcome::Stopping,
+    };
+    assert_eq!(outcome, expected);
+}
+
+// Requests that came late in the grace period were taken, and cut at its end if their server took
+// longer than most.
+cases! { check_late_request:
+    early_request_starts_though_it_may_outlast_the_stop => (2_900, 12_000, true);
+    late_request_that_ends_before_the_stop_starts => (4_000, 9_900, true);
+    late_request_that_may_outlast_the_stop_is_refused => (4_000, 10_100, false);
+}
+
 // A request in the queue of a stopping instance was kept until the process ended.
 #[test]
 fn queued_requests_leave_the_queue_before_a_stop() {
--- a/crates/transport/node/src/backends/service.rs
+++ b/crates/transport/node/src/backends/service.rs
@@ -26,6 +26,7 @@
 use crate::backends::pool;
 use crate::backends::replay;
 use crate::clock;
+use crate::stopping;
 
 /// Dispatch of the requests of one service by this instance.
 #[derive(Debug)]
@@ -122,9 +123,12 @@
         self.dispatch_queued();
     }
 
-    /// Plans the stop of the process, by which all responses must have arrived.
-    pub fn stop_at(self: &sync::Arc<Self>, at: time::Timestamp) {
-        self.lock().dispatcher.stop_at(at);
+    /// Plans the stop of the process.
+    pub fn plan_stop(self: &sync::Arc<Self>, stop: stopping::PlannedStop) {
+        let mut state = self.lock();
+        state.dispatcher.stop_at(stop.stops_at);
+        state.dispatcher.finish_only_from(stop.finish_only_from);
+        drop(state);
         self.dispatch_queued();
     }
 
--- a/crates/transport/node/src/dispatch.rs
+++ b/crates/transport/node/src/dispatch.rs
@@ -12,7 +12,6 @@
 use marjoramwing_dispatch::statement;
 use marjoramwing_entity::incarnation;
 use marjoramwing_entity::primary;
-use marjoramwing_entity::time;
 use marjoramwing_membership::view;
 use marjoramwing_registry::view as registry;
 use marjoramwing_settings::settings;
@@ -25,6 +24,7 @@
 use crate::callers::claims;
 use crate::clock;
 use crate::control::store;
+use crate::stopping;
 
 /// Fraction of the fleet's retry budget that instances use; the rest covers
 /// instances that do not know of each other.
@@ -62,8 +62,8 @@
     roster: roster::FleetRoster,
     /// Whether the roster was starting at the last rebuild.
     was_starting: bool,
-    /// Time by which all responses must have arrived, if a stop is planned.
-    stops_at: Option<time::Timestamp>,
+    /// Planned stop of the process.
+    stop: Option<stopping::PlannedStop>,
     bounds: settings::FleetBounds,
 }
 
@@ -75,7 +75,7 @@
             leaving: collections::HashSet::new(),
             roster,
             was_starting: true,
-            stops_at: None,
+            stop: None,
             bounds,
         }
     }
@@ -184,10 +184,10 @@
         }
     }
 
-    /// Plans the stop of the process, by which all responses must have arrived.
-    pub fn stop_at(&self, at: time::Timestamp) {
+    /// Plans the stop of the process.
+    pub fn plan_stop(&self, stop: stopping::PlannedStop) {
         let mut sources = self.lock();
-        sources.stops_at = Some(at);
+        sources.stop = Some(stop);
         self.rebuild(&sources);
     }
 
@@ -213,7 +213,7 @@
             });
             service.set_servers(&pool);
             service.set_leaving(&sources.leaving);
-            sources.stops_at.into_iter().for_each(|at| service.stop_at(at));
+            sources.stop.into_iter().for_each(|stop| service.plan_stop(stop));
             self.update_fleet_parameters(&service, &pool, sources);
             services.insert(pool.name.clone(), service);
         }
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -95,7 +95,8 @@
     let began = tokio::time::Instant::now();
     emit!(catalogue::STOP_BEGAN, open = shared.metrics.open_requests.get());
     let schedule = stopping::StopSchedule::new(&shared);
-    shared.finish_requests_by(shared.now() + schedule.linger + schedule.finish);
+    let now = shared.now();
+    shared.finish_requests_by(now + schedule.linger + schedule.finish, now + schedule.early);
     shared.leave();
     shared.admission.handle(action::LedgerEvent::Leave, shared.now());
     let _ = membership.send(keeper::MembershipEvent::Leave).await;
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -28,6 +28,7 @@
 use crate::dispatch;
 use crate::metrics;
 use crate::steering;
+use crate::stopping;
 
 /// The shared state of one instance.
 #[derive(Debug)]
@@ -203,13 +204,14 @@
     /// Plans the end of the time to finish requests, by which all responses must have arrived.
     ///
     /// Requests that cannot be answered before are refused as soon as that is known.
-    pub fn finish_requests_by(&self, at: time::Timestamp) {
-        self.dispatch.stop_at(at);
+    /// Those that arrive `finish_only_from` or later are refused unless their deadline lies before.
+    pub fn finish_requests_by(&self, at: time::Timestamp, finish_only_from: time::Timestamp) {
+        self.dispatch.plan_stop(stopping::PlannedStop { stops_at: at, finish_only_from });
     }
 
     /// Ends the time to finish requests: those that are still undecided are refused at once.
     pub fn end_finish(&self) {
-        self.dispatch.stop_at(self.now());
+        self.finish_requests_by(self.now(), self.now());
         self.finish_ended.cancel();
     }
 
--- a/crates/transport/node/tests/outcome/stopping.rs
+++ b/crates/transport/node/tests/outcome/stopping.rs
@@ -18,7 +18,7 @@
 /// Ends the time to finish requests of a planned stop.
 fn end_stop(instance: &support::TestInstance) {
     instance.shared.leave();
-    instance.shared.finish_requests_by(instance.shared.now());
+    instance.shared.finish_requests_by(instance.shared.now(), instance.shared.now());
     instance.shared.end_finish();
 }
 
@@ -131,7 +131,7 @@
         let in_flight = || service.in_flight(slow) + service.in_flight(other);
         support::wait_until(|| in_flight() == 1).await;
         instance.shared.leave();
-        instance.shared.finish_requests_by(instance.shared.now());
+        instance.shared.finish_requests_by(instance.shared.now(), instance.shared.now());
         let response = sent.await.unwrap();
         assert_eq!(response.status, 200, "{response:?}");
     });
