Dispatch: a server that says in its answers that it leaves gets nothing new

Until now only the store told that a server leaves. The statement is read once from the head of an answer, kept with the run of the server, and survives a registration that is missing for a time; from then on the server is not in service, and a slot that was granted before is withdrawn if its connection opens late. A service whose servers all leave refuses at once as not run.

--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -219,9 +219,11 @@
         }
     }
 
-    /// Divides the rates of limited servers again whose turn has ended.
-    pub fn start_turns(&mut self, now: time::Timestamp) {
+    /// Brings what the servers said of themselves up to date: forgets what no longer holds, and
+    /// divides the rates of limited servers again whose turn has ended.
+    pub fn refresh_statements(&mut self, now: time::Timestamp) {
         for server in &mut self.servers {
+            server.statements.expire(now);
             server.statements.divide_if_due(server.share_key, &self.fleet, now);
         }
     }
@@ -235,23 +237,37 @@
         run: Option<&statement::ServerRun>,
         statement: statement::AnswerStatement,
         now: time::Timestamp,
-    ) -> Option<statement::StatementChange> {
-        let index = *self.indexes.get(&address)?;
-        let server = &mut self.servers[index];
+    ) -> Vec<statement::StatementChange> {
+        let Some(index) = self.indexes.get(&address) else { return Vec::new() };
+        let server = &mut self.servers[*index];
         if server.run().as_ref() != run {
-            return None;
+            return Vec::new();
         }
-        let change = server.statements.record_answer(statement, now);
+        let was_in_service = server.is_in_service();
+        let changes = server.statements.record_answer(statement, run.is_some(), now);
         server.statements.divide_if_due(server.share_key, &self.fleet, now);
-        change
+        if server.is_in_service() != was_in_service {
+            self.region_slots = placement::RegionSlots::of(&self.servers);
+        }
+        changes
+    }
+
+    /// Returns true if a request may still be sent in a slot that was granted at a server: it is the
+    /// same run of the server, and in service.
+    #[must_use]
+    pub fn may_send(&self, address: net::SocketAddr, run: Option<&statement::ServerRun>) -> bool {
+        let Some(index) = self.indexes.get(&address) else { return false };
+        let server = &self.servers[*index];
+        server.is_in_service() && server.run().as_ref() == run
     }
 
-    /// Records what another instance reports about a limited server; returns what it changes.
+    /// Records what another instance reports about a limited server; returns what it changes, and the
+    /// address of the server.
     pub fn record_limit_report(
         &mut self,
         report: &statement::LimitReport,
         now: time::Timestamp,
-    ) -> Option<statement::StatementChange> {
+    ) -> Option<(statement::StatementChange, net::SocketAddr)> {
         let is_run = |server: &&mut server::ServerState| {
             server.registered.as_ref().is_some_and(|registered| {
                 registered.id == report.run.id && registered.started_ms == report.run.started_ms
@@ -260,7 +276,7 @@
         let server = self.servers.iter_mut().find(is_run)?;
         let change = server.statements.record_report(report, now);
         server.statements.divide_if_due(server.share_key, &self.fleet, now);
-        change
+        change.map(|change| (change, server.address))
     }
 
     /// Returns what to report to the other instances about limited servers.
--- a/crates/coordination/dispatch/src/server.rs
+++ b/crates/coordination/dispatch/src/server.rs
@@ -124,9 +124,10 @@
                 || self.in_flight < self.health.usable_slots(self.slots, now))
     }
 
-    /// Returns true if the server is in the pool, not draining and not leaving.
+    /// Returns true if the server is in the pool, not draining and not leaving, by the listing or by
+    /// its own answers.
     pub(crate) const fn is_in_service(&self) -> bool {
-        self.listed && !self.leaving
+        self.listed && !self.leaving && !self.statements.is_leaving()
     }
 
     pub(crate) fn is_local(&self) -> bool {
--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -193,16 +193,23 @@
         run: Option<&statement::ServerRun>,
         statement: statement::AnswerStatement,
         now: time::Timestamp,
-    ) -> Option<statement::StatementChange> {
+    ) -> Vec<statement::StatementChange> {
         self.picker.record_answer(server, run, statement, now)
     }
 
-    /// Records what another instance reports about a limited server; returns what it changes.
+    /// Returns true if a request may still be sent in a slot that was granted at a server.
+    #[must_use]
+    pub fn may_send(&self, server: net::SocketAddr, run: Option<&statement::ServerRun>) -> bool {
+        self.picker.may_send(server, run)
+    }
+
+    /// Records what another instance reports about a limited server; returns what it changes, and the
+    /// address of the server.
     pub fn record_limit_report(
         &mut self,
         report: &statement::LimitReport,
         now: time::Timestamp,
-    ) -> Option<statement::StatementChange> {
+    ) -> Option<(statement::StatementChange, net::SocketAddr)> {
         self.picker.record_limit_report(report, now)
     }
 
@@ -244,7 +251,7 @@
         if !self.picker.has_server(&request.criteria()) {
             return SlotOutcome::NoServer;
         }
-        self.picker.start_turns(now);
+        self.picker.refresh_statements(now);
         self.asked.add(1, now);
         if self.queue.is_empty()
             && let Some(server) = self.try_acquire_slot(&request.criteria(), seed, now)
@@ -277,7 +284,7 @@
         if self.is_stopping(now) || may_outlast {
             return None;
         }
-        self.picker.start_turns(now);
+        self.picker.refresh_statements(now);
         let server = self.picker.pick(criteria, seed, now)?;
         self.granted.add(1, now);
         self.picker.occupy_slot(server, criteria.session, now);
@@ -332,7 +339,7 @@
         } else {
             Vec::new()
         };
-        self.picker.start_turns(now);
+        self.picker.refresh_statements(now);
         self.queue.demote_missed_targets(now + self.picker.min_latency());
         let mut granted = Vec::new();
         while let Some(grant) = self.next_grant(seed.wrapping_add(granted.len() as u64), now) {
--- a/crates/coordination/dispatch/src/statement.rs
+++ b/crates/coordination/dispatch/src/statement.rs
@@ -19,6 +19,9 @@
 const MAX_RATE_MILLI: u64 = 1_000_000_000;
 /// Time after an answer with a limit for which answers without one may be older.
 const LIMIT_END_DELAY: duration::Duration = duration::Duration::from_millis(500);
+/// Time for which a server that did not register itself counts as leaving. Nothing else would tell
+/// that another process has taken its place.
+const UNREGISTERED_LEAVE: duration::Duration = duration::Duration::from_secs(30);
 /// Interval at which one instance reports a limit again that it still hears.
 const REFRESH_INTERVAL: duration::Duration = duration::Duration::from_secs(2);
 
@@ -88,6 +91,8 @@
 #[derives::value]
 #[derive(Default)]
 pub struct AnswerStatement {
+    /// Whether the server leaves.
+    pub is_leaving: bool,
     /// Rate that the server takes.
     pub limit: LimitStatement,
 }
@@ -95,6 +100,8 @@
 /// A change of what is known of a server by its own statements.
 #[derives::value]
 pub enum StatementChange {
+    /// The server leaves and gets nothing new.
+    Leaving,
     /// The server takes a limited rate.
     Limited(RequestRate),
     /// The server takes any rate again.
@@ -117,6 +124,8 @@
 /// What is known of one server by its own statements.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct ServerStatements {
+    /// Time until which the server counts as leaving.
+    leaving_until: Option<time::Timestamp>,
     limit: Option<shared_rate::SharedRate>,
     /// Time of the answer by which the limit, or its end, is known.
     heard_at: time::Timestamp,
@@ -130,9 +139,27 @@
     pub(crate) fn record_answer(
         &mut self,
         statement: AnswerStatement,
+        is_registered: bool,
+        now: time::Timestamp,
+    ) -> Vec<StatementChange> {
+        let mut changes = Vec::new();
+        if statement.is_leaving {
+            let until =
+                if is_registered { time::Timestamp::NEVER } else { now + UNREGISTERED_LEAVE };
+            if self.leaving_until.replace(until).is_none() {
+                changes.push(StatementChange::Leaving);
+            }
+        }
+        changes.extend(self.record_limit(statement.limit, now));
+        changes
+    }
+
+    fn record_limit(
+        &mut self,
+        limit: LimitStatement,
         now: time::Timestamp,
     ) -> Option<StatementChange> {
-        match statement.limit {
+        match limit {
             LimitStatement::Named(rate) => {
                 self.heard_at = now;
                 self.limit_to(rate, now)
@@ -218,7 +245,17 @@
 
     /// Returns true if nothing is known.
     pub(crate) const fn is_empty(&self) -> bool {
-        self.limit.is_none()
+        self.limit.is_none() && self.leaving_until.is_none()
+    }
+
+    /// Returns true if the server has said that it leaves.
+    pub(crate) const fn is_leaving(&self) -> bool {
+        self.leaving_until.is_some()
+    }
+
+    /// Forgets what no longer holds.
+    pub(crate) fn expire(&mut self, now: time::Timestamp) {
+        self.leaving_until = self.leaving_until.filter(|until| now < *until);
     }
 
     /// Divides the limit among the instances of a fleet.
--- a/crates/coordination/dispatch/tests/statements/answers.rs
+++ b/crates/coordination/dispatch/tests/statements/answers.rs
@@ -30,7 +30,7 @@
     started_ms: u64,
     statement: statement::AnswerStatement,
     now_ms: u64,
-) -> Option<statement::StatementChange> {
+) -> Vec<statement::StatementChange> {
     let run = support::run(1, started_ms);
     dispatcher.record_answer(support::address(1), Some(&run), statement, support::at(now_ms))
 }
@@ -64,7 +64,7 @@
     say(&mut dispatcher, 1, support::limited(10.0), 9_000);
     assert!((70..=81).contains(&count_sent(&mut dispatcher, 9_000, 17_000)));
     let ended = say(&mut dispatcher, 1, statement::AnswerStatement::default(), 17_000);
-    assert_eq!(ended, Some(statement::StatementChange::Unlimited));
+    assert_eq!(ended, [statement::StatementChange::Unlimited]);
     assert_eq!(count_sent(&mut dispatcher, 17_000, 18_000), 1_000);
 }
 
@@ -93,7 +93,7 @@
     unreadable_limit_ends_nothing => (
         |service| {
             let limit = statement::LimitStatement::Unreadable;
-            say(service, 1, statement::AnswerStatement { limit }, 1_900);
+            say(service, 1, statement::AnswerStatement { limit, ..Default::default() }, 1_900);
         }, true);
     answer_of_another_run_changes_nothing => (
         |service| { say(service, 2, statement::AnswerStatement::default(), 1_900); }, true);
--- a/crates/coordination/dispatch/tests/statements/main.rs
+++ b/crates/coordination/dispatch/tests/statements/main.rs
@@ -2,5 +2,6 @@
 
 mod answers;
 mod fleet;
+mod leaving;
 mod queue;
 mod support;
--- a/crates/coordination/dispatch/tests/statements/support.rs
+++ b/crates/coordination/dispatch/tests/statements/support.rs
@@ -58,7 +58,8 @@
 /// Returns an answer that names a limit in requests per second.
 pub(crate) fn limited(per_second: f64) -> statement::AnswerStatement {
     let rate = statement::RequestRate::from_milli((per_second * 1_000.0) as u64);
-    statement::AnswerStatement { limit: statement::LimitStatement::Named(rate) }
+    let limit = statement::LimitStatement::Named(rate);
+    statement::AnswerStatement { limit, ..Default::default() }
 }
 
 /// Ends a request after a service time of 100 ms.
--- a/crates/marjoramwing/tests/process_statements.rs
+++ b/crates/marjoramwing/tests/process_statements.rs
@@ -22,6 +22,9 @@
 /// Time after which every instance has been told.
 const TOLD_TIME: duration::Duration = duration::Duration::from_secs(1);
 
+/// Time after its statement in which a server that leaves may still get requests.
+const DRAIN_TIME: duration::Duration = duration::Duration::from_millis(2_500);
+
 /// A fleet under load.
 struct StatementFixture {
     fleet: fleet::PlatformFleet,
@@ -29,9 +32,9 @@
 }
 
 impl StatementFixture {
-    async fn start() -> Self {
+    async fn start(instances: usize) -> Self {
         let path = path::Path::new(BINARY);
-        let fleet = fleet::PlatformFleet::start(path, INSTANCES, SERVERS_EACH).await;
+        let fleet = fleet::PlatformFleet::start(path, instances, SERVERS_EACH).await;
         let callers = caller::CallerGroup::start(&fleet.caller_addresses(), CALLERS_EACH);
         let fixture = Self { fleet, callers };
         fixture.wait_attempts(100).await;
@@ -47,6 +50,14 @@
         .await;
     }
 
+    /// Returns the index of the server that the last request reached.
+    fn used_server(&self) -> usize {
+        let last = |index: &usize| {
+            self.fleet.record.arrivals(self.fleet.servers[*index].id()).last().copied()
+        };
+        (0..self.fleet.servers.len()).max_by_key(last).expect("the fleet has servers")
+    }
+
     /// Sets what all servers say of themselves.
     fn set_statements(&self, statements: server::ServerStatements) {
         self.fleet.servers.iter().for_each(|server| server.set_statements(statements));
@@ -80,8 +91,8 @@
 /// Guards against more requests than a server takes from all instances together.
 #[tokio::test(flavor = "multi_thread")]
 async fn limited_server_gets_no_more_requests_than_it_takes() {
-    let fixture = StatementFixture::start().await;
-    fixture.set_statements(server::ServerStatements { limit: Some(LIMIT) });
+    let fixture = StatementFixture::start(INSTANCES).await;
+    fixture.set_statements(server::ServerStatements { limit: Some(LIMIT), ..Default::default() });
     tokio::time::sleep(TOLD_TIME).await;
     let told_at = duration::Instant::now();
     tokio::time::sleep(LIMIT_WINDOW * 2).await;
@@ -94,3 +105,25 @@
     fixture.wait_attempts(100).await;
     fixture.finish().await;
 }
+
+/// Guards against requests to a server that says in its answers that it leaves, while the store still
+/// says that it is ready. The only instance is told by the first answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_server_gets_no_requests_although_it_is_registered_as_ready() {
+    let fixture = StatementFixture::start(1).await;
+    let server = &fixture.fleet.servers[fixture.used_server()];
+    server.set_statements(server::ServerStatements { is_leaving: true, ..Default::default() });
+    // The event `SERVER_LEAVING`.
+    let instance = &fixture.fleet.instances[0].process;
+    standins_fleet::wait_until("the server says that it leaves", async || {
+        instance.log().contains("\"event\":4007")
+    })
+    .await;
+    let told_at = duration::Instant::now();
+    tokio::time::sleep(DRAIN_TIME).await;
+    let late_from = told_at + DRAIN_TIME;
+    fixture.wait_attempts(100).await;
+    let late = fixture.most_arrivals(server.id(), LIMIT_WINDOW, late_from);
+    assert_eq!(late, 0, "requests after the server had said that it leaves");
+    fixture.finish().await;
+}
--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -122,6 +122,8 @@
     SERVER_LIMITED = 4005, INFO, "backend server names a limit; the instances share its rate", "none if it ends; otherwise add servers to the pool";
     /// A backend server takes any rate again.
     SERVER_UNLIMITED = 4006, INFO, "backend server names no limit any more", "none";
+    /// A backend server says in its answers that it leaves.
+    SERVER_LEAVING = 4007, INFO, "backend server says that it leaves; no new requests go to it", "none";
 
     /// A peer link was opened.
     PEER_CONNECTED = 5001, DEBUG, "peer link opened", "none";
--- a/crates/protocol/exchange/src/names.rs
+++ b/crates/protocol/exchange/src/names.rs
@@ -32,6 +32,8 @@
     pub load: http::HeaderName,
     /// Parses a value of the load header; returns `None` if it is invalid.
     pub parse_load: fn(&str) -> Option<load::ReportedLoad>,
+    /// Response header with the value `1` by which a backend server says that it leaves.
+    pub leaving: http::HeaderName,
     /// Response header with the requests per second that a backend server takes from all instances.
     pub rate_limit: http::HeaderName,
     /// Cookie that identifies a session, if the dialect has one.
@@ -57,6 +59,7 @@
     response_marker: None,
     load: http::HeaderName::from_static("marjoramwing-load"),
     parse_load: parse_native_load,
+    leaving: http::HeaderName::from_static("marjoramwing-leaving"),
     rate_limit: http::HeaderName::from_static("marjoramwing-rate-limit"),
     session_cookie: None,
     accepts_close_delimited: false,
--- a/crates/transport/node/src/backends/service.rs
+++ b/crates/transport/node/src/backends/service.rs
@@ -211,12 +211,21 @@
     /// Records what a response says about the server of an attempt.
     fn record_answer(self: &sync::Arc<Self>, guard: &SlotGuard, said: statement::AnswerStatement) {
         let now = self.clock.now();
-        let change =
-            self.lock().dispatcher.record_answer(guard.address, guard.run.as_ref(), said, now);
-        if let Some(change) = change {
-            log_change(change, guard.server_id().unwrap_or_default());
-            self.dispatch_queued();
+        let run = guard.run.as_ref();
+        let changes = self.lock().dispatcher.record_answer(guard.address, run, said, now);
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            log_change(change, guard.address, run);
         }
+        self.refuse_unservable();
+        self.dispatch_queued();
+    }
+
+    /// Returns true if a request may still be sent in a slot.
+    fn may_send(&self, guard: &SlotGuard) -> bool {
+        self.lock().dispatcher.may_send(guard.address, guard.run.as_ref())
     }
 
     /// Records what another instance reports about limited servers.
@@ -224,7 +233,9 @@
         let now = self.clock.now();
         for report in reports {
             let change = self.lock().dispatcher.record_limit_report(report, now);
-            change.into_iter().for_each(|change| log_change(change, &report.run.id));
+            if let Some((change, address)) = change {
+                log_change(change, address, Some(&report.run));
+            }
         }
         self.dispatch_queued();
     }
@@ -341,13 +352,23 @@
     }
 }
 
-fn log_change(change: statement::StatementChange, server: &str) {
+/// Logs a change that an answer of a server causes.
+fn log_change(
+    change: statement::StatementChange,
+    address: net::SocketAddr,
+    run: Option<&statement::ServerRun>,
+) {
+    let server = run.map_or("", |run| &*run.id);
     match change {
+        statement::StatementChange::Leaving => {
+            emit!(catalogue::SERVER_LEAVING, server = %server, address = %address);
+        }
         statement::StatementChange::Limited(rate) => {
-            emit!(catalogue::SERVER_LIMITED, server = %server, rate_milli = rate.milli());
+            emit!(catalogue::SERVER_LIMITED, server = %server, rate_milli = rate.milli(),
+                address = %address);
         }
         statement::StatementChange::Unlimited => {
-            emit!(catalogue::SERVER_UNLIMITED, server = %server);
+            emit!(catalogue::SERVER_UNLIMITED, server = %server, address = %address);
         }
     }
 }
@@ -411,6 +432,13 @@
         self.service.record_answer(self, statement);
     }
 
+    /// Returns true if a request may still be sent in the slot: the server has not left and has not
+    /// said since that it leaves.
+    #[must_use]
+    pub fn may_send(&self) -> bool {
+        self.service.may_send(self)
+    }
+
     /// Returns the service to which the server belongs.
     #[must_use]
     pub const fn service(&self) -> &sync::Arc<ServiceControl> {
--- a/crates/transport/node/src/callers/attempt.rs
+++ b/crates/transport/node/src/callers/attempt.rs
@@ -46,6 +46,8 @@
     Failed(exchange::AttemptState),
     /// No connection could be opened.
     ConnectFailed,
+    /// The backend server left, or said that it leaves, before the request was sent.
+    Withdrawn,
     /// The attempt was cancelled in this state.
     Abandoned(exchange::AttemptState),
 }
@@ -79,6 +81,10 @@
             }
             Some(Some(connection)) => connection,
         };
+        // The connection may have taken a while to open.
+        if !guard.may_send() {
+            return AttemptResult::Withdrawn;
+        }
         let send_before = self.context.deadline.min(self.context.send_before);
         let time_left = self.context.deadline.since(self.context.shared.now());
         let names = self.context.shared.names;
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -312,7 +312,8 @@
                 self.exchange.end_attempt(key, exchange::AttemptState::Answered);
                 return Some(*open);
             }
-            attempt::AttemptResult::Shed => {
+            // As after a shed, the request did not run.
+            attempt::AttemptResult::Shed | attempt::AttemptResult::Withdrawn => {
                 self.exchange.end_attempt(key, exchange::AttemptState::Shed);
                 self.excluded.retain(|excluded| *excluded != address);
             }
@@ -341,6 +342,7 @@
         let label = match result {
             attempt::AttemptResult::Answered(_) => "answered",
             attempt::AttemptResult::Shed => "shed",
+            attempt::AttemptResult::Withdrawn => "withdrawn",
             attempt::AttemptResult::Misdirected => "misdirected",
             attempt::AttemptResult::Mismatched => {
                 emit!(catalogue::BACKEND_ANSWER_CROSSED, server = %address);
--- a/crates/transport/node/src/callers/statement.rs
+++ b/crates/transport/node/src/callers/statement.rs
@@ -3,12 +3,17 @@
 use marjoramwing_dispatch::statement;
 use marjoramwing_exchange::names;
 
+/// Value of the header by which a server says that it leaves; any other one says nothing.
+const LEAVING: &str = "1";
+
 /// Reads the statements of a response's head.
 pub(crate) fn read_statement<B>(
     response: &http::Response<B>,
     names: &names::HeaderNames,
 ) -> statement::AnswerStatement {
-    statement::AnswerStatement { limit: read_limit(response.headers(), names) }
+    let headers = response.headers();
+    let is_leaving = headers.get_all(&names.leaving).iter().any(|value| value == LEAVING);
+    statement::AnswerStatement { is_leaving, limit: read_limit(headers, names) }
 }
 
 /// Reads the limit; of several values the lowest counts.
