Dispatch: a server that asks for time is left alone until it is over

The users' new rule on BUDGET: a server that turns a request away with 503 and Retry-After wants nothing from that instance for so long. It is now kept with the server's other statements: no request is sent before the latest end, then one at a time until the server takes one. What no server takes in time is refused at once as not run, with the time at which one does.

process_statements::server_that_asks_for_time_is_left_alone fails with the header unread (no server is ever paused) and passes now.

--- a/crates/coordination/dispatch/src/limited.rs
+++ b/crates/coordination/dispatch/src/limited.rs
@@ -1,6 +1,6 @@
-//! The queue of a service some of whose servers are limited.
+//! The queue of a service some of whose servers are limited or want no requests for a time.
 //!
-//! Limited servers take less than before, so that requests may come faster than slots. The queue
+//! Such servers take less than before, so that requests may come faster than slots. The queue
 //! then has an end: a request that the servers do not take in time is refused at once. While more
 //! requests come than slots are granted, a request that waits is overtaken by later ones; the
 //! queue then holds only what the next slots need.
--- a/crates/coordination/dispatch/src/picker.rs
+++ b/crates/coordination/dispatch/src/picker.rs
@@ -253,12 +253,18 @@
     }
 
     /// Returns true if a request may still be sent in a slot that was granted at a server: it is the
-    /// same run of the server, and in service.
+    /// same run of the server, in service, and it wants requests.
     #[must_use]
-    pub fn may_send(&self, address: net::SocketAddr, run: Option<&statement::ServerRun>) -> bool {
+    pub fn may_send(
+        &self,
+        address: net::SocketAddr,
+        run: Option<&statement::ServerRun>,
+        now: time::Timestamp,
+    ) -> bool {
         let Some(index) = self.indexes.get(&address) else { return false };
         let server = &self.servers[*index];
-        server.is_in_service() && server.run().as_ref() == run
+        let may_send = server.is_in_service() && !server.statements.is_paused(now);
+        may_send && server.run().as_ref() == run
     }
 
     /// Records what another instance reports about a limited server; returns what it changes, and the
@@ -288,12 +294,14 @@
         reports.collect()
     }
 
-    /// Returns how soon and how fast requests can be sent if any server in service is limited;
-    /// `None` if none is.
+    /// Returns how soon and how fast requests can be sent if any server in service is limited or
+    /// wants no requests; `None` if none is.
     #[must_use]
     pub fn restriction(&self, now: time::Timestamp) -> Option<ServerRestriction> {
         let mut in_service = self.servers.iter().filter(|server| server.is_in_service());
-        in_service.clone().find(|server| server.statements.rate_milli().is_some())?;
+        in_service.clone().find(|server| {
+            server.statements.rate_milli().is_some() || server.statements.is_paused(now)
+        })?;
         let first = self.restriction_of(in_service.next()?, now);
         Some(in_service.fold(first, |all, server| all.join(self.restriction_of(server, now))))
     }
--- a/crates/coordination/dispatch/src/server.rs
+++ b/crates/coordination/dispatch/src/server.rs
@@ -114,12 +114,13 @@
     /// Returns true if the server may be sent a request, apart from its free slots.
     ///
     /// It may not while it is unlisted, leaving, ejected or in the backoff after a shed,
-    /// while its cold rate or this instance's part of its limit is used up, or beyond the slots usable in slow start.
+    /// while it wants no requests, while its cold rate or this instance's part of its limit is used
+    /// up, or beyond the slots usable in slow start.
     pub(crate) fn is_usable(&self, now: time::Timestamp) -> bool {
         now >= self.blocked_until
             && self.is_in_service()
             && self.cold.allows(now)
-            && self.statements.allows(now)
+            && self.statements.allows(self.in_flight, now)
             && (self.health.is_past_slow_start(now)
                 || self.in_flight < self.health.usable_slots(self.slots, now))
     }
--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -199,8 +199,13 @@
 
     /// Returns true if a request may still be sent in a slot that was granted at a server.
     #[must_use]
-    pub fn may_send(&self, server: net::SocketAddr, run: Option<&statement::ServerRun>) -> bool {
-        self.picker.may_send(server, run)
+    pub fn may_send(
+        &self,
+        server: net::SocketAddr,
+        run: Option<&statement::ServerRun>,
+        now: time::Timestamp,
+    ) -> bool {
+        self.picker.may_send(server, run, now)
     }
 
     /// Records what another instance reports about a limited server; returns what it changes, and the
--- a/crates/coordination/dispatch/src/statement.rs
+++ b/crates/coordination/dispatch/src/statement.rs
@@ -22,6 +22,8 @@
 /// Time for which a server that did not register itself counts as leaving. Nothing else would tell
 /// that another process has taken its place.
 const UNREGISTERED_LEAVE: duration::Duration = duration::Duration::from_secs(30);
+/// Longest time for which a server may ask to be left alone.
+const MAX_PAUSE: duration::Duration = duration::Duration::from_secs(300);
 /// Interval at which one instance reports a limit again that it still hears.
 const REFRESH_INTERVAL: duration::Duration = duration::Duration::from_secs(2);
 
@@ -95,6 +97,8 @@
     pub is_leaving: bool,
     /// Rate that the server takes.
     pub limit: LimitStatement,
+    /// Time for which the server wants no requests from this instance.
+    pub pause: Option<duration::Duration>,
 }
 
 /// A change of what is known of a server by its own statements.
@@ -102,6 +106,8 @@
 pub enum StatementChange {
     /// The server leaves and gets nothing new.
     Leaving,
+    /// The server wants no requests from this instance for this time.
+    Paused(duration::Duration),
     /// The server takes a limited rate.
     Limited(RequestRate),
     /// The server takes any rate again.
@@ -126,6 +132,10 @@
 pub(crate) struct ServerStatements {
     /// Time until which the server counts as leaving.
     leaving_until: Option<time::Timestamp>,
+    /// Time until which the server wants no requests from this instance.
+    paused_until: time::Timestamp,
+    /// Whether no answer has shown since that the server takes requests again.
+    is_returning: bool,
     limit: Option<shared_rate::SharedRate>,
     /// Time of the answer by which the limit, or its end, is known.
     heard_at: time::Timestamp,
@@ -150,10 +160,27 @@
                 changes.push(StatementChange::Leaving);
             }
         }
+        changes.extend(self.record_pause(statement.pause, now));
         changes.extend(self.record_limit(statement.limit, now));
         changes
     }
 
+    /// The latest end counts: another answer may be older.
+    fn record_pause(
+        &mut self,
+        pause: Option<duration::Duration>,
+        now: time::Timestamp,
+    ) -> Option<StatementChange> {
+        let Some(pause) = pause.map(|pause| pause.min(MAX_PAUSE)) else {
+            self.is_returning &= now < self.paused_until;
+            return None;
+        };
+        let was_paused = now < self.paused_until;
+        self.paused_until = self.paused_until.max(now + pause);
+        self.is_returning = true;
+        (!was_paused).then_some(StatementChange::Paused(pause))
+    }
+
     fn record_limit(
         &mut self,
         limit: LimitStatement,
@@ -245,7 +272,7 @@
 
     /// Returns true if nothing is known.
     pub(crate) const fn is_empty(&self) -> bool {
-        self.limit.is_none() && self.leaving_until.is_none()
+        self.limit.is_none() && self.leaving_until.is_none() && !self.is_returning
     }
 
     /// Returns true if the server has said that it leaves.
@@ -277,14 +304,25 @@
         }
     }
 
-    /// Returns true if the server may be sent a request now.
-    pub(crate) fn allows(&self, now: time::Timestamp) -> bool {
-        self.limit.as_ref().is_none_or(|limit| limit.allows(now))
+    /// Returns true if the server may be sent a request now, while this instance has `open` others
+    /// at it.
+    ///
+    /// After a pause one request at a time is sent until the server takes one.
+    pub(crate) fn allows(&self, open: u32, now: time::Timestamp) -> bool {
+        !self.is_paused(now)
+            && (!self.is_returning || open == 0)
+            && self.limit.as_ref().is_none_or(|limit| limit.allows(now))
+    }
+
+    /// Returns true if the server wants no requests from this instance now.
+    pub(crate) fn is_paused(&self, now: time::Timestamp) -> bool {
+        now < self.paused_until
     }
 
     /// Returns when the server may be sent a request again, if it may not now.
     pub(crate) fn next_at(&self) -> time::Timestamp {
-        self.limit.as_ref().map_or(time::Timestamp::ZERO, shared_rate::SharedRate::next_at)
+        let limited = self.limit.as_ref().map(shared_rate::SharedRate::next_at);
+        limited.unwrap_or(time::Timestamp::ZERO).max(self.paused_until)
     }
 
     /// Returns the rate at which this instance may send to the server, in thousandths of a request
--- a/crates/coordination/dispatch/tests/statements/leaving.rs
+++ b/crates/coordination/dispatch/tests/statements/leaving.rs
@@ -11,8 +11,11 @@
 
 use crate::support;
 
-const LEAVING: statement::AnswerStatement =
-    statement::AnswerStatement { is_leaving: true, limit: statement::LimitStatement::Absent };
+const LEAVING: statement::AnswerStatement = statement::AnswerStatement {
+    is_leaving: true,
+    limit: statement::LimitStatement::Absent,
+    pause: None,
+};
 
 /// Lets the first server, of run 1, say at 1 s that it leaves.
 fn make_leaving(servers: &[u16]) -> service::ServiceDispatcher {
@@ -82,12 +85,12 @@
 #[test]
 fn granted_slot_is_withdrawn() {
     let mut dispatcher = support::make_service(&[1, 2]);
-    let (server, run) = (support::address(1), support::run(1, 1));
-    assert!(dispatcher.may_send(server, Some(&run)));
-    dispatcher.record_answer(server, Some(&run), LEAVING, support::at(1_000));
-    assert!(!dispatcher.may_send(server, Some(&run)));
-    assert!(dispatcher.may_send(support::address(2), Some(&support::run(2, 1))));
-    assert!(!dispatcher.may_send(support::address(2), Some(&support::run(2, 7))));
+    let (server, run, now) = (support::address(1), support::run(1, 1), support::at(1_000));
+    assert!(dispatcher.may_send(server, Some(&run), now));
+    dispatcher.record_answer(server, Some(&run), LEAVING, now);
+    assert!(!dispatcher.may_send(server, Some(&run), now));
+    assert!(dispatcher.may_send(support::address(2), Some(&support::run(2, 1)), now));
+    assert!(!dispatcher.may_send(support::address(2), Some(&support::run(2, 7)), now));
 }
 
 /// A service all of whose servers leave refuses at once, also what is queued.
--- a/crates/coordination/dispatch/tests/statements/main.rs
+++ b/crates/coordination/dispatch/tests/statements/main.rs
@@ -3,5 +3,6 @@
 mod answers;
 mod fleet;
 mod leaving;
+mod pause;
 mod queue;
 mod support;
--- a/crates/marjoramwing/tests/process_statements.rs
+++ b/crates/marjoramwing/tests/process_statements.rs
@@ -25,6 +25,9 @@
 /// Time after its statement in which a server that leaves may still get requests.
 const DRAIN_TIME: duration::Duration = duration::Duration::from_millis(2_500);
 
+/// Time for which a server asks.
+const PAUSE: duration::Duration = duration::Duration::from_secs(2);
+
 /// A fleet under load.
 struct StatementFixture {
     fleet: fleet::PlatformFleet,
@@ -127,3 +130,29 @@
     assert_eq!(late, 0, "requests after the server had said that it leaves");
     fixture.finish().await;
 }
+
+/// Guards against requests to servers that have turned one away and asked for time. Callers are
+/// refused meanwhile, truly as not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_asks_for_time_is_left_alone() {
+    let fixture = StatementFixture::start(1).await;
+    let pause = Some(PAUSE);
+    fixture.set_statements(server::ServerStatements { pause, ..Default::default() });
+    // The event `SERVER_PAUSED`.
+    let instance = &fixture.fleet.instances[0].process;
+    standins_fleet::wait_until("all servers have asked for time", async || {
+        let log = instance.log();
+        log.matches("\"event\":4008").count() >= fixture.fleet.servers.len()
+    })
+    .await;
+    let told_at = duration::Instant::now();
+    tokio::time::sleep(PAUSE * 3).await;
+    for server in &fixture.fleet.servers {
+        let arrivals = fixture.most_arrivals(server.id(), PAUSE, told_at);
+        // Each time ends with a request that is turned away again.
+        assert!(arrivals <= 2, "{} got {arrivals} requests in the time", server.id());
+    }
+    fixture.set_statements(server::ServerStatements::default());
+    fixture.wait_attempts(100).await;
+    fixture.finish().await;
+}
--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -124,6 +124,8 @@
     SERVER_UNLIMITED = 4006, INFO, "backend server names no limit any more", "none";
     /// A backend server says in its answers that it leaves.
     SERVER_LEAVING = 4007, INFO, "backend server says that it leaves; no new requests go to it", "none";
+    /// A backend server turned a request away and asked for time.
+    SERVER_PAUSED = 4008, INFO, "backend server wants no requests for a time", "none if it happens rarely; otherwise add servers to the pool";
 
     /// A peer link was opened.
     PEER_CONNECTED = 5001, DEBUG, "peer link opened", "none";
--- a/crates/transport/node/src/backends/service.rs
+++ b/crates/transport/node/src/backends/service.rs
@@ -225,7 +225,7 @@
 
     /// Returns true if a request may still be sent in a slot.
     fn may_send(&self, guard: &SlotGuard) -> bool {
-        self.lock().dispatcher.may_send(guard.address, guard.run.as_ref())
+        self.lock().dispatcher.may_send(guard.address, guard.run.as_ref(), self.clock.now())
     }
 
     /// Records what another instance reports about limited servers.
@@ -363,6 +363,10 @@
         statement::StatementChange::Leaving => {
             emit!(catalogue::SERVER_LEAVING, server = %server, address = %address);
         }
+        statement::StatementChange::Paused(pause) => {
+            emit!(catalogue::SERVER_PAUSED, server = %server, address = %address,
+                pause_ms = pause.as_millis());
+        }
         statement::StatementChange::Limited(rate) => {
             emit!(catalogue::SERVER_LIMITED, server = %server, rate_milli = rate.milli(),
                 address = %address);
@@ -433,7 +437,7 @@
     }
 
     /// Returns true if a request may still be sent in the slot: the server has not left and has not
-    /// said since that it leaves.
+    /// said since that it leaves or wants no requests.
     #[must_use]
     pub fn may_send(&self) -> bool {
         self.service.may_send(self)
