Registry: the age of each watched kind comes from the monitor; one name for a server's hashes

No decision changes. The gauge watch_age_ms showed the last answer of a long watch, which is old in calm; it now shows how long ago the store has confirmed what is known, also for the configuration.

--- a/crates/coordination/dispatch/src/server.rs
+++ b/crates/coordination/dispatch/src/server.rs
@@ -90,11 +90,11 @@
             region: None,
             registered: None,
             distance: distance::ServerDistance::default(),
-            seed: server_seed(server),
+            seed: session::ServerSeed::of(&common_name(server)),
             sessions: session::RecentSessions::default(),
             cold: cold::ColdLimiter::WARM,
             statements: statement::ServerStatements::default(),
-            share_key: share_key(server),
+            share_key: rendezvous::seed_of(&common_name(server)),
             service_time_us: 0,
             slots: server.slots,
             request_load: LOAD_SCALE / u64::from(server.slots.max(1)),
@@ -278,19 +278,11 @@
     }
 }
 
-/// Derives the key for a rate that the instances share from the same names as the seed.
-fn share_key(server: &pool::BackendServer) -> u64 {
+/// Returns the identifier or address by which all instances know a server.
+fn common_name(server: &pool::BackendServer) -> Arc<str> {
     match &server.registered {
-        Some(registered) => rendezvous::seed_of(&registered.id),
-        None => rendezvous::seed_of(&server.address.to_string()),
-    }
-}
-
-/// Derives the seed from the identifier or address by which all instances know a server.
-fn server_seed(server: &pool::BackendServer) -> session::ServerSeed {
-    match &server.registered {
-        Some(registered) => session::ServerSeed::of(&registered.id),
-        None => session::ServerSeed::of(&server.address.to_string()),
+        Some(registered) => Arc::clone(&registered.id),
+        None => server.address.to_string().into(),
     }
 }
 
--- a/crates/transport/node/src/control/registry.rs
+++ b/crates/transport/node/src/control/registry.rs
@@ -3,7 +3,6 @@
 use std::sync;
 use std::time;
 
-use marjoramwing_entity::time as entity_time;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
 use marjoramwing_object_api::call;
@@ -40,7 +39,6 @@
         tokio::spawn(watch_kind(kind, shared, sync::Arc::clone(&watches), sender.clone()));
     }
     let mut registry = registry::ServerRegistry::default();
-    let mut ages = WatchAges::default();
     let mut ticks = tokio::time::interval(TICK_PERIOD);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -49,7 +47,9 @@
             _ = ticks.tick() => Some(registry::RegistryEvent::Tick),
         };
         let Some(event) = event else { return };
-        ages.record(&event, &shared);
+        if matches!(event, registry::RegistryEvent::Tick) {
+            publish_ages(&shared, &watches);
+        }
         let changes = registry.handle(event, shared.now());
         if changes.is_empty() {
             continue;
@@ -60,35 +60,15 @@
     }
 }
 
-/// Times of the store's last answers, for the metrics.
-#[derive(Debug, Default)]
-struct WatchAges {
-    servers: Option<entity_time::Timestamp>,
-    drains: Option<entity_time::Timestamp>,
-}
-
-impl WatchAges {
-    fn record(&mut self, event: &registry::RegistryEvent, shared: &shared::InstanceState) {
-        let now = shared.now();
-        match event {
-            registry::RegistryEvent::Servers(_) => self.servers = Some(now),
-            registry::RegistryEvent::Drains(_) => self.drains = Some(now),
-            registry::RegistryEvent::Tick => {
-                let ages = [
-                    (object::ObjectKind::Servers, self.servers),
-                    (object::ObjectKind::Drains, self.drains),
-                ];
-                for (kind, answered_at) in ages {
-                    let age_ms = answered_at.map(|at| now.since(at).as_millis());
-                    let age_ms = age_ms.map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
-                    let gauge = &shared.metrics.watch_age_ms;
-                    gauge.with_label_values(&[&kind.to_string()]).set(age_ms);
-                }
-            }
-            registry::RegistryEvent::Failed(_)
-            | registry::RegistryEvent::Confirmed(_)
-            | registry::RegistryEvent::Answered => {}
-        }
+/// Publishes how long ago the store has confirmed what is known of each watched kind.
+fn publish_ages(shared: &shared::InstanceState, watches: &watching::WatchControl) {
+    let now = shared.now();
+    for kind in
+        [object::ObjectKind::Tables, object::ObjectKind::Servers, object::ObjectKind::Drains]
+    {
+        let age_ms = watches.confirmed_at(kind).map(|at| now.since(at).as_millis());
+        let age_ms = age_ms.map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
+        shared.metrics.watch_age_ms.with_label_values(&[&kind.to_string()]).set(age_ms);
     }
 }
 
--- a/crates/transport/node/src/metrics.rs
+++ b/crates/transport/node/src/metrics.rs
@@ -30,8 +30,8 @@
     pub held_objects: prometheus::IntGauge,
     /// Milliseconds since the store confirmed the tables; -1 before the first time.
     pub tables_age_ms: prometheus::IntGauge,
-    /// Milliseconds since the store last answered a watch, by kind of object; -1 before the first
-    /// time.
+    /// Milliseconds since the store confirmed what is known of a kind of object, to this instance or
+    /// another one; -1 before the first time.
     pub watch_age_ms: prometheus::IntGaugeVec,
     /// 1 if requests with keys are served, else 0.
     pub keys_trusted: prometheus::IntGauge,
@@ -97,7 +97,7 @@
             ),
             watch_age_ms: register(
                 &registry,
-                gauges("watch_age_ms", "Time since the store answered a watch.", &["kind"]),
+                gauges("watch_age_ms", "Time since the store confirmed a kind.", &["kind"]),
             ),
             keys_trusted: register(
                 &registry,
