Statements: tests at the port; a time that is no number says nothing

Bad values of what servers say, at the port of an instance: in failures, refusals, answers that break off, trailers and informational responses, repeated, empty, with other values. They found one fault: a Retry-After of NaN or infinity counted as the longest time (the minimum of a float and NaN is the float); statements::time_that_is_no_number_says_nothing failed before.

--- a/crates/transport/node/src/callers/statement.rs
+++ b/crates/transport/node/src/callers/statement.rs
@@ -42,7 +42,8 @@
     let values = headers.get_all(http::header::RETRY_AFTER).iter();
     let pauses = values.filter_map(|value| {
         let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
-        time::Duration::try_from_secs_f64(seconds.min(MAX_PAUSE_SECONDS)).ok()
+        let seconds = if seconds.is_finite() { seconds.min(MAX_PAUSE_SECONDS) } else { seconds };
+        time::Duration::try_from_secs_f64(seconds).ok()
     });
     pauses.max().filter(|pause| !pause.is_zero())
 }
--- a/crates/transport/node/tests/outcome/backend.rs
+++ b/crates/transport/node/tests/outcome/backend.rs
@@ -54,6 +54,10 @@
     RefuseBefore(RefusalId),
     /// Runs the request and closes after this many bytes of the response head.
     CutHead(usize),
+    /// Runs the request, sends these bytes and keeps the connection open.
+    Send(&'static str),
+    /// Runs the request, sends these bytes and closes.
+    SendAndClose(&'static str),
 }
 
 /// Identifier in a refusal that belongs to an earlier request.
@@ -197,6 +201,8 @@
                 );
                 (refusal + &complete, true)
             }
+            ServerStep::Send(text) => (text.to_owned(), true),
+            ServerStep::SendAndClose(text) => (text.to_owned(), false),
             ServerStep::CutHead(bytes) => (complete[..bytes].to_owned(), false),
             ServerStep::TruncateHead => ("HTTP/1.1 200 OK\r\ncontent-le".to_owned(), false),
             ServerStep::TruncateBody => (complete[..complete.len() - 2].to_owned(), false),
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -14,6 +14,7 @@
 mod ledger;
 mod service;
 mod shifts;
+mod statements;
 mod stopping;
 mod stream;
 mod support;
