--- a/crates/transport/node/tests/outcome/statements.rs
+++ b/crates/transport/node/tests/outcome/statements.rs
@@ -28,7 +28,7 @@
 #[test]
 fn requests_go_to_the_server_that_stays() {
     support::block_on(async {
-        let servers = vec![
+        let servers = [
             backend::ScriptedServer::start(&[LEAVES]).await,
             backend::ScriptedServer::start(&[]).await,
         ];
