Statements: a limit that is named again is no change

Until the other instances were told, each answer of a limited server counted as a change: a log line and a pass over the queue for each, for up to half a second; without end for a server that did not register itself, which is never reported. statements::limit_that_is_named_again_is_no_change failed before. Times before another come from Timestamp's new subtraction.

--- a/crates/coordination/dispatch/src/statement.rs
+++ b/crates/coordination/dispatch/src/statement.rs
@@ -203,11 +203,13 @@
     }
 
     fn limit_to(&mut self, rate: RequestRate, now: time::Timestamp) -> Option<StatementChange> {
-        let limit = self.limit.get_or_insert_with(|| {
-            self.is_unreported = true;
-            shared_rate::SharedRate::new(rate, now)
-        });
-        let is_changed = limit.set_rate(rate) || self.is_unreported;
+        let is_changed = match &mut self.limit {
+            Some(limit) => limit.set_rate(rate),
+            limit @ None => {
+                *limit = Some(shared_rate::SharedRate::new(rate, now));
+                true
+            }
+        };
         self.is_unreported |= is_changed;
         is_changed.then_some(StatementChange::Limited(rate))
     }
@@ -218,8 +220,8 @@
         report: &LimitReport,
         now: time::Timestamp,
     ) -> Option<StatementChange> {
-        let answered_at = time_before(now, report.answer_age);
-        let named_at = time_before(now, report.named_age);
+        let answered_at = now - report.answer_age;
+        let named_at = now - report.named_age;
         if let (Some(limit), Some(_)) = (&mut self.limit, report.limit) {
             limit.adopt_start(named_at);
         }
@@ -338,9 +340,3 @@
         }
     }
 }
-
-/// Returns the time that is `age` before `now`.
-fn time_before(now: time::Timestamp, age: duration::Duration) -> time::Timestamp {
-    let age_us = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-    time::Timestamp::from_micros(now.as_micros().saturating_sub(age_us))
-}
--- a/crates/coordination/dispatch/tests/statements/answers.rs
+++ b/crates/coordination/dispatch/tests/statements/answers.rs
@@ -112,6 +112,15 @@
         }, true);
 }
 
+/// Guards against a log line for each answer of a limited server, before other instances are told.
+#[test]
+fn limit_that_is_named_again_is_no_change() {
+    let mut dispatcher = support::make_service(&[1]);
+    assert_eq!(say(&mut dispatcher, 1, support::limited(5.0), 1_000).len(), 1);
+    assert_eq!(say(&mut dispatcher, 1, support::limited(5.0), 1_010), []);
+    assert_eq!(say(&mut dispatcher, 1, support::limited(6.0), 1_020).len(), 1);
+}
+
 #[test]
 fn limit_that_only_another_instance_has_read_holds() {
     let mut dispatcher = support::make_service(&[1]);
--- a/crates/state/entity/src/time.rs
+++ b/crates/state/entity/src/time.rs
@@ -53,6 +53,16 @@
     }
 }
 
+impl ops::Sub<time::Duration> for Timestamp {
+    type Output = Self;
+
+    /// Returns the earlier time, at most the start of the clock.
+    fn sub(self, duration: time::Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
 impl ops::AddAssign<time::Duration> for Timestamp {
     fn add_assign(&mut self, duration: time::Duration) {
         *self = *self + duration;
