Entity, peer: one subtraction of a duration from a time, one conversion to milliseconds

No behaviour changes: two copies of the same subtraction and a third that was written out use Timestamp's, and the reports of limits use the conversion of the traffic reports.

--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -432,9 +432,7 @@
     /// Returns the time from which no slot is granted, if a stop is planned.
     fn last_start(&self) -> Option<time::Timestamp> {
         let stops_at = self.stops_at?;
-        let reserve_us = self.picker.response_reserve().as_micros();
-        let reserve_us = u64::try_from(reserve_us).unwrap_or(u64::MAX);
-        Some(time::Timestamp::from_micros(stops_at.as_micros().saturating_sub(reserve_us)))
+        Some(stops_at - self.picker.response_reserve())
     }
 
     fn next_grant(&self, seed: u64, now: time::Timestamp) -> Option<SlotGrant> {
--- a/crates/coordination/watches/src/coverage.rs
+++ b/crates/coordination/watches/src/coverage.rs
@@ -78,7 +78,7 @@
         // Nothing has changed between the two positions, so both know the same changes.
         self.changed_at = self.changed_at.min(report.changed_at);
         self.position = report.position;
-        self.confirmed_at = self.confirmed_at.max(before(now, report.age));
+        self.confirmed_at = self.confirmed_at.max(now - report.age);
         ReportVerdict::Confirmed
     }
 
@@ -89,9 +89,3 @@
         CoverageReport { changed_at: self.changed_at, position: self.position, age }
     }
 }
-
-/// Returns the time that is `age` before `now`.
-fn before(now: time::Timestamp, age: duration::Duration) -> time::Timestamp {
-    let age_us = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-    time::Timestamp::from_micros(now.as_micros().saturating_sub(age_us))
-}
--- a/crates/protocol/peer/src/limits.rs
+++ b/crates/protocol/peer/src/limits.rs
@@ -5,6 +5,8 @@
 use marjoramwing_dispatch::statement;
 use marjoramwing_tables::name;
 
+use crate::report;
+
 /// Limits of the servers of one pool.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ServerLimits {
@@ -46,13 +48,13 @@
 }
 
 impl From<&statement::LimitReport> for ServerLimit {
-    fn from(report: &statement::LimitReport) -> Self {
+    fn from(source: &statement::LimitReport) -> Self {
         Self {
-            server: report.run.id.to_string(),
-            started_ms: report.run.started_ms,
-            rate_milli: report.limit.map_or(0, statement::RequestRate::milli),
-            named_age_ms: to_millis(report.named_age),
-            answer_age_ms: to_millis(report.answer_age),
+            server: source.run.id.to_string(),
+            started_ms: source.run.started_ms,
+            rate_milli: source.limit.map_or(0, statement::RequestRate::milli),
+            named_age_ms: report::to_millis(source.named_age),
+            answer_age_ms: report::to_millis(source.answer_age),
         }
     }
 }
@@ -71,8 +73,3 @@
         }
     }
 }
-
-/// Converts to milliseconds, rounded down.
-fn to_millis(age: time::Duration) -> u64 {
-    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/protocol/peer/src/report.rs
+++ b/crates/protocol/peer/src/report.rs
@@ -136,7 +136,7 @@
 }
 
 /// Converts to milliseconds, rounded down.
-fn to_millis(age: time::Duration) -> u64 {
+pub(crate) fn to_millis(age: time::Duration) -> u64 {
     u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
 }
 
