Attempts: a broken attempt is logged with the request, its team and a fingerprint of its content

Copies of one request at several instances, each with an id of its own, could not be matched in the logs. Event 4002 names the request and a keyed hash of its method, host, target, team and body.

--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`distance`]: network distance to a backend server.
 //! - [`exchange`]: state of all attempts at one request, and which step may follow.
 //! - [`failback`]: limits how fast requests return to the local region.
+//! - [`fingerprint`]: identifies the content of a request.
 //! - [`gate`]: synchronizes sending a request's first byte with abandoning it.
 //! - [`health`]: ejection and slow start.
 //! - `limited`: the queue of a service some of whose servers are limited.
@@ -31,6 +32,7 @@
 pub mod distance;
 pub mod exchange;
 pub mod failback;
+pub mod fingerprint;
 pub mod gate;
 pub mod health;
 mod limited;
--- a/crates/transport/node/src/backends/replay.rs
+++ b/crates/transport/node/src/backends/replay.rs
@@ -167,6 +167,14 @@
     }
 }
 
+impl BufferedBytes {
+    /// Returns the body.
+    #[must_use]
+    pub fn as_slice(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl SharedStream {
     /// Returns true if the caller's body was read to its end.
     #[must_use]
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -349,7 +349,10 @@
                 "crossed"
             }
             attempt::AttemptResult::Failed(_) => {
-                emit!(catalogue::BACKEND_EXCHANGE_FAILED, server = %address);
+                let content = self.context.request.fingerprint(&self.context.shared.fingerprints);
+                emit!(catalogue::BACKEND_EXCHANGE_FAILED, server = %address,
+                    request = %self.context.trace.id(), team = %self.context.team,
+                    content = %content);
                 "broken_off"
             }
             attempt::AttemptResult::ConnectFailed => {
--- a/crates/transport/node/src/callers/request.rs
+++ b/crates/transport/node/src/callers/request.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use http_body::Body as _;
+use marjoramwing_dispatch::fingerprint;
 use marjoramwing_exchange::names;
 use marjoramwing_tables::route;
 
@@ -72,6 +73,34 @@
         &self.headers
     }
 
+    /// Returns the fingerprint of the request's content.
+    #[must_use]
+    pub fn fingerprint(
+        &self,
+        key: &fingerprint::FingerprintKey,
+    ) -> fingerprint::ContentFingerprint {
+        let text = |name: &http::HeaderName| {
+            self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+        };
+        let body = match &self.source {
+            replay::BodySource::Buffered(buffered) => {
+                fingerprint::ContentBody::Whole(buffered.as_slice())
+            }
+            replay::BodySource::Stream(_) => {
+                let length = text(&http::header::CONTENT_LENGTH).parse().unwrap_or_default();
+                fingerprint::ContentBody::Streamed(length)
+            }
+        };
+        let target = self.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
+        key.fingerprint(&fingerprint::RequestContent {
+            method: self.method.as_str(),
+            host: text(&http::header::HOST),
+            target,
+            team: text(&self.names.team),
+            body,
+        })
+    }
+
     /// Builds the request of one attempt.
     ///
     /// `expected_server` is sent along, so that no other server at the address runs it.
--- a/crates/transport/node/src/callers/trace.rs
+++ b/crates/transport/node/src/callers/trace.rs
@@ -98,6 +98,12 @@
         }
     }
 
+    /// Returns the id that the caller gave the request.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     /// Records the team of the request.
     pub fn record_team(&self, team: &str) {
         self.lock().team = team.into();
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -9,6 +9,7 @@
 
 use marjoramwing_configuration::configuration;
 use marjoramwing_configuration::trust;
+use marjoramwing_dispatch::fingerprint;
 use marjoramwing_entity::incarnation;
 use marjoramwing_entity::time;
 use marjoramwing_exchange::names;
@@ -46,6 +47,8 @@
     member_changes: watch::Sender<sync::Arc<view::MemberView>>,
     /// Dispatch of requests to backend servers.
     pub dispatch: dispatch::DispatchControl,
+    /// Key for the fingerprints of requests.
+    pub fingerprints: fingerprint::FingerprintKey,
     /// Admission of requests under rate limits.
     pub admission: control::AdmissionControl,
     /// State of the control tasks, for the state dump.
@@ -80,6 +83,7 @@
             members: arc_swap::ArcSwap::from_pointee(view::MemberView::default()),
             admission: control::AdmissionControl::new(&settings, incarnation),
             dispatch: dispatch::DispatchControl::new(&settings, incarnation, clock),
+            fingerprints: fingerprint::FingerprintKey::new(settings.peer_secret.as_bytes()),
             names: header_names(settings.dialect),
             settings,
             member_changes: watch::Sender::default(),
