--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -12,6 +12,7 @@
 mod faulty;
 #[path = "../support/ledger.rs"]
 mod ledger;
+mod quarantine;
 mod service;
 mod shifts;
 mod statements;
