--- a/crates/transport/node/src/backends/connection.rs
+++ b/crates/transport/node/src/backends/connection.rs
@@ -3,9 +3,7 @@
 //! Invariant: dropping a connection closes it immediately, so that the backend
 //! server can cancel the work on an abandoned request.
 
-use std::net;
 use std::sync;
-use std::time as duration;
 
 use hyper::client::conn::http1;
 use hyper_util::rt;
@@ -24,8 +22,6 @@
 /// Bytes that may be read before the response head is complete: informational responses, the
 /// head, and the start of the body, which is read ahead.
 const MAX_READ_BEFORE_HEAD: u64 = 4 * READ_BUFFER_BYTES as u64;
-/// Timeout for opening a connection.
-const CONNECT_TIMEOUT: duration::Duration = duration::Duration::from_secs(1);
 
 /// An open connection to a backend server.
 #[derive(Debug)]
@@ -45,10 +41,8 @@
 }
 
 impl Connection {
-    /// Opens a connection; returns `None` if that fails or times out.
-    pub async fn open(address: net::SocketAddr, clock: clock::MonotonicClock) -> Option<Self> {
-        let connect = tokio::net::TcpStream::connect(address);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
+    /// Sets up HTTP on an open stream; returns `None` if that fails.
+    pub async fn new(stream: tokio::net::TcpStream, clock: clock::MonotonicClock) -> Option<Self> {
         stream.set_nodelay(true).ok()?;
         let gate = sync::Arc::new(gate::SendGate::default());
         let allowance = stream::ReadAllowance::default();
--- a/crates/transport/node/src/backends/mod.rs
+++ b/crates/transport/node/src/backends/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`buffered`]: buffering of small responses before they are forwarded.
 //! - [`connection`]: one HTTP/1 connection whose writes are controlled by a send gate.
+//! - [`direct`]: opens connections without another instance between.
 //! - [`pool`]: idle connections.
 //! - [`replay`]: request bodies that can be sent more than once.
 //! - [`response`]: response bodies, which return their connection to the connection pool.
@@ -10,6 +11,7 @@
 
 pub mod buffered;
 pub mod connection;
+pub mod direct;
 pub mod pool;
 pub mod replay;
 pub mod response;
--- a/crates/transport/node/src/callers/attempt.rs
+++ b/crates/transport/node/src/callers/attempt.rs
@@ -18,6 +18,7 @@
 
 use crate::backends::buffered;
 use crate::backends::connection;
+use crate::backends::direct;
 use crate::backends::response as backend_response;
 use crate::backends::service;
 use crate::callers::attempts;
@@ -45,7 +46,7 @@
     /// whether the request may have run.
     Failed(exchange::AttemptState),
     /// No connection could be opened.
-    ConnectFailed,
+    ConnectFailed(direct::DialFault),
     /// The backend server left, or said that it leaves, before the request was sent.
     Withdrawn,
     /// The attempt was cancelled in this state.
@@ -75,11 +76,11 @@
         };
         let mut connection = match connection {
             None => return AttemptResult::Abandoned(exchange::AttemptState::NotSent),
-            Some(None) => {
+            Some(Err(fault)) => {
                 guard.record_result(picker::ReportedResult::Failed, None);
-                return AttemptResult::ConnectFailed;
+                return AttemptResult::ConnectFailed(fault);
             }
-            Some(Some(connection)) => connection,
+            Some(Ok(connection)) => connection,
         };
         // The connection may have taken a while to open.
         if !guard.may_send() {
@@ -182,17 +183,21 @@
         AttemptResult::Abandoned(gate.close())
     }
 
-    async fn connect(&self, guard: &service::SlotGuard) -> Option<connection::Connection> {
+    async fn connect(
+        &self,
+        guard: &service::SlotGuard,
+    ) -> Result<connection::Connection, direct::DialFault> {
         let shared = self.context.shared;
         let idempotent = self.context.route.is_idempotent(self.context.request.method().as_str());
         let pooled = guard.service().connections.take(self.address, idempotent, shared.now());
         match pooled {
-            Some(connection) => Some(connection),
+            Some(connection) => Ok(connection),
             None => {
                 let started = shared.now();
-                let opened = connection::Connection::open(self.address, shared.clock()).await?;
+                let stream = direct::dial(&*shared.dialer, self.address).await?;
                 guard.service().record_connect_time(self.address, shared.now().since(started));
-                Some(opened)
+                let opened = connection::Connection::new(stream, shared.clock()).await;
+                opened.ok_or(direct::DialFault::Failed)
             }
         }
     }
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -352,7 +352,7 @@
         shared.quarantine.record_break(content, shared.now());
         self.copy.investigation = Some(tokio::spawn(async move {
             let investigations = &shared.quarantine.investigations;
-            let crash = investigations.find_crash(&server, shared.clock()).await;
+            let crash = investigations.find_crash(&server, &shared).await;
             match crash {
                 Some(crash) => {
                     let now = shared.now();
@@ -471,7 +471,7 @@
             attempt::AttemptResult::Misdirected => {
                 self.exchange.end_attempt(key, exchange::AttemptState::Shed);
             }
-            attempt::AttemptResult::ConnectFailed => {
+            attempt::AttemptResult::ConnectFailed(_) => {
                 self.exchange.end_attempt(key, exchange::AttemptState::NotSent);
             }
             // The request may have run, since its own response is missing.
@@ -508,8 +508,8 @@
                     content = %self.content());
                 "broken_off"
             }
-            attempt::AttemptResult::ConnectFailed => {
-                emit!(catalogue::BACKEND_CONNECT_FAILED, server = %address);
+            attempt::AttemptResult::ConnectFailed(fault) => {
+                emit!(catalogue::BACKEND_CONNECT_FAILED, server = %address, fault = %fault);
                 "connect_failed"
             }
             attempt::AttemptResult::Abandoned(_) => "abandoned",
--- a/crates/transport/node/src/callers/investigation.rs
+++ b/crates/transport/node/src/callers/investigation.rs
@@ -5,7 +5,6 @@
 //! while another server of its service accepts one.
 
 use std::collections;
-use std::io;
 use std::net;
 use std::sync;
 use std::time as duration;
@@ -18,8 +17,9 @@
 use marjoramwing_dispatch::statement;
 use marjoramwing_entity::time;
 
+use crate::backends::direct;
 use crate::backends::service;
-use crate::clock;
+use crate::shared;
 
 /// Timeout of a probe; a server that does not answer by then may be cut off.
 const PROBE_TIMEOUT: duration::Duration = duration::Duration::from_millis(300);
@@ -58,9 +58,9 @@
     pub(crate) async fn find_crash(
         &self,
         server: &BrokenServer,
-        clock: clock::MonotonicClock,
+        shared: &shared::InstanceState,
     ) -> Option<quarantine::CrashId> {
-        let ended = self.start(server, clock.now()).await;
+        let ended = self.start(server, shared).await;
         let is_unplanned = || server.service.is_in_service(server.address, server.run.as_ref());
         if !ended || !is_unplanned() {
             return None;
@@ -69,12 +69,14 @@
         Some(server.crash_id())
     }
 
-    fn start(&self, server: &BrokenServer, now: time::Timestamp) -> SharedResult {
+    fn start(&self, server: &BrokenServer, shared: &shared::InstanceState) -> SharedResult {
+        let now = shared.now();
         let mut recent = self.recent.lock().expect("no task panics while it holds the table");
         recent.retain(|_, recent| now.since(recent.started_at) < RESULT_VALIDITY);
         let investigation = recent.entry(server.address).or_insert_with(|| {
             let controls = server.service.others_in_service(server.address, CONTROLS);
-            let result = investigate(server.address, controls).boxed().shared();
+            let dialer = sync::Arc::clone(&shared.dialer);
+            let result = investigate(dialer, server.address, controls).boxed().shared();
             RecentInvestigation { started_at: now, result }
         });
         investigation.result.clone()
@@ -103,7 +105,12 @@
     Unanswered,
 }
 
-async fn investigate(address: net::SocketAddr, controls: Vec<net::SocketAddr>) -> bool {
+async fn investigate(
+    dialer: sync::Arc<dyn direct::DirectDialer>,
+    address: net::SocketAddr,
+    controls: Vec<net::SocketAddr>,
+) -> bool {
+    let probe = |address| probe(&*dialer, address);
     let is_alone = controls.is_empty();
     let controls: stream::FuturesUnordered<_> = controls.into_iter().map(probe).collect();
     let accepted = controls.any(|result| future::ready(result == ProbeResult::Accepted));
@@ -111,15 +118,10 @@
     target == ProbeResult::Refused && (accepted || is_alone)
 }
 
-async fn probe(address: net::SocketAddr) -> ProbeResult {
-    let connect = tokio::net::TcpStream::connect(address);
-    match tokio::time::timeout(PROBE_TIMEOUT, connect).await {
+async fn probe(dialer: &dyn direct::DirectDialer, address: net::SocketAddr) -> ProbeResult {
+    match tokio::time::timeout(PROBE_TIMEOUT, direct::dial(dialer, address)).await {
         Ok(Ok(_)) => ProbeResult::Accepted,
-        Ok(Err(error)) if is_refusal(&error) => ProbeResult::Refused,
+        Ok(Err(direct::DialFault::Refused)) => ProbeResult::Refused,
         Ok(Err(_)) | Err(_) => ProbeResult::Unanswered,
     }
 }
-
-fn is_refusal(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
-}
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -23,6 +23,7 @@
 use tokio_util::sync as cancellation;
 
 use crate::admission::control;
+use crate::backends::direct;
 use crate::callers::quarantine;
 use crate::callers::trace;
 use crate::clock;
@@ -48,6 +49,8 @@
     member_changes: watch::Sender<sync::Arc<view::MemberView>>,
     /// Dispatch of requests to backend servers.
     pub dispatch: dispatch::DispatchControl,
+    /// Opens connections to backend servers.
+    pub dialer: sync::Arc<dyn direct::DirectDialer>,
     /// Key for the fingerprints of requests.
     pub fingerprints: fingerprint::FingerprintKey,
     /// Requests that end the backend servers that run them.
@@ -78,6 +81,15 @@
     /// Creates the state of an instance that has no tables yet.
     #[must_use]
     pub fn new(settings: settings::InstanceSettings) -> Self {
+        Self::with_dialer(settings, sync::Arc::new(direct::TcpDialer))
+    }
+
+    /// Creates the state of an instance that connects to backend servers through `dialer`.
+    #[must_use]
+    pub fn with_dialer(
+        settings: settings::InstanceSettings,
+        dialer: sync::Arc<dyn direct::DirectDialer>,
+    ) -> Self {
         let clock = clock::MonotonicClock::start();
         let incarnation = incarnation::Incarnation::from_u64(rand::random());
         Self {
@@ -87,6 +99,7 @@
             admission: control::AdmissionControl::new(&settings, incarnation),
             dispatch: dispatch::DispatchControl::new(&settings, incarnation, clock),
             quarantine: quarantine::QuarantineControl::new(settings.identity.name.as_str()),
+            dialer,
             fingerprints: fingerprint::FingerprintKey::new(settings.peer_secret.as_bytes()),
             names: header_names(settings.dialect),
             settings,
--- a/crates/transport/node/tests/outcome/credentials.rs
+++ b/crates/transport/node/tests/outcome/credentials.rs
@@ -118,7 +118,8 @@
         };
         let guard = instance.service().acquire_slot(slot).await.unwrap();
         let clock = instance.shared.clock();
-        let mut connection = connection::Connection::open(server.address, clock).await.unwrap();
+        let stream = tokio::net::TcpStream::connect(server.address).await.unwrap();
+        let mut connection = connection::Connection::new(stream, clock).await.unwrap();
         let request = http::Request::builder().uri("/keyed").header("x-request-id", "first");
         let request = request.body(replay::BodySource::empty().body()).unwrap();
         let response = connection.send(request, Timestamp::NEVER).await.unwrap();
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -13,6 +13,7 @@
 #[path = "../support/ledger.rs"]
 mod ledger;
 mod quarantine;
+mod relaying;
 mod service;
 mod shifts;
 mod statements;
--- a/crates/transport/node/tests/outcome/support.rs
+++ b/crates/transport/node/tests/outcome/support.rs
@@ -6,8 +6,11 @@
 use http_body_util::BodyExt;
 use hyper_util::rt;
 use marjoramwing_configuration::configuration;
+use marjoramwing_membership::member;
+use marjoramwing_node::backends::direct;
 use marjoramwing_node::backends::service;
 use marjoramwing_node::callers::server;
+use marjoramwing_node::peers::mesh;
 use marjoramwing_node::shared;
 use marjoramwing_settings::secret;
 use marjoramwing_settings::settings;
@@ -111,6 +114,44 @@
         Self::serve(shared, make_documents(servers, deadline_ms)).await
     }
 
+    /// Starts an instance of this name and region that speaks the dialect of the users' platform,
+    /// accepts links from other instances and connects to backend servers through `dialer`.
+    pub(crate) async fn start_in_fleet(
+        name: &str,
+        region: &str,
+        dialer: sync::Arc<dyn direct::DirectDialer>,
+        servers: &[net::SocketAddr],
+        deadline_ms: u64,
+    ) -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut settings = make_settings();
+        settings.dialect = settings::InterfaceDialect::Platform;
+        settings.identity.name = (&sync::Arc::<str>::from(name)).try_into().unwrap();
+        settings.identity.region = (&sync::Arc::<str>::from(region)).try_into().unwrap();
+        settings.listen.peers = listener.local_addr().unwrap();
+        let shared = sync::Arc::new(shared::InstanceState::with_dialer(settings, dialer));
+        let (sender, mut inbox) = tokio::sync::mpsc::channel(mesh::INBOX_QUEUE);
+        let mesh = mesh::PeerMesh::new(sync::Arc::clone(&shared), sender);
+        tokio::spawn(mesh.accept_links(listener));
+        tokio::spawn(async move { while inbox.recv().await.is_some() {} });
+        Self::serve(shared, make_documents(servers, deadline_ms)).await
+    }
+
+    /// Returns the instance as the others see it.
+    pub(crate) fn member(&self) -> member::Member {
+        let settings = &self.shared.settings;
+        member::Member {
+            name: settings.identity.name.text(),
+            caller_address: self.address,
+            peer_address: settings.listen.peers,
+            site: settings.identity.site.text(),
+            region: settings.identity.region.text(),
+            failure_domain: settings.identity.failure_domain.text(),
+            incarnation: Some(self.shared.incarnation),
+            state: member::MemberState::Live,
+        }
+    }
+
     async fn serve(
         shared: sync::Arc<shared::InstanceState>,
         tables: snapshot::TableDocuments,
