Backends: an instance without links reaches the servers through another one

Cause: the only way to a server was the instance's own link; open connections that hung were believed until each request's deadline, and the failures counted against the servers. Now a connection that is not open in time, or refused, is asked of another instance as well, which connects and passes on bytes; the instance with the request keeps its attempts, limits and deadlines. Two servers that only others reach mean that the own links are lost: no request waits for them then, and connections of before are not used.

--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 //! - `presence`: which servers of the pool are there.
 //! - [`quarantine`]: requests that end the servers that run them.
 //! - [`queue`]: fair queue of the requests that need a slot.
+//! - [`reach`]: whether this instance reaches the servers by its own links.
 //! - [`restriction`]: how the picker uses what servers say of themselves.
 //! - [`roster`]: the instances among which bounds are divided.
 //! - [`share`]: the instances among which the rate of a limited server is divided.
@@ -45,6 +46,7 @@
 mod presence;
 pub mod quarantine;
 pub mod queue;
+pub mod reach;
 pub mod restriction;
 pub mod roster;
 mod server;
--- a/crates/coordination/dispatch/src/presence.rs
+++ b/crates/coordination/dispatch/src/presence.rs
@@ -4,6 +4,7 @@
 
 use marjoramwing_entity::time;
 
+use crate::health;
 use crate::picker;
 use crate::statement;
 
@@ -40,6 +41,22 @@
         }
     }
 
+    /// Returns true if a server of the pool has this address.
+    #[must_use]
+    pub fn has_address(&self, address: net::SocketAddr) -> bool {
+        self.indexes.contains_key(&address)
+    }
+
+    /// Ends all ejections, since the failures were not the servers'.
+    pub fn forgive_failures(&mut self, now: time::Timestamp) {
+        for server in &mut self.servers {
+            if server.health.is_ejected(now) {
+                server.blocked_until = now;
+            }
+            server.health = health::ServerHealth::HEALTHY;
+        }
+    }
+
     /// Returns up to `count` other servers that are in service, chosen by `seed`; those that have
     /// answered this instance come first.
     #[must_use]
--- a/crates/coordination/dispatch/src/service.rs
+++ b/crates/coordination/dispatch/src/service.rs
@@ -253,6 +253,17 @@
         self.picker.record_end(server, run, now);
     }
 
+    /// Returns true if a server of the service has this address.
+    #[must_use]
+    pub fn has_address(&self, server: net::SocketAddr) -> bool {
+        self.picker.has_address(server)
+    }
+
+    /// Ends all ejections, since the failures were not the servers'.
+    pub fn forgive_failures(&mut self, now: time::Timestamp) {
+        self.picker.forgive_failures(now);
+    }
+
     /// Returns up to `count` other servers that are in service, chosen by `seed`.
     #[must_use]
     pub fn others_in_service(
--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -134,6 +134,8 @@
     REQUEST_TRIED = 4011, INFO, "one copy of a suspected request is tried", "none";
     /// A request that was held is not held any more.
     REQUEST_RELEASED = 4012, INFO, "request is no longer held", "none";
+    /// A connection failed since its other end did not answer at all.
+    BACKEND_EXCHANGE_SILENT = 4013, WARN, "backend server, or the link to it, fell silent during an exchange", "check the backend server and the network path to it";
 
     /// A peer link was opened.
     PEER_CONNECTED = 5001, DEBUG, "peer link opened", "none";
@@ -143,4 +145,8 @@
     PEER_REFUSED = 5003, WARN, "peer refused; it does not hold the deployment's secret", "give all instances the same peer secret";
     /// A peer link received nothing within its timeout and was closed.
     PEER_SILENT = 5004, WARN, "peer link timed out and was closed; a new one is opened on demand", "look for a device between the instances that drops idle connections";
+    /// Other instances reach backend servers that this one does not.
+    SERVER_LINKS_LOST = 5005, WARN, "links to the backend servers are lost; connections go through other instances", "check the network between this instance and the backend servers";
+    /// This instance reaches backend servers again.
+    SERVER_LINKS_REGAINED = 5006, INFO, "backend servers are reached directly again", "none";
 }
--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`membership`]: messages of the membership protocol.
 //! - [`message`]: the envelope and the messages of the handshake.
 //! - [`quarantine`]: reports of requests that end backend servers.
+//! - [`relay`]: connections to backend servers through another instance.
 //! - [`report`]: traffic reports between regions.
 
 pub mod configuration;
@@ -26,4 +27,5 @@
 pub mod membership;
 pub mod message;
 pub mod quarantine;
+pub mod relay;
 pub mod report;
--- a/crates/protocol/peer/src/message.rs
+++ b/crates/protocol/peer/src/message.rs
@@ -7,6 +7,7 @@
 use crate::limits;
 use crate::membership;
 use crate::quarantine;
+use crate::relay;
 use crate::report;
 
 /// Protocol version; peers with another version are rejected.
@@ -16,7 +17,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// Content of the frame; absent in a heartbeat. Tag 6 is unused.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<Body>,
 }
 
@@ -53,6 +54,12 @@
     /// Report of requests that end backend servers.
     #[prost(message, tag = "11")]
     Quarantine(quarantine::SuspectReports),
+    /// Request for a connection to a backend server.
+    #[prost(message, tag = "12")]
+    RelayRequest(relay::RelayRequest),
+    /// Result of that request.
+    #[prost(message, tag = "13")]
+    RelayResult(relay::RelayResult),
 }
 
 /// Identifies one end of a link.
@@ -73,6 +80,19 @@
     /// Peer address of the sender.
     #[prost(string, tag = "5")]
     pub peer_address: String,
+    /// What the opener wants the link for; absent from an acceptor.
+    #[prost(enumeration = "LinkPurpose", tag = "6")]
+    pub purpose: i32,
+}
+
+/// What a link is opened for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum LinkPurpose {
+    /// Messages in both directions.
+    Messages = 0,
+    /// One connection to a backend server.
+    Relay = 1,
 }
 
 /// Proves that the sender holds the deployment's secret.
--- a/crates/protocol/peer/tests/handshake.rs
+++ b/crates/protocol/peer/tests/handshake.rs
@@ -12,6 +12,7 @@
         nonce: vec![nonce; handshake::NONCE_BYTES].into(),
         name: name.to_owned(),
         peer_address: "10.0.0.1:7200".to_owned(),
+        purpose: message::LinkPurpose::Messages.into(),
     }
 }
 
--- a/crates/transport/node/src/backends/connection.rs
+++ b/crates/transport/node/src/backends/connection.rs
@@ -11,6 +11,7 @@
 use marjoramwing_dispatch::gate;
 use marjoramwing_entity::time;
 
+use crate::backends::dial;
 use crate::backends::replay;
 use crate::backends::stream;
 use crate::clock;
@@ -32,6 +33,7 @@
     task: tokio::task::AbortHandle,
     requests: u32,
     request_stream: Option<replay::SharedStream>,
+    relay_region: Option<sync::Arc<str>>,
 }
 
 impl Drop for Connection {
@@ -42,7 +44,8 @@
 
 impl Connection {
     /// Sets up HTTP on an open stream; returns `None` if that fails.
-    pub async fn new(stream: tokio::net::TcpStream, clock: clock::MonotonicClock) -> Option<Self> {
+    pub async fn new(dialed: dial::DialedStream, clock: clock::MonotonicClock) -> Option<Self> {
+        let dial::DialedStream { stream, relay_region } = dialed;
         stream.set_nodelay(true).ok()?;
         let gate = sync::Arc::new(gate::SendGate::default());
         let allowance = stream::ReadAllowance::default();
@@ -52,7 +55,8 @@
         builder.max_buf_size(READ_BUFFER_BYTES);
         let (sender, driver) = builder.handshake(rt::TokioIo::new(gated)).await.ok()?;
         let task = tokio::spawn(driver).abort_handle();
-        Some(Self { sender, gate, allowance, task, requests: 0, request_stream: None })
+        let (requests, request_stream) = (0, None);
+        Some(Self { sender, gate, allowance, task, requests, request_stream, relay_region })
     }
 
     /// Returns the number of requests sent on the connection.
@@ -61,6 +65,18 @@
         self.requests
     }
 
+    /// Returns the region of the instance through which the connection goes; `None` if it is direct.
+    #[must_use]
+    pub const fn relay_region(&self) -> Option<&sync::Arc<str>> {
+        self.relay_region.as_ref()
+    }
+
+    /// Returns true if the server, or the relaying instance, fell silent.
+    #[must_use]
+    pub fn has_timed_out(&self) -> bool {
+        self.allowance.has_timed_out()
+    }
+
     /// Returns true if the connection is closed.
     #[must_use]
     pub fn is_closed(&self) -> bool {
--- a/crates/transport/node/src/backends/mod.rs
+++ b/crates/transport/node/src/backends/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`buffered`]: buffering of small responses before they are forwarded.
 //! - [`connection`]: one HTTP/1 connection whose writes are controlled by a send gate.
+//! - [`dial`]: opens connections, through another instance where the own links are lost.
 //! - [`direct`]: opens connections without another instance between.
 //! - [`pool`]: idle connections.
 //! - [`replay`]: request bodies that can be sent more than once.
@@ -11,6 +12,7 @@
 
 pub mod buffered;
 pub mod connection;
+pub mod dial;
 pub mod direct;
 pub mod pool;
 pub mod replay;
--- a/crates/transport/node/src/backends/pool.rs
+++ b/crates/transport/node/src/backends/pool.rs
@@ -18,6 +18,8 @@
 const MAX_REQUESTS: u32 = 10_000;
 /// Time after which an idle connection is closed.
 const MAX_IDLE: duration::Duration = duration::Duration::from_secs(30);
+/// Maximum idle time of a connection through another instance, which waits for its end when it stops.
+const MAX_IDLE_RELAYED: duration::Duration = duration::Duration::from_secs(2);
 /// Maximum idle time of a connection that is reused for a non-idempotent request.
 const MAX_IDLE_NON_IDEMPOTENT: duration::Duration = duration::Duration::from_secs(2);
 
@@ -35,21 +37,46 @@
     idle_since: time::Timestamp,
 }
 
+impl IdleConnection {
+    const fn max_idle(&self) -> duration::Duration {
+        match self.connection.relay_region() {
+            Some(_) => MAX_IDLE_RELAYED,
+            None => MAX_IDLE,
+        }
+    }
+}
+
 impl ConnectionPool {
+    /// Closes the idle connections through other instances that were not used for a while.
+    pub fn close_relayed(&self, now: time::Timestamp) {
+        let mut idle = self.lock();
+        for connections in idle.values_mut() {
+            connections.retain(|idle| {
+                let is_relayed = idle.connection.relay_region().is_some();
+                !is_relayed || now.since(idle.idle_since) < MAX_IDLE_RELAYED
+            });
+        }
+    }
+
     /// Takes the most recently used connection to a server, if it may carry the request.
     ///
-    /// A non-idempotent request gets only a connection that was used recently.
+    /// A non-idempotent request gets only a connection that was used recently. Connections that are not
+    /// usable, given the time of their last use, are closed.
     pub fn take(
         &self,
         address: net::SocketAddr,
         idempotent: bool,
+        is_usable: impl Fn(&connection::Connection, time::Timestamp) -> bool,
         now: time::Timestamp,
     ) -> Option<connection::Connection> {
         let max_idle = if idempotent { MAX_IDLE } else { MAX_IDLE_NON_IDEMPOTENT };
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
-        connections
-            .retain(|idle| now.since(idle.idle_since) < MAX_IDLE && !idle.connection.is_closed());
+        connections.retain(|idle| {
+            now.since(idle.idle_since) < idle.max_idle()
+                && !idle.connection.is_closed()
+                && is_usable(&idle.connection, idle.idle_since)
+        });
         let newest = connections.pop_if(|newest| now.since(newest.idle_since) < max_idle);
         newest.map(|idle| idle.connection)
     }
--- a/crates/transport/node/src/backends/service.rs
+++ b/crates/transport/node/src/backends/service.rs
@@ -244,6 +244,18 @@
         self.lock().dispatcher.record_end(server, run, now);
     }
 
+    /// Ends all ejections, since the failures were not the servers'.
+    pub fn forgive_failures(self: &sync::Arc<Self>) {
+        self.lock().dispatcher.forgive_failures(self.clock.now());
+        self.dispatch_queued();
+    }
+
+    /// Returns true if a server with this address is in service.
+    #[must_use]
+    pub fn has_server(&self, server: net::SocketAddr) -> bool {
+        self.lock().dispatcher.has_address(server)
+    }
+
     /// Returns up to `count` other servers that are in service.
     #[must_use]
     pub fn others_in_service(&self, server: net::SocketAddr, count: usize) -> Vec<net::SocketAddr> {
--- a/crates/transport/node/src/backends/stream.rs
+++ b/crates/transport/node/src/backends/stream.rs
@@ -19,22 +19,32 @@
 use crate::clock;
 use crate::socket;
 
-/// Bytes that may still be read from a backend server, shared by a connection and its stream.
+/// What a connection and its stream share: the bytes that may still be read from the backend server,
+/// and whether it fell silent.
 ///
 /// Informational responses count as well: they precede a head in any number.
 #[derive(Debug, Clone)]
-pub struct ReadAllowance(sync::Arc<atomic::AtomicU64>);
+pub struct ReadAllowance(sync::Arc<AllowanceState>);
+
+#[derive(Debug)]
+struct AllowanceState {
+    bytes: atomic::AtomicU64,
+    /// Whether the connection failed since its peer did not answer at all.
+    has_timed_out: atomic::AtomicBool,
+}
 
 impl Default for ReadAllowance {
     fn default() -> Self {
-        Self(sync::Arc::new(atomic::AtomicU64::new(u64::MAX)))
+        let bytes = atomic::AtomicU64::new(u64::MAX);
+        let has_timed_out = atomic::AtomicBool::new(false);
+        Self(sync::Arc::new(AllowanceState { bytes, has_timed_out }))
     }
 }
 
 impl ReadAllowance {
     /// Limits what is read from now on.
     pub fn limit(&self, bytes: u64) {
-        self.0.store(bytes, atomic::Ordering::Release);
+        self.0.bytes.store(bytes, atomic::Ordering::Release);
     }
 
     /// Removes the limit.
@@ -49,11 +59,24 @@
             _ => Some(left.saturating_sub(bytes as u64)),
         };
         // Fails if there is no limit.
-        let _ = self.0.fetch_update(atomic::Ordering::AcqRel, atomic::Ordering::Acquire, spend);
+        let orders = (atomic::Ordering::AcqRel, atomic::Ordering::Acquire);
+        let _ = self.0.bytes.fetch_update(orders.0, orders.1, spend);
     }
 
     fn is_spent(&self) -> bool {
-        self.0.load(atomic::Ordering::Acquire) == 0
+        self.0.bytes.load(atomic::Ordering::Acquire) == 0
+    }
+
+    /// Returns true if the connection failed since its peer did not answer at all.
+    #[must_use]
+    pub fn has_timed_out(&self) -> bool {
+        self.0.has_timed_out.load(atomic::Ordering::Acquire)
+    }
+
+    fn record_error(&self, error: &io::Error) {
+        if error.kind() == io::ErrorKind::TimedOut {
+            self.0.has_timed_out.store(true, atomic::Ordering::Release);
+        }
     }
 }
 
@@ -93,6 +116,9 @@
             return task::Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
         let polled = write(pin::Pin::new(&mut self.stream));
+        if let task::Poll::Ready(Err(error)) = &polled {
+            self.allowance.record_error(error);
+        }
         if first && matches!(polled, task::Poll::Ready(Err(_))) {
             self.gate.revoke();
         }
@@ -112,6 +138,9 @@
         let before = buffer.filled().len();
         let polled = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
         self.allowance.spend(buffer.filled().len() - before);
+        if let task::Poll::Ready(Err(error)) = &polled {
+            self.allowance.record_error(error);
+        }
         polled
     }
 }
--- a/crates/transport/node/src/callers/attempt.rs
+++ b/crates/transport/node/src/callers/attempt.rs
@@ -11,6 +11,7 @@
 use marjoramwing_dispatch::exchange;
 use marjoramwing_dispatch::gate;
 use marjoramwing_dispatch::picker;
+use marjoramwing_entity::time as time_entity;
 use marjoramwing_events::catalogue;
 use marjoramwing_events::emit;
 use marjoramwing_exchange::names;
@@ -18,6 +19,7 @@
 
 use crate::backends::buffered;
 use crate::backends::connection;
+use crate::backends::dial;
 use crate::backends::direct;
 use crate::backends::response as backend_response;
 use crate::backends::service;
@@ -45,6 +47,8 @@
     /// A connection was open, but no usable response arrived on it; the state tells
     /// whether the request may have run.
     Failed(exchange::AttemptState),
+    /// The same, since the server or the link to it fell silent.
+    TimedOut(exchange::AttemptState),
     /// No connection could be opened.
     ConnectFailed(direct::DialFault),
     /// The backend server left, or said that it leaves, before the request was sent.
@@ -112,7 +116,14 @@
                     picker::ReportedResult::Failed
                 };
                 guard.record_result(reported, None);
-                return sent.map_or_else(AttemptResult::Failed, |_| AttemptResult::Mismatched);
+                if connection.has_timed_out() && connection.relay_region().is_none() {
+                    self.context.shared.reach.record_silence(self.context.shared.now());
+                }
+                return match sent {
+                    Ok(_) => AttemptResult::Mismatched,
+                    Err(state) if connection.has_timed_out() => AttemptResult::TimedOut(state),
+                    Err(state) => AttemptResult::Failed(state),
+                };
             }
         };
         if names.misdirected != Some(response.status()) {
@@ -189,14 +200,25 @@
     ) -> Result<connection::Connection, direct::DialFault> {
         let shared = self.context.shared;
         let idempotent = self.context.route.is_idempotent(self.context.request.method().as_str());
-        let pooled = guard.service().connections.take(self.address, idempotent, shared.now());
+        let now = shared.now();
+        let regions = self.context.regions.map(|regions| &**regions);
+        let is_usable = |idle: &connection::Connection, last_used: time_entity::Timestamp| {
+            let relay = idle.relay_region();
+            let is_allowed =
+                relay.is_none_or(|relay| regions.is_none_or(|regions| regions.contains(relay)));
+            is_allowed && shared.reach.trusts(self.address, relay.is_some(), last_used, now)
+        };
+        let pooled = guard.service().connections.take(self.address, idempotent, is_usable, now);
         match pooled {
             Some(connection) => Ok(connection),
             None => {
                 let started = shared.now();
-                let stream = direct::dial(&*shared.dialer, self.address).await?;
-                guard.service().record_connect_time(self.address, shared.now().since(started));
-                let opened = connection::Connection::new(stream, shared.clock()).await;
+                let dialed = dial::dial(shared, self.address, regions).await?;
+                if dialed.relay_region.is_none() {
+                    let round_trip = shared.now().since(started);
+                    guard.service().record_connect_time(self.address, round_trip);
+                }
+                let opened = connection::Connection::new(dialed, shared.clock()).await;
                 opened.ok_or(direct::DialFault::Failed)
             }
         }
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -478,6 +478,7 @@
             attempt::AttemptResult::Mismatched => {
                 self.exchange.end_attempt(key, exchange::AttemptState::PossiblySent);
             }
+            attempt::AttemptResult::TimedOut(state) => self.exchange.end_attempt(key, state),
             attempt::AttemptResult::Failed(state) => {
                 self.exchange.end_attempt(key, state);
                 if !state.is_not_run() {
@@ -508,6 +509,11 @@
                     content = %self.content());
                 "broken_off"
             }
+            attempt::AttemptResult::TimedOut(_) => {
+                emit!(catalogue::BACKEND_EXCHANGE_SILENT, server = %address,
+                    request = %self.context.trace.id());
+                "timed_out"
+            }
             attempt::AttemptResult::ConnectFailed(fault) => {
                 emit!(catalogue::BACKEND_CONNECT_FAILED, server = %address, fault = %fault);
                 "connect_failed"
--- a/crates/transport/node/src/control/limits.rs
+++ b/crates/transport/node/src/control/limits.rs
@@ -22,6 +22,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     loop {
         ticks.tick().await;
+        shared.dispatch.close_relayed();
         for (pool, reports) in shared.dispatch.take_limit_reports() {
             for chunk in reports.chunks(MAX_REPORTED) {
                 let raw = limits::ServerLimits::new(&pool, chunk);
--- a/crates/transport/node/src/dispatch.rs
+++ b/crates/transport/node/src/dispatch.rs
@@ -118,6 +118,24 @@
         self.services.load().get(pool).map(sync::Arc::clone)
     }
 
+    /// Returns true if a server of any service has this address.
+    #[must_use]
+    pub fn has_server(&self, server: net::SocketAddr) -> bool {
+        self.services.load().values().any(|service| service.has_server(server))
+    }
+
+    /// Closes the idle connections through other instances that were not used for a while.
+    pub fn close_relayed(&self) {
+        let now = self.clock.now();
+        self.services.load().values().for_each(|service| service.connections.close_relayed(now));
+    }
+
+    /// Ends all ejections of servers, since the failures were not theirs.
+    pub fn forgive_failures(&self) {
+        let services = self.services.load();
+        services.values().for_each(service::ServiceControl::forgive_failures);
+    }
+
     /// Sets the servers that the platform reports as leaving; they get no new requests.
     pub fn set_leaving(&self, leaving: collections::HashSet<net::SocketAddr>) {
         let mut sources = self.lock();
--- a/crates/transport/node/src/inbox.rs
+++ b/crates/transport/node/src/inbox.rs
@@ -41,8 +41,11 @@
 ) {
     while let Some(envelope) = received.recv().await {
         match envelope.body {
-            // Handshake messages; not expected after the handshake.
-            message::Body::Hello(_) | message::Body::Proof(_) => {}
+            // Not expected on a link that carries messages.
+            message::Body::Hello(_)
+            | message::Body::Proof(_)
+            | message::Body::RelayRequest(_)
+            | message::Body::RelayResult(_) => {}
             message::Body::Membership(raw) => {
                 let Some(address) = envelope.address else { continue };
                 let Ok(message) = raw.try_into() else { continue };
--- a/crates/transport/node/src/metrics.rs
+++ b/crates/transport/node/src/metrics.rs
@@ -47,6 +47,8 @@
     pub peer_bytes: prometheus::IntCounterVec,
     /// Envelopes dropped because a queue was full or closed.
     pub peer_lost: prometheus::IntCounter,
+    /// Connections to backend servers that were opened through another instance.
+    pub relayed_connections: prometheus::IntCounter,
     /// Links to other instances currently open.
     pub peer_links: prometheus::IntGauge,
 }
@@ -127,6 +129,10 @@
                 &registry,
                 counter("peer_lost_total", "Envelopes lost since a queue was full."),
             ),
+            relayed_connections: register(
+                &registry,
+                counter("relayed_connections_total", "Connections through another instance."),
+            ),
             peer_links: register(
                 &registry,
                 gauge("peer_links", "Links to other instances open now."),
--- a/crates/transport/node/src/peers/link.rs
+++ b/crates/transport/node/src/peers/link.rs
@@ -48,8 +48,9 @@
     shared: &shared::InstanceState,
     stream: tokio::net::TcpStream,
     role: handshake::LinkRole,
+    purpose: message::LinkPurpose,
 ) -> Result<AuthenticatedLink, LinkError> {
-    let exchange = exchange_proofs(shared, stream, role);
+    let exchange = exchange_proofs(shared, stream, role, purpose);
     let timed = tokio::time::timeout(HANDSHAKE_TIMEOUT, exchange).await;
     timed.unwrap_or(Err(LinkError::Ended))
 }
@@ -58,9 +59,10 @@
     shared: &shared::InstanceState,
     stream: tokio::net::TcpStream,
     role: handshake::LinkRole,
+    purpose: message::LinkPurpose,
 ) -> Result<AuthenticatedLink, LinkError> {
     let mut stream = codec::Framed::new(stream, frame::EnvelopeCodec::for_handshake());
-    let ours = make_hello(shared);
+    let ours = make_hello(shared, purpose);
     stream.send(message::Envelope::new(message::Body::Hello(ours.clone()))).await?;
     let Some(message::Body::Hello(hello)) = receive(&mut stream).await? else {
         return Err(handshake::HandshakeError::UnexpectedMessage.into());
@@ -78,12 +80,14 @@
     Ok(AuthenticatedLink { stream, hello })
 }
 
-async fn receive(stream: &mut EnvelopeStream) -> Result<Option<message::Body>, LinkError> {
+pub(crate) async fn receive(
+    stream: &mut EnvelopeStream,
+) -> Result<Option<message::Body>, LinkError> {
     let envelope = stream.next().await.ok_or(LinkError::Ended)??;
     Ok(envelope.body)
 }
 
-fn make_hello(shared: &shared::InstanceState) -> message::Hello {
+fn make_hello(shared: &shared::InstanceState, purpose: message::LinkPurpose) -> message::Hello {
     let nonce: [u8; handshake::NONCE_BYTES] = rand::random();
     message::Hello {
         version: message::PROTOCOL_VERSION,
@@ -91,5 +95,6 @@
         nonce: bytes::Bytes::copy_from_slice(&nonce),
         name: shared.settings.identity.name.to_string(),
         peer_address: shared.settings.listen.peers.to_string(),
+        purpose: purpose.into(),
     }
 }
--- a/crates/transport/node/src/peers/mesh.rs
+++ b/crates/transport/node/src/peers/mesh.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 
 use crate::peers::link;
+use crate::peers::relay;
 use crate::peers::session;
 use crate::peers::table;
 use crate::shared;
@@ -139,7 +140,8 @@
             return;
         };
         let _ = stream.set_nodelay(true);
-        match link::authenticate(&self.shared, stream, handshake::LinkRole::Opener).await {
+        let (role, purpose) = (handshake::LinkRole::Opener, message::LinkPurpose::Messages);
+        match link::authenticate(&self.shared, stream, role, purpose).await {
             Ok(authenticated) => {
                 emit!(catalogue::PEER_CONNECTED, peer = %address);
                 self.session(handshake::LinkRole::Opener).run(authenticated, queue).await;
@@ -152,13 +154,18 @@
     async fn run_accepted(&self, stream: tokio::net::TcpStream, remote: net::SocketAddr) {
         let _ = stream.set_nodelay(true);
         let role = handshake::LinkRole::Acceptor;
-        let authenticated = match link::authenticate(&self.shared, stream, role).await {
+        let purpose = message::LinkPurpose::Messages;
+        let authenticated = match link::authenticate(&self.shared, stream, role, purpose).await {
             Ok(authenticated) => authenticated,
             Err(error) => {
                 emit!(catalogue::PEER_REFUSED, peer = %remote, error = %error);
                 return;
             }
         };
+        if authenticated.hello.purpose() == message::LinkPurpose::Relay {
+            relay::serve(&self.shared, authenticated).await;
+            return;
+        }
         let (sender, queue) = mpsc::channel(LINK_QUEUE);
         let claimed = authenticated.hello.peer_address.parse().ok();
         let registered = claimed.and_then(|address| self.register(address, remote, &sender));
--- a/crates/transport/node/src/runtime.rs
+++ b/crates/transport/node/src/runtime.rs
@@ -193,6 +193,8 @@
     stop.cancel();
     let finish_ends = began + schedule.linger + schedule.finish;
     let finished = tokio::time::timeout_at(finish_ends, serving).await;
+    // Requests of other instances go through connections that this one relays.
+    let _ = tokio::time::timeout_at(finish_ends, finish_relayed(shared)).await;
     if finished.is_err() {
         emit!(catalogue::STOP_TIMED_OUT, open = shared.metrics.open_requests.get());
         shared.end_finish();
@@ -210,6 +212,13 @@
     }
 }
 
+/// Waits until no connection is relayed any more.
+async fn finish_relayed(shared: &shared::InstanceState) {
+    while shared.relays.relayed() > 0 {
+        tokio::time::sleep(HANDOVER_POLL_INTERVAL).await;
+    }
+}
+
 /// Refuses the requests that are still open and waits until that is written.
 async fn refuse_requests(
     shared: &shared::InstanceState,
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -23,6 +23,7 @@
 use tokio_util::sync as cancellation;
 
 use crate::admission::control;
+use crate::backends::dial;
 use crate::backends::direct;
 use crate::callers::quarantine;
 use crate::callers::trace;
@@ -30,6 +31,7 @@
 use crate::control::dump;
 use crate::dispatch;
 use crate::metrics;
+use crate::peers::relay;
 use crate::steering;
 use crate::stopping;
 
@@ -51,6 +53,10 @@
     pub dispatch: dispatch::DispatchControl,
     /// Opens connections to backend servers.
     pub dialer: sync::Arc<dyn direct::DirectDialer>,
+    /// Links of this instance to backend servers.
+    pub reach: dial::ReachControl,
+    /// Connections that this instance relays for others.
+    pub relays: relay::RelayControl,
     /// Key for the fingerprints of requests.
     pub fingerprints: fingerprint::FingerprintKey,
     /// Requests that end the backend servers that run them.
@@ -100,6 +106,8 @@
             dispatch: dispatch::DispatchControl::new(&settings, incarnation, clock),
             quarantine: quarantine::QuarantineControl::new(settings.identity.name.as_str()),
             dialer,
+            reach: dial::ReachControl::default(),
+            relays: relay::RelayControl::default(),
             fingerprints: fingerprint::FingerprintKey::new(settings.peer_secret.as_bytes()),
             names: header_names(settings.dialect),
             settings,
--- a/crates/transport/node/tests/mesh.rs
+++ b/crates/transport/node/tests/mesh.rs
@@ -250,6 +250,7 @@
         nonce: vec![1; handshake::NONCE_BYTES].into(),
         name: name.to_owned(),
         peer_address: "127.0.0.1:9".to_owned(),
+        purpose: message::LinkPurpose::Messages.into(),
     }
 }
 
--- a/crates/transport/node/tests/outcome/credentials.rs
+++ b/crates/transport/node/tests/outcome/credentials.rs
@@ -6,6 +6,7 @@
 use marjoramwing_entity::time::Timestamp;
 use marjoramwing_node::backends::buffered;
 use marjoramwing_node::backends::connection;
+use marjoramwing_node::backends::dial;
 use marjoramwing_node::backends::replay;
 use marjoramwing_node::backends::response;
 use marjoramwing_node::callers::credential;
@@ -119,7 +120,8 @@
         let guard = instance.service().acquire_slot(slot).await.unwrap();
         let clock = instance.shared.clock();
         let stream = tokio::net::TcpStream::connect(server.address).await.unwrap();
-        let mut connection = connection::Connection::new(stream, clock).await.unwrap();
+        let dialed = dial::DialedStream { stream, relay_region: None };
+        let mut connection = connection::Connection::new(dialed, clock).await.unwrap();
         let request = http::Request::builder().uri("/keyed").header("x-request-id", "first");
         let request = request.body(replay::BodySource::empty().body()).unwrap();
         let response = connection.send(request, Timestamp::NEVER).await.unwrap();
--- a/crates/transport/node/tests/outcome/relaying.rs
+++ b/crates/transport/node/tests/outcome/relaying.rs
@@ -10,6 +10,7 @@
 use futures_util::future;
 use marjoramwing_membership::view;
 use marjoramwing_node::backends::direct;
+use marjoramwing_node::peers::relay;
 use marjoramwing_testing::cases;
 
 use crate::backend;
@@ -71,6 +72,10 @@
         for _ in 0..servers {
             started.push(backend::ScriptedServer::start(&[]).await);
         }
+        Self::start_with(started).await
+    }
+
+    async fn start_with(started: Vec<backend::ScriptedServer>) -> Self {
         let addresses: Vec<_> = started.iter().map(|server| server.address).collect();
         let links = CutDialer::new();
         let dialer = sync::Arc::clone(&links);
@@ -111,6 +116,88 @@
     });
 }
 
+/// Guards against bodies that are sent through a region in which they may not be served.
+#[test]
+fn regions_of_the_request_bind_the_relaying_instance() {
+    support::block_on(async {
+        let fleet = CutFleet::start(2).await;
+        fleet.links.set(Links::Refused);
+        let server = fleet.servers[0].address;
+        for (region, is_allowed) in [("r", true), ("elsewhere", false)] {
+            let regions = [sync::Arc::from(region)];
+            let dialed = relay::dial(&fleet.cut.shared, server, Some(&regions)).await;
+            assert_eq!(dialed.is_ok(), is_allowed, "{region}");
+        }
+    });
+}
+
+/// Guards against an instance that connects others to any address they name.
+#[test]
+fn only_known_servers_are_relayed_to() {
+    support::block_on(async {
+        let fleet = CutFleet::start(1).await;
+        let unknown = backend::ScriptedServer::start(&[]).await;
+        assert!(relay::dial(&fleet.cut.shared, unknown.address, None).await.is_err());
+        assert_eq!(unknown.connections(), 0);
+    });
+}
+
+/// Guards against connections that go through one instance after another.
+#[test]
+fn instance_without_links_relays_for_no_other() {
+    support::block_on(async {
+        let fleet = CutFleet::start(2).await;
+        fleet.links.set(Links::Refused);
+        let server = fleet.servers[0].address;
+        assert!(relay::dial(&fleet.other.shared, server, None).await.is_err());
+    });
+}
+
+/// Guards against a request that goes on at its server after the caller has left, or against one that
+/// ends at the server but not at the caller.
+#[test]
+fn end_of_either_side_ends_a_relayed_connection() {
+    support::block_on(async {
+        let steps = [backend::ServerStep::NeverRespond, backend::ServerStep::CloseAfterRun];
+        let server = backend::ScriptedServer::start(&steps).await;
+        let fleet = CutFleet::start_with(vec![server.clone()]).await;
+        fleet.links.set(Links::Refused);
+        let request =
+            support::make_request("POST", "/open", "left", axum::body::Body::from("a body"));
+        let call = fleet.cut.try_call(request);
+        assert!(tokio::time::timeout(duration::Duration::from_millis(300), call).await.is_err());
+        let waiting = server.clone();
+        support::wait_until(move || waiting.closed() == 1).await;
+        let response = fleet.cut.send("POST", "/open", "closed", "a body").await;
+        assert_eq!((response.status, response.outcome()), (502, "unknown"));
+        assert_eq!(server.runs().len(), 2);
+        let relaying = sync::Arc::clone(&fleet.other.shared);
+        support::wait_until(move || relaying.relays.relayed() == 0).await;
+    });
+}
+
+/// Guards against requests that take the way through another instance after the links are back.
+#[test]
+fn direct_connections_are_used_again_once_they_work() {
+    support::block_on(async {
+        let fleet = CutFleet::start(3).await;
+        fleet.links.set(Links::Refused);
+        for number in 0..10 {
+            let response = fleet.cut.send("GET", "/open", &format!("cut-{number}"), "").await;
+            assert_eq!(response.status, 200);
+        }
+        fleet.links.set(Links::Open);
+        tokio::time::sleep(duration::Duration::from_millis(2_500)).await;
+        let relayed = fleet.cut.shared.metrics.relayed_connections.get();
+        assert!(relayed > 0);
+        for number in 0..10 {
+            let response = fleet.cut.send("GET", "/open", &format!("back-{number}"), "").await;
+            assert_eq!(response.status, 200);
+        }
+        assert!(fleet.cut.shared.metrics.relayed_connections.get() <= relayed + 1);
+    });
+}
+
 cases! { check_served:
     callers_are_served_while_connections_are_refused => (Links::Refused);
     callers_are_served_while_connections_hang => (Links::Hanging);
