Attempts: copies that wait at servers are withdrawn once their request is held

An open attempt is now cancelled when its content is held, which closes its connection, so that the server drops it; the caller gets 502 (unknown) at once. The test failed before (504 at the deadline, the copy ran on).

--- a/crates/coordination/dispatch/src/quarantine.rs
+++ b/crates/coordination/dispatch/src/quarantine.rs
@@ -255,6 +255,18 @@
         is_waited_for || self.count_crashes(content) > 0
     }
 
+    /// Returns the time until which a request is held, if it is.
+    #[must_use]
+    pub fn held_until(
+        &self,
+        content: fingerprint::ContentFingerprint,
+        now: time::Timestamp,
+    ) -> Option<time::Timestamp> {
+        let crashes = self.count_crashes(content);
+        let due = self.due_at(content, crashes, CopyRole::Other);
+        (crashes >= MIN_HELD_CRASHES && now < due).then_some(due)
+    }
+
     /// Ends a trial that has shown nothing, since the copy did not run.
     pub fn end_trial(&mut self, content: fingerprint::ContentFingerprint) {
         if let Some(suspect) = self.suspects.get_mut(&content) {
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -220,6 +220,12 @@
     async fn run(mut self) -> Result<OpenResponse, refusal::Refusal> {
         self.context.services[0].record_request();
         loop {
+            if self.is_held_while_open() {
+                return match self.cancel_open().await {
+                    None => Err(self.refuse()),
+                    Some(open) => self.check_framing(open),
+                };
+            }
             let answered = match self.next_step() {
                 exchange::ExchangeStep::Start if self.open.is_empty() => {
                     if !self.start_next().await {
@@ -341,6 +347,18 @@
         }
     }
 
+    /// Returns true if the request is held now although an attempt is open, which may still wait in
+    /// the queue of its server.
+    fn is_held_while_open(&mut self) -> bool {
+        let quarantine = &self.context.shared.quarantine;
+        if self.open.is_empty() || quarantine.is_empty() {
+            return false;
+        }
+        let held_until = quarantine.held_until(self.content(), self.now());
+        self.copy.held_until = self.copy.held_until.max(held_until);
+        held_until.is_some()
+    }
+
     /// Starts to find out whether the server of an attempt that broke off has ended under it.
     ///
     /// A task of its own does so, since the caller may leave meanwhile.
@@ -436,6 +454,8 @@
             biased;
             end = clock.wait(until, self.open.next()) => end,
             () = self.context.shared.finish_ended() => None,
+            // Servers may have ended under other copies of the request.
+            () = self.context.shared.quarantine.changed() => None,
         };
         self.record_end(end??)
     }
--- a/crates/transport/node/src/callers/quarantine.rs
+++ b/crates/transport/node/src/callers/quarantine.rs
@@ -75,6 +75,16 @@
         !self.is_empty() && self.lock().is_suspect(content, now)
     }
 
+    /// Returns the time until which a request is held, if it is.
+    #[must_use]
+    pub fn held_until(
+        &self,
+        content: fingerprint::ContentFingerprint,
+        now: time::Timestamp,
+    ) -> Option<time::Timestamp> {
+        self.lock().held_until(content, now)
+    }
+
     /// Records that an attempt broke off; other copies wait until it is known why.
     pub fn record_break(&self, content: fingerprint::ContentFingerprint, now: time::Timestamp) {
         self.lock().record_break(content, now);
--- a/crates/transport/node/tests/outcome/quarantine.rs
+++ b/crates/transport/node/tests/outcome/quarantine.rs
@@ -5,10 +5,13 @@
 use std::sync::atomic;
 use std::time as duration;
 
+use marjoramwing_dispatch::fingerprint;
+use marjoramwing_dispatch::quarantine;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio_util::sync as cancellation;
 
+use crate::backend;
 use crate::support;
 
 const DEADLINE_MS: u64 = 2_000;
@@ -113,3 +116,38 @@
         assert_eq!(other.status, 200, "{other:?}");
     });
 }
+
+/// Guards against copies that were sent before the servers ended, which wait in the queue of another
+/// server and end it later.
+#[test]
+fn copies_that_wait_at_servers_are_withdrawn_once_the_request_is_held() {
+    support::block_on(async {
+        let server = backend::ScriptedServer::start(&[backend::ServerStep::NeverRespond]).await;
+        let addresses = [server.address];
+        let instance = support::TestInstance::start_on_platform(&addresses, DEADLINE_MS).await;
+        let request =
+            support::make_request("GET", "/open/deadly", "early", axum::body::Body::empty());
+        let shared = sync::Arc::clone(&instance.shared);
+        let others = async {
+            support::wait_until(|| server.runs().len() == 1).await;
+            let content = fingerprint::RequestContent {
+                method: "GET",
+                host: "test",
+                target: "/open/deadly",
+                team: "",
+                body: fingerprint::ContentBody::Whole(b""),
+            };
+            let content = shared.fingerprints.fingerprint(&content);
+            for ended in ["a", "b"] {
+                let crash = quarantine::CrashId::new(ended, 1);
+                shared.quarantine.record_crash(content, crash, server.address, shared.now());
+            }
+            support::wait_until(|| server.closed() == 1).await;
+        };
+        let (response, ()) = futures_util::future::join(instance.call(request), others).await;
+        assert_eq!((response.status, response.outcome()), (502, "unknown"));
+        let response = instance.send("GET", "/open/deadly", "late", "").await;
+        assert_eq!((response.status, response.outcome()), (503, "not-run"));
+        assert_eq!(server.runs().len(), 1);
+    });
+}
