--- a/crates/marjoramwing/tests/process_platform.rs
+++ b/crates/marjoramwing/tests/process_platform.rs
@@ -144,3 +144,41 @@
     wait_logged(&fleet, "\"event\":2004").await;
     assert_eq!(finish(&fleet, callers).await, 0);
 }
+
+/// Guards against instances that stop following the list of servers, or end, since another writer left
+/// entries that cannot be read: changes of the list, and starts of an instance, go on beside them.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_entries_keep_no_instance_from_following_the_list() {
+    let (mut fleet, callers) = start().await;
+    let nested = (0..1_000).fold(serde_json::Value::Null, |value, _| serde_json::json!([value]));
+    let entry = |address: &str, further: serde_json::Value| {
+        let service = operator::SERVICES[0];
+        serde_json::json!({"address": address, "further": further,
+            "info": {"service": service, "version": "v", "zone": "z", "slots": 3},
+            "status": {"state": "ready", "sequence": 1, "coldRemainingS": 0.0}})
+    };
+    let odd = [
+        ("nested", entry("127.0.0.1:9", nested)),
+        ("port", entry("127.0.0.1:70000", serde_json::Value::Null)),
+        ("text", serde_json::Value::from("text")),
+    ];
+    for (name, spec) in odd {
+        fleet.store.put("servers", name, spec, serde_json::Value::Null);
+    }
+    for server in fleet.servers.iter_mut().step_by(operator::SERVICES.len()) {
+        server.drain();
+    }
+    fleet.add_server(0).await;
+    let added = fleet.servers.last().unwrap().id().to_owned();
+    for index in 0..INSTANCES {
+        fleet.instances[index].process.kill();
+        fleet.start_instance(index);
+        fleet.wait_ready().await;
+    }
+    let since = duration::Instant::now();
+    standins_fleet::wait_until("the new server runs requests", async || {
+        fleet.record.last_run(&added).is_some_and(|last| last > since)
+    })
+    .await;
+    finish(&fleet, callers).await;
+}
--- a/crates/state/tables/src/registration.rs
+++ b/crates/state/tables/src/registration.rs
@@ -72,7 +72,9 @@
     ///
     /// Returns the first fault; the server of a faulty registration must not be used.
     pub fn check(id: &Arc<str>, raw: &RegistrationDocument) -> Result<Self, fault::FaultKind> {
-        let address = raw.address.parse().map_err(|_| fault::FaultKind::Malformed {
+        let address: Option<net::SocketAddr> = raw.address.parse().ok();
+        let address = address.filter(|address| address.port() != 0);
+        let address = address.ok_or_else(|| fault::FaultKind::Malformed {
             text: Arc::clone(&raw.address),
             expected: "an IP address and port such as 10.0.0.1:8080",
         })?;
