Quarantine: nothing new of a team with several held requests runs for a time after each crash

A caller that sends thirty different deadly requests would end servers for each one anew. From the third held request of a team on, contents that are not known yet are refused (not run) for 1 s after its last crash, twice as long with each further one, 32 s at most; other teams and open routes are not affected.

--- a/crates/coordination/dispatch/src/quarantine.rs
+++ b/crates/coordination/dispatch/src/quarantine.rs
@@ -4,6 +4,8 @@
 //! that merely ran beside it. Copies of a suspect are then tried one at a time, and after
 //! [`MIN_HELD_CRASHES`] crashes they are refused. A request is cleared by an answer to any of its
 //! copies, and a crash no longer counts against it once another request with more crashes explains it.
+//! A team with several held requests waits after each further crash before anything runs that is new
+//! from it, so that a team that sends ever new ones ends few servers.
 //!
 //! Invariants: what is known only grows, so that reports may arrive in any order and more than once;
 //! the number of suspects is bounded.
@@ -21,6 +23,14 @@
 const MIN_HELD_CRASHES: usize = 2;
 /// Crashes of one request that are kept.
 const MAX_CRASHES: usize = 8;
+/// Held requests of one team from which on its other requests are paused after each crash.
+const MIN_TEAM_HELD: u32 = 3;
+/// Time within which the last crash of such a request must lie.
+const TEAM_PERIOD: duration::Duration = duration::Duration::from_secs(60);
+/// Pause of a team with the least number of held requests; doubles with each further one.
+const TEAM_PAUSE: duration::Duration = duration::Duration::from_secs(1);
+/// Maximum number of times that the pause doubles.
+const MAX_TEAM_DOUBLINGS: u32 = 5;
 /// Maximum number of suspects.
 const MAX_SUSPECTS: usize = 1_024;
 /// Time after a crash in which no copy is tried, so that reports of other instances arrive first.
@@ -48,6 +58,33 @@
 #[derives::value]
 pub struct CrashId(u64);
 
+/// Identifies the team that sent a request.
+///
+/// Requests on open routes have none, and no team pays for them.
+#[derives::value]
+#[derive(Default)]
+pub struct SenderId(u64);
+
+impl SenderId {
+    /// Returns the identifier of a team; that of an empty name stands for no team.
+    #[must_use]
+    pub fn of(team: &str) -> Self {
+        if team.is_empty() { Self(0) } else { Self(rendezvous::seed_of(team)) }
+    }
+
+    /// Returns an identifier from its number.
+    #[must_use]
+    pub const fn from_u64(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number.
+    #[must_use]
+    pub const fn as_u64(self) -> u64 {
+        self.0
+    }
+}
+
 /// What a copy of a request may do now.
 #[derives::value]
 pub enum QuarantineVerdict {
@@ -98,6 +135,8 @@
 pub struct SuspectReport {
     /// The request.
     pub content: fingerprint::ContentFingerprint,
+    /// Team that sent it.
+    pub sender: SenderId,
     /// Its crashes.
     pub crashes: Vec<SuspectCrash>,
     /// Time since the last crash.
@@ -121,6 +160,7 @@
 
 #[derive(Debug, Clone)]
 struct Suspect {
+    sender: SenderId,
     crashes: Vec<SuspectCrash>,
     last_crash: time::Timestamp,
     /// Until when other copies wait for the end of a trial, or for why an attempt broke off.
@@ -135,6 +175,15 @@
     /// Seed by which the instances differ in when they try a held request.
     seed: u64,
     suspects: collections::HashMap<fingerprint::ContentFingerprint, Suspect>,
+    /// The teams with held requests.
+    senders: collections::HashMap<SenderId, SenderRecord>,
+}
+
+/// The held requests of one team.
+#[derive(Debug, Clone, Copy)]
+struct SenderRecord {
+    held: u32,
+    last_crash: time::Timestamp,
 }
 
 impl CrashId {
@@ -191,6 +240,7 @@
     ) -> SuspectReport {
         SuspectReport {
             content,
+            sender: self.sender,
             crashes: self.crashes.clone(),
             crash_age: now.since(self.last_crash),
             trial_left: self.trial_until.since(now),
@@ -203,7 +253,7 @@
     #[must_use]
     pub fn new(instance: &str) -> Self {
         let seed = rendezvous::seed_of(instance);
-        Self { seed, suspects: collections::HashMap::new() }
+        Self { seed, suspects: collections::HashMap::new(), senders: collections::HashMap::new() }
     }
 
     /// Returns true if there are no suspects.
@@ -216,12 +266,19 @@
     pub fn begin_attempt(
         &mut self,
         content: fingerprint::ContentFingerprint,
+        sender: SenderId,
         role: CopyRole,
         now: time::Timestamp,
     ) -> QuarantineVerdict {
         let crashes = self.count_crashes(content);
         let due = self.due_at(content, crashes, role);
-        let Some(suspect) = self.suspects.get_mut(&content) else { return QuarantineVerdict::Run };
+        let Some(suspect) = self.suspects.get_mut(&content) else {
+            let paused_until = self.paused_until(sender);
+            return match now < paused_until {
+                true => QuarantineVerdict::Held(paused_until),
+                false => QuarantineVerdict::Run,
+            };
+        };
         match crashes {
             0 if now < suspect.trial_until => QuarantineVerdict::Wait(suspect.trial_until),
             0 => QuarantineVerdict::Run,
@@ -278,11 +335,13 @@
     pub fn record_crash(
         &mut self,
         content: fingerprint::ContentFingerprint,
+        sender: SenderId,
         crash: CrashId,
         now: time::Timestamp,
     ) -> Option<QuarantineChange> {
         let before = self.count_crashes(content);
         let suspect = self.entry(content, now);
+        suspect.sender = sender;
         if !suspect.merge_crash(SuspectCrash { id: crash, excused: false }) {
             return None;
         }
@@ -311,6 +370,7 @@
         let before = self.count_crashes(report.content);
         let age = now.since(time::Timestamp::ZERO).min(report.crash_age);
         let suspect = self.entry(report.content, now - age);
+        suspect.sender = suspect.sender.max(report.sender);
         let mut is_new = false;
         for crash in &report.crashes {
             is_new |= suspect.merge_crash(*crash);
@@ -438,11 +498,14 @@
     }
 
     fn change_since(
-        &self,
+        &mut self,
         content: fingerprint::ContentFingerprint,
         before: usize,
     ) -> Option<QuarantineChange> {
         let crashes = self.count_crashes(content);
+        if before.max(crashes) >= MIN_HELD_CRASHES && before != crashes {
+            self.refresh_senders();
+        }
         match (before, crashes) {
             (0, 1) => Some(QuarantineChange::Suspected),
             (before, crashes) if crashes >= MIN_HELD_CRASHES && crashes > before => {
@@ -453,6 +516,35 @@
         }
     }
 
+    /// Returns the time until which nothing new of a team runs.
+    fn paused_until(&self, sender: SenderId) -> time::Timestamp {
+        let Some(record) = self.senders.get(&sender) else { return time::Timestamp::ZERO };
+        let Some(further) = record.held.checked_sub(MIN_TEAM_HELD) else {
+            return time::Timestamp::ZERO;
+        };
+        record.last_crash + TEAM_PAUSE * (1 << further.min(MAX_TEAM_DOUBLINGS))
+    }
+
+    /// Counts the held requests of each team whose last crashes are near to the team's last one.
+    fn refresh_senders(&mut self) {
+        let held = self.suspects.iter().filter(|(content, suspect)| {
+            suspect.sender != SenderId::default()
+                && self.count_crashes(**content) >= MIN_HELD_CRASHES
+        });
+        let mut crashes: collections::HashMap<SenderId, Vec<time::Timestamp>> =
+            collections::HashMap::new();
+        for (_, suspect) in held {
+            crashes.entry(suspect.sender).or_default().push(suspect.last_crash);
+        }
+        let record = |(sender, crashes): (SenderId, Vec<time::Timestamp>)| {
+            let last_crash = crashes.iter().copied().max()?;
+            let recent = crashes.iter().filter(|at| last_crash.since(**at) < TEAM_PERIOD);
+            let held = u32::try_from(recent.count()).unwrap_or(u32::MAX);
+            Some((sender, SenderRecord { held, last_crash }))
+        };
+        self.senders = crashes.into_iter().filter_map(record).collect();
+    }
+
     /// Returns the entry of a request, in place of the least grave one if there are too many.
     fn entry(
         &mut self,
@@ -467,6 +559,7 @@
             }
         }
         self.suspects.entry(content).or_insert(Suspect {
+            sender: SenderId::default(),
             crashes: Vec::new(),
             last_crash,
             trial_until: time::Timestamp::ZERO,
--- a/crates/coordination/dispatch/tests/quarantine/fleet.rs
+++ b/crates/coordination/dispatch/tests/quarantine/fleet.rs
@@ -61,6 +61,10 @@
     rng: rand_pcg::Pcg64Mcg,
 }
 
+fn sender() -> quarantine::SenderId {
+    quarantine::SenderId::of("team")
+}
+
 fn content(number: u64) -> fingerprint::ContentFingerprint {
     fingerprint::ContentFingerprint::from_halves(number, number)
 }
@@ -139,7 +143,12 @@
                 self.send_reports(copy.instance, now_ms);
             }
             Event::Witness(copy, crash) => {
-                self.instances[copy.instance].record_crash(content(copy.content), crash, now);
+                self.instances[copy.instance].record_crash(
+                    content(copy.content),
+                    sender(),
+                    crash,
+                    now,
+                );
                 self.send_reports(copy.instance, now_ms);
                 self.arrive(Copy { role: CopyRole::Witness, ..copy }, now_ms);
             }
@@ -151,7 +160,7 @@
         let is_other = copy.content != DEADLY;
         self.asked += usize::from(is_other && copy.role == CopyRole::Other);
         let known = &mut self.instances[copy.instance];
-        match known.begin_attempt(content(copy.content), copy.role, now) {
+        match known.begin_attempt(content(copy.content), sender(), copy.role, now) {
             QuarantineVerdict::Run | QuarantineVerdict::Trial => self.start(copy, now_ms),
             QuarantineVerdict::Wait(until) => {
                 // A request waits for what another one shows; here it asks often.
--- a/crates/protocol/object-api/src/quarantine.rs
+++ b/crates/protocol/object-api/src/quarantine.rs
@@ -15,6 +15,8 @@
 pub struct QuarantinedRequest {
     /// Fingerprint of the request's content, in hexadecimal digits.
     pub content: String,
+    /// Hash of the name of the team that sent it, in hexadecimal digits.
+    pub sender: String,
     /// Servers that ended under it.
     pub crashes: Vec<QuarantinedCrash>,
     /// Time of the last one, in Unix milliseconds.
--- a/crates/protocol/peer/src/quarantine.rs
+++ b/crates/protocol/peer/src/quarantine.rs
@@ -42,6 +42,9 @@
     /// Time for which one copy is still being tried, in milliseconds.
     #[prost(uint64, tag = "6")]
     pub trial_left_ms: u64,
+    /// Hash of the name of the team that sent the request; 0 if it needed no key.
+    #[prost(fixed64, tag = "7")]
+    pub sender: u64,
 }
 
 /// Why a report was rejected.
@@ -64,6 +67,7 @@
             excused: crashes(true),
             crash_age_ms: report::to_millis(source.crash_age),
             trial_left_ms: report::to_millis(source.trial_left),
+            sender: source.sender.as_u64(),
         }
     }
 }
@@ -87,6 +91,7 @@
                 raw.content_high,
                 raw.content_low,
             ),
+            sender: quarantine::SenderId::from_u64(raw.sender),
             crashes: crashes.collect(),
             crash_age: time::Duration::from_millis(raw.crash_age_ms),
             trial_left: time::Duration::from_millis(raw.trial_left_ms),
--- a/crates/transport/node/src/callers/attempts.rs
+++ b/crates/transport/node/src/callers/attempts.rs
@@ -320,12 +320,13 @@
             true => quarantine::CopyRole::Witness,
             false => quarantine::CopyRole::Other,
         };
+        let sender = quarantine::SenderId::of(self.context.team);
         let time_left = self.context.deadline.since(self.now());
         let give_up = self.now() + (time_left / CALLER_WAIT_DIVISOR).min(MAX_TRIAL_WAIT);
         let clock = self.context.shared.clock();
         loop {
             let changed = quarantine.changed();
-            match quarantine.begin_attempt(self.content(), role, self.now()) {
+            match quarantine.begin_attempt(self.content(), sender, role, self.now()) {
                 quarantine::QuarantineVerdict::Run => return true,
                 quarantine::QuarantineVerdict::Trial => {
                     self.copy.is_trial = true;
@@ -365,6 +366,7 @@
     fn investigate(&mut self, key: exchange::AttemptKey) {
         let server = self.servers[key].clone();
         let content = self.content();
+        let sender = quarantine::SenderId::of(self.context.team);
         let shared = sync::Arc::clone(self.context.shared);
         self.copy.is_trial = false;
         shared.quarantine.record_break(content, shared.now());
@@ -374,7 +376,7 @@
             match crash {
                 Some(crash) => {
                     let now = shared.now();
-                    shared.quarantine.record_crash(content, crash, server.address, now);
+                    shared.quarantine.record_crash(content, sender, crash, server.address, now);
                 }
                 None => shared.quarantine.end_trial(content),
             }
--- a/crates/transport/node/src/callers/quarantine.rs
+++ b/crates/transport/node/src/callers/quarantine.rs
@@ -54,10 +54,11 @@
     pub fn begin_attempt(
         &self,
         content: fingerprint::ContentFingerprint,
+        sender: quarantine::SenderId,
         role: quarantine::CopyRole,
         now: time::Timestamp,
     ) -> quarantine::QuarantineVerdict {
-        let verdict = self.lock().begin_attempt(content, role, now);
+        let verdict = self.lock().begin_attempt(content, sender, role, now);
         if verdict == quarantine::QuarantineVerdict::Trial {
             emit!(catalogue::REQUEST_TRIED, content = %content);
             self.unreported.notify_one();
@@ -102,12 +103,13 @@
     pub fn record_crash(
         &self,
         content: fingerprint::ContentFingerprint,
+        sender: quarantine::SenderId,
         crash: quarantine::CrashId,
         server: net::SocketAddr,
         now: time::Timestamp,
     ) {
         let mut state = self.lock();
-        let change = state.record_crash(content, crash, now);
+        let change = state.record_crash(content, sender, crash, now);
         self.is_empty.store(false, atomic::Ordering::Release);
         drop(state);
         if change == Some(quarantine::QuarantineChange::Suspected) {
--- a/crates/transport/node/src/control/quarantine.rs
+++ b/crates/transport/node/src/control/quarantine.rs
@@ -153,6 +153,7 @@
     let age_ms = u64::try_from(report.crash_age.as_millis()).unwrap_or(u64::MAX);
     document::QuarantinedRequest {
         content: report.content.to_string(),
+        sender: format!("{:016x}", report.sender.as_u64()),
         crashes: crashes.collect(),
         crashed_at_ms: unix_now_ms().saturating_sub(age_ms),
     }
@@ -167,8 +168,10 @@
     });
     let crash_age = time::Duration::from_millis(unix_now_ms().saturating_sub(kept.crashed_at_ms));
     let trial_left = time::Duration::ZERO;
+    let sender = u64::from_str_radix(&kept.sender, 16).ok()?;
     Some(quarantine::SuspectReport {
         content,
+        sender: quarantine::SenderId::from_u64(sender),
         crashes: crashes.collect::<Option<_>>()?,
         crash_age,
         trial_left,
--- a/crates/transport/node/tests/outcome/quarantine.rs
+++ b/crates/transport/node/tests/outcome/quarantine.rs
@@ -140,7 +140,9 @@
             let content = shared.fingerprints.fingerprint(&content);
             for ended in ["a", "b"] {
                 let crash = quarantine::CrashId::new(ended, 1);
-                shared.quarantine.record_crash(content, crash, server.address, shared.now());
+                let sender = quarantine::SenderId::of("");
+                let address = server.address;
+                shared.quarantine.record_crash(content, sender, crash, address, shared.now());
             }
             support::wait_until(|| server.closed() == 1).await;
         };
--- a/crates/transport/node/tests/ports/admin.rs
+++ b/crates/transport/node/tests/ports/admin.rs
@@ -172,13 +172,14 @@
     let shared = make_shared();
     let key = format!("Bearer {}", harness::SECRET);
     let content = fingerprint::ContentFingerprint::from_halves(1, 2);
+    let sender = quarantine::SenderId::of("lab");
     let path = format!("/quarantine/release?content={content}");
     let response = send(&shared, http::Method::POST, &path, &key).await;
     assert_eq!(response.status, 404, "{}", response.text);
     for server in ["a", "b", "c"] {
         let crash = quarantine::CrashId::new(server, 1);
         let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-        shared.quarantine.record_crash(content, crash, address, shared.now());
+        shared.quarantine.record_crash(content, sender, crash, address, shared.now());
     }
     let dump = get(&shared, "/dump?section=quarantine").await;
     assert!(dump.text.contains(&content.to_string()), "{}", dump.text);
@@ -186,8 +187,8 @@
     assert_eq!(response.status, 401, "{}", response.text);
     let response = send(&shared, http::Method::POST, &path, &key).await;
     assert_eq!(response.status, 200, "{}", response.text);
-    let verdict =
-        shared.quarantine.begin_attempt(content, quarantine::CopyRole::Other, shared.now());
+    let role = quarantine::CopyRole::Other;
+    let verdict = shared.quarantine.begin_attempt(content, sender, role, shared.now());
     assert_eq!(verdict, quarantine::QuarantineVerdict::Run);
     let response = send(&shared, http::Method::POST, "/quarantine/release?content=x", &key).await;
     assert_eq!(response.status, 400, "{}", response.text);
