--- a/crates/coordination/dispatch/tests/statements/main.rs
+++ b/crates/coordination/dispatch/tests/statements/main.rs
@@ -5,4 +5,5 @@
 mod leaving;
 mod pause;
 mod queue;
+mod sessions;
 mod support;
--- a/crates/transport/node/tests/outcome/claims.rs
+++ b/crates/transport/node/tests/outcome/claims.rs
@@ -11,7 +11,7 @@
 
 const DEADLINE_MS: u64 = 5_000;
 
-async fn start_store() -> (platform::PlatformServer, net::SocketAddr) {
+pub(crate) async fn start_store() -> (platform::PlatformServer, net::SocketAddr) {
     let store = platform::PlatformServer::default();
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -20,7 +20,7 @@
     (store, address)
 }
 
-async fn send(
+pub(crate) async fn send(
     instance: &support::TestInstance,
     keys: &[&'static str],
 ) -> support::ReceivedResponse {
--- a/crates/transport/node/tests/outcome/statements.rs
+++ b/crates/transport/node/tests/outcome/statements.rs
@@ -4,6 +4,7 @@
 
 use crate::backend;
 use crate::backend::ServerStep;
+use crate::claims;
 use crate::support;
 use marjoramwing_testing::cases;
 
@@ -125,3 +126,36 @@
         assert_eq!(server.runs().len(), 1);
     });
 }
+
+/// Guards against a key that stays claimed by a request which a server turned away unrun, so that its
+/// repeat is refused, and against a repeat that reaches the server before the time it asked for.
+#[test]
+fn repeat_of_a_key_runs_once_after_the_time_that_the_server_asked_for() {
+    support::block_on(async {
+        let step = ServerStep::Send(
+            "HTTP/1.1 503 No\r\nmarjoramwing-shed: 1\r\nretry-after: 0.7\r\ncontent-length: 0\r\n\r\n",
+        );
+        let server = backend::ScriptedServer::start(&[step]).await;
+        let (_store, address) = claims::start_store().await;
+        let servers = [server.address];
+        let instance = support::TestInstance::start_with_store(address, &servers, DEADLINE_MS);
+        let instance = instance.await;
+        let turned_away = time::Instant::now();
+        let mut served = Vec::new();
+        while served.is_empty() && turned_away.elapsed() < time::Duration::from_secs(10) {
+            let response = claims::send(&instance, &["a"]).await;
+            match response.status {
+                200 => served.push(turned_away.elapsed()),
+                _ => assert_eq!((response.status, response.outcome()), (503, "not-run")),
+            }
+        }
+        assert!(
+            served.iter().all(|after| *after >= time::Duration::from_millis(600)),
+            "{served:?}"
+        );
+        assert_eq!(server.runs().len(), 2, "turned away once, then run once");
+        let repeat = claims::send(&instance, &["a"]).await;
+        assert_eq!((repeat.status, repeat.outcome()), (409, "unknown"));
+        assert_eq!(server.runs().len(), 2);
+    });
+}
