Sockets: an unacknowledged request ends a connection only while it is short

The limit for unacknowledged bytes (TCP_USER_TIMEOUT) also counts the time for which the peer's buffer is full: with the limit of 1 s for all bytes, a server that does not read a long body for 2.5 s, or a caller that does not read a long response, was cut off, directly and through another instance (both new tests failed so). The limit now holds for at most 4 KiB that await an answer; idle connections are probed, and what a relaying instance sends to its opener has 30 s.

--- a/crates/transport/node/src/backends/dial.rs
+++ b/crates/transport/node/src/backends/dial.rs
@@ -126,7 +126,7 @@
     server: net::SocketAddr,
 ) -> Result<DialedStream, direct::DialFault> {
     let stream = direct::dial(&*shared.dialer, server).await?;
-    socket::detect_silence(&stream);
+    socket::probe_idle(&stream);
     let change = shared.reach.lock().record_direct(server, shared.now());
     if change == Some(reach::ReachChange::Regained) {
         emit!(catalogue::SERVER_LINKS_REGAINED, server = %server);
--- a/crates/transport/node/src/backends/stream.rs
+++ b/crates/transport/node/src/backends/stream.rs
@@ -88,22 +88,25 @@
     allowance: ReadAllowance,
     clock: clock::MonotonicClock,
     is_reused: bool,
+    acks: socket::AckMonitor,
 }
 
 impl GatedStream {
     /// Wraps a newly connected stream.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         stream: tokio::net::TcpStream,
         gate: sync::Arc<gate::SendGate>,
         allowance: ReadAllowance,
         clock: clock::MonotonicClock,
     ) -> Self {
-        Self { stream, gate, allowance, clock, is_reused: false }
+        let acks = socket::AckMonitor::default();
+        Self { stream, gate, allowance, clock, is_reused: false, acks }
     }
 
     fn write_gated(
         &mut self,
+        bytes: usize,
         write: impl FnOnce(pin::Pin<&mut tokio::net::TcpStream>) -> task::Poll<io::Result<usize>>,
     ) -> task::Poll<io::Result<usize>> {
         let verdict = self.gate.permit_write(self.clock.now());
@@ -115,6 +118,7 @@
             self.gate.revoke();
             return task::Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
+        self.acks.record_sent(&self.stream, bytes);
         let polled = write(pin::Pin::new(&mut self.stream));
         if let task::Poll::Ready(Err(error)) = &polled {
             self.allowance.record_error(error);
@@ -137,7 +141,11 @@
         }
         let before = buffer.filled().len();
         let polled = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.allowance.spend(buffer.filled().len() - before);
+        let received = buffer.filled().len() - before;
+        self.allowance.spend(received);
+        if received > 0 {
+            self.acks.record_received();
+        }
         if let task::Poll::Ready(Err(error)) = &polled {
             self.allowance.record_error(error);
         }
@@ -151,7 +159,7 @@
         context: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        self.write_gated(|stream| stream.poll_write(context, bytes))
+        self.write_gated(bytes.len(), |stream| stream.poll_write(context, bytes))
     }
 
     fn poll_write_vectored(
@@ -159,7 +167,8 @@
         context: &mut task::Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
-        self.write_gated(|stream| stream.poll_write_vectored(context, slices))
+        let bytes = slices.iter().map(|slice| slice.len()).sum();
+        self.write_gated(bytes, |stream| stream.poll_write_vectored(context, slices))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/transport/node/src/peers/relay.rs
+++ b/crates/transport/node/src/peers/relay.rs
@@ -6,6 +6,7 @@
 //! by a direct connection; a connection that the server resets is reset towards the opener too, so that
 //! a response without a length does not look complete.
 
+use std::io;
 use std::net;
 use std::sync;
 use std::time as duration;
@@ -18,6 +19,8 @@
 use marjoramwing_peer::message;
 use marjoramwing_peer::relay as messages;
 use rand::seq::SliceRandom;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 
 use crate::backends::direct;
 use crate::peers::link;
@@ -34,6 +37,12 @@
 const MAX_RELAYS: usize = 4;
 /// Time for which an instance that did not reach a server is asked last.
 const AVOID_TIME: duration::Duration = duration::Duration::from_secs(2);
+/// Time after which a relayed connection ends whose opener does not acknowledge what the server sent.
+///
+/// A slow caller may keep the opener from reading for some time.
+const OPENER_ACK_TIMEOUT: duration::Duration = duration::Duration::from_secs(30);
+/// Size of the buffer for each direction of a relayed connection, in bytes.
+const BUFFER_BYTES: usize = 16 * 1024;
 /// Connections that an instance relays at once.
 const MAX_RELAYED: usize = 512;
 
@@ -167,7 +176,7 @@
 ) -> Result<tokio::net::TcpStream, direct::DialFault> {
     let failed = direct::DialFault::Failed;
     let stream = tokio::net::TcpStream::connect(peer).await.map_err(|_| failed)?;
-    socket::detect_silence(&stream);
+    socket::probe_idle(&stream);
     let _ = stream.set_nodelay(true);
     let (role, purpose) = (handshake::LinkRole::Opener, message::LinkPurpose::Relay);
     let link = link::authenticate(shared, stream, role, purpose).await.map_err(|_| failed)?;
@@ -223,7 +232,7 @@
     let dialing = direct::dial(&*shared.dialer, server);
     match tokio::time::timeout(DIAL_TIMEOUT, dialing).await {
         Ok(Ok(stream)) => {
-            socket::detect_silence(&stream);
+            socket::probe_idle(&stream);
             let _ = stream.set_nodelay(true);
             Ok(stream)
         }
@@ -239,16 +248,39 @@
     received: &[u8],
     mut server: tokio::net::TcpStream,
 ) {
-    use tokio::io::AsyncWriteExt;
-
+    socket::probe_idle(&opener);
+    socket::set_ack_timeout(&opener, Some(OPENER_ACK_TIMEOUT));
     if server.write_all(received).await.is_err() {
         return;
     }
-    let (mut opener_read, mut opener_write) = opener.split();
-    let (mut server_read, mut server_write) = server.split();
-    let is_reset = tokio::select! {
-        _ = tokio::io::copy(&mut opener_read, &mut server_write) => false,
-        copied = tokio::io::copy(&mut server_read, &mut opener_write) => copied.is_err(),
+    let is_reset = {
+        let monitor = socket::AckMonitor::default();
+        let (mut opener_read, mut opener_write) = opener.split();
+        let (mut server_read, mut server_write) = server.split();
+        let requests = async {
+            let mut buffer = vec![0; BUFFER_BYTES];
+            while let Ok(length @ 1..) = opener_read.read(&mut buffer).await {
+                monitor.record_sent(server_write.as_ref(), length);
+                if server_write.write_all(&buffer[..length]).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let responses = async {
+            let mut buffer = vec![0; BUFFER_BYTES];
+            loop {
+                let length = server_read.read(&mut buffer).await?;
+                if length == 0 {
+                    return Ok(());
+                }
+                monitor.record_received();
+                opener_write.write_all(&buffer[..length]).await?;
+            }
+        };
+        tokio::select! {
+            () = requests => false,
+            ended = responses => { let ended: io::Result<()> = ended; ended.is_err() }
+        }
     };
     if is_reset {
         socket::reset_on_close(&opener);
