--- a/crates/marjoramwing/tests/process_platform.rs
+++ b/crates/marjoramwing/tests/process_platform.rs
@@ -8,6 +8,7 @@
 use marjoramwing_platform_standin::operator;
 use marjoramwing_platform_standin::proxy;
 use marjoramwing_platform_standin::record;
+use marjoramwing_platform_standin::server;
 use marjoramwing_platform_standin::store;
 use marjoramwing_standins::fleet as standins_fleet;
 
@@ -150,20 +151,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_entries_keep_no_instance_from_following_the_list() {
     let (mut fleet, callers) = start().await;
-    let nested = (0..1_000).fold(serde_json::Value::Null, |value, _| serde_json::json!([value]));
-    let entry = |address: &str, further: serde_json::Value| {
-        let service = operator::SERVICES[0];
-        serde_json::json!({"address": address, "further": further,
-            "info": {"service": service, "version": "v", "zone": "z", "slots": 3},
-            "status": {"state": "ready", "sequence": 1, "coldRemainingS": 0.0}})
-    };
-    let odd = [
-        ("nested", entry("127.0.0.1:9", nested)),
-        ("port", entry("127.0.0.1:70000", serde_json::Value::Null)),
-        ("text", serde_json::Value::from("text")),
-    ];
-    for (name, spec) in odd {
-        fleet.store.put("servers", name, spec, serde_json::Value::Null);
+    for (name, entry) in server::odd_entries(operator::SERVICES[0]) {
+        fleet.store.put(server::KIND, name, entry, serde_json::Value::Null);
     }
     for server in fleet.servers.iter_mut().step_by(operator::SERVICES.len()) {
         server.drain();
