--- a/crates/transport/node/tests/outcome/relaying.rs
+++ b/crates/transport/node/tests/outcome/relaying.rs
@@ -264,6 +264,41 @@
     });
 }
 
+/// Responds without a length, then resets the connection within the body.
+async fn serve_reset(listener: tokio::net::TcpListener) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.unwrap());
+    }
+    let head = String::from_utf8(head).unwrap();
+    let id = head.lines().find_map(|line| line.strip_prefix("request-id: ")).unwrap();
+    let marker = marjoramwing_platform::headers::NAMES.response_marker.as_ref().unwrap();
+    let response = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n{marker}: s\r\n\r\nhalf");
+    stream.write_all(response.as_bytes()).await.unwrap();
+    tokio::time::sleep(duration::Duration::from_millis(100)).await;
+    marjoramwing_node::socket::reset_on_close(&stream);
+}
+
+/// Guards against a response without a length that was reset on the way and looks complete.
+fn check_reset(links: Links) {
+    support::block_on(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addresses = [listener.local_addr().unwrap()];
+        let server = tokio::spawn(serve_reset(listener));
+        let fleet = CutFleet::start_at(&addresses, DEADLINE_MS).await;
+        fleet.links.set(links);
+        let response = fleet.cut.send("POST", "/open", "one", "a body").await;
+        assert_eq!((response.status, response.outcome()), (502, "unknown"), "{response:?}");
+        server.await.unwrap();
+    });
+}
+
+cases! { check_reset:
+    reset_response_does_not_look_complete => (Links::Open);
+    reset_response_does_not_look_complete_behind_another_instance => (Links::Refused);
+}
+
 cases! { check_stall:
     stalls_do_not_end_a_direct_connection => (Links::Open);
     stalls_do_not_end_a_relayed_connection => (Links::Refused);
