--- a/crates/coordination/dispatch/src/quarantine.rs
+++ b/crates/coordination/dispatch/src/quarantine.rs
@@ -50,6 +50,9 @@
 const MAX_TRIAL_TIME: duration::Duration = duration::Duration::from_secs(4);
 /// Time for which a request without crashes is remembered.
 const BREAK_RETENTION: duration::Duration = duration::Duration::from_secs(5);
+/// Time for which a request that was cleared of its only crash is remembered, so that late reports of
+/// the crash change nothing.
+const CLEARED_RETENTION: duration::Duration = duration::Duration::from_secs(60);
 /// Time after its last crash for which a request with one crash is remembered.
 const SUSPECT_RETENTION: duration::Duration = duration::Duration::from_secs(600);
 
@@ -316,6 +319,7 @@
             let crashes = suspect.crashes.len();
             let retention = match crashes {
                 0 => BREAK_RETENTION,
+                1 if suspect.counted().next().is_none() => CLEARED_RETENTION,
                 crashes => hold_time(crashes).max(SUSPECT_RETENTION) * 2,
             };
             now.since(suspect.last_crash) < retention
--- a/crates/coordination/dispatch/tests/quarantine.rs
+++ b/crates/coordination/dispatch/tests/quarantine.rs
@@ -206,3 +206,14 @@
     let verdict = known.begin_attempt(content(9), sender(), CopyRole::Other, at(10_010));
     assert_eq!(verdict, QuarantineVerdict::Run);
 }
+
+/// Guards against every request being looked up for long after one server has ended.
+#[test]
+fn cleared_suspects_are_forgotten_soon() {
+    let mut known = after_crashes(0..1);
+    known.record_answer(content(1));
+    known.expire(at(10_000) + duration::Duration::from_secs(59));
+    assert!(!known.is_empty());
+    known.expire(at(10_000) + duration::Duration::from_secs(60));
+    assert!(known.is_empty());
+}
