--- a/crates/coordination/dispatch/tests/quarantine/fleet.rs
+++ b/crates/coordination/dispatch/tests/quarantine/fleet.rs
@@ -47,6 +47,8 @@
     End(usize),
     Answer(Copy, usize),
     Witness(Copy, suspect::CrashId),
+    /// An instance sends all it knows to a random other one.
+    Repair(usize),
 }
 
 struct SimulatedFleet {
@@ -59,6 +61,8 @@
     /// Other requests that were refused since they were held.
     held: usize,
     asked: usize,
+    /// Share of the reports that are lost.
+    loss: f64,
     rng: rand_pcg::Pcg64Mcg,
 }
 
@@ -71,7 +75,7 @@
 }
 
 impl SimulatedFleet {
-    fn new(size: usize, servers: usize, seed: u64) -> Self {
+    fn new(size: usize, servers: usize, loss: f64, seed: u64) -> Self {
         let names = (0..size).map(|index| format!("edge-{index}"));
         Self {
             instances: names.map(|name| quarantine::RequestQuarantine::new(&name)).collect(),
@@ -81,6 +85,7 @@
             ended: 0,
             held: 0,
             asked: 0,
+            loss,
             rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -107,6 +112,9 @@
     }
 
     fn run(&mut self) {
+        for instance in 0..self.instances.len() {
+            self.push(0, Event::Repair(instance));
+        }
         while let Some(((at_ms, _), event)) = self.events.pop_first() {
             if at_ms >= END_MS {
                 return;
@@ -143,6 +151,13 @@
                 self.instances[copy.instance].record_answer(content(copy.content));
                 self.send_reports(copy.instance, now_ms);
             }
+            Event::Repair(instance) => {
+                let to = self.rng.random_range(0..self.instances.len());
+                for report in self.instances[instance].all_reports(now) {
+                    self.send_report(to, &report, now_ms);
+                }
+                self.push(now_ms + 1_000, Event::Repair(instance));
+            }
             Event::Witness(copy, crash) => {
                 self.instances[copy.instance].record_crash(
                     content(copy.content),
@@ -194,21 +209,28 @@
         let now = time::Timestamp::from_millis(now_ms);
         for report in self.instances[from].take_reports(now) {
             for to in (0..self.instances.len()).filter(|to| *to != from) {
-                let delay_ms = self.rng.random_range(DELAYS_MS);
-                let age = report.crash_age + duration::Duration::from_millis(delay_ms);
-                let report = suspect::SuspectReport { crash_age: age, ..report.clone() };
-                self.push(now_ms + delay_ms, Event::Report(to, report));
+                self.send_report(to, &report, now_ms);
             }
         }
     }
+
+    fn send_report(&mut self, to: usize, report: &suspect::SuspectReport, now_ms: u64) {
+        if self.rng.random_bool(self.loss) {
+            return;
+        }
+        let delay_ms = self.rng.random_range(DELAYS_MS);
+        let age = report.crash_age + duration::Duration::from_millis(delay_ms);
+        let report = suspect::SuspectReport { crash_age: age, ..report.clone() };
+        self.push(now_ms + delay_ms, Event::Report(to, report));
+    }
 }
 
 /// Highest share of other requests that may be refused since they ran beside the deadly one.
 const MAX_HELD_SHARE: f64 = 0.001;
 
-fn check_fleet(size: usize, servers: usize, deadly_per_s: u64, max_ended: usize) {
+fn check_fleet(size: usize, servers: usize, deadly_per_s: u64, loss: f64, max_ended: usize) {
     for seed in 0..5 {
-        let mut fleet = SimulatedFleet::new(size, servers, seed);
+        let mut fleet = SimulatedFleet::new(size, servers, loss, seed);
         fleet.schedule(deadly_per_s, 100);
         fleet.run();
         let held = fleet.held as f64 / fleet.asked as f64;
@@ -218,9 +240,11 @@
 }
 
 cases! { check_fleet:
-    seven_instances_lose_few_servers => (7, 14, 5, 5);
-    twenty_two_instances_lose_few_servers => (22, 168, 32, 10);
-    thirty_one_instances_lose_few_servers => (31, 134, 33, 10);
-    a_hundred_and_nineteen_instances_lose_few_servers => (119, 353, 45, 10);
-    rare_copies_end_few_servers => (7, 14, 1, 5);
+    seven_instances_lose_few_servers => (7, 14, 5, 0.0, 5);
+    twenty_two_instances_lose_few_servers => (22, 168, 32, 0.0, 10);
+    thirty_one_instances_lose_few_servers => (31, 134, 33, 0.0, 10);
+    a_hundred_and_nineteen_instances_lose_few_servers => (119, 353, 45, 0.0, 10);
+    rare_copies_end_few_servers => (7, 14, 1, 0.0, 5);
+    few_servers_end_though_reports_are_lost => (7, 14, 5, 0.3, 5);
+    few_servers_end_though_reports_are_lost_in_a_large_fleet => (119, 353, 45, 0.1, 10);
 }
