Investigation: an instance without links asks another one whether a server has ended

Probes now take the way that connections take. reach.rs: two conditions say the same in fewer words.

--- a/crates/coordination/dispatch/src/reach.rs
+++ b/crates/coordination/dispatch/src/reach.rs
@@ -91,12 +91,8 @@
         }
     }
 
-    /// Records that a server was reached directly.
-    pub fn record_direct(
-        &mut self,
-        server: net::SocketAddr,
-        _now: time::Timestamp,
-    ) -> Option<ReachChange> {
+    /// Records that a server was reached directly, which speaks for all links.
+    pub fn record_direct(&mut self, server: net::SocketAddr) -> Option<ReachChange> {
         self.links.remove(&server);
         self.links.retain(|_, link| matches!(link, LinkState::DeadAt(_)));
         self.doubted_at = None;
@@ -144,8 +140,7 @@
     #[must_use]
     pub fn trusts_direct(&self, last_used: time::Timestamp, now: time::Timestamp) -> bool {
         let doubted_at = self.doubted_at.filter(|_| self.is_lost() || self.is_doubted(now));
-        last_used >= self.lost_since.or(doubted_at).unwrap_or(time::Timestamp::ZERO)
-            && doubted_at.is_none_or(|at| last_used >= at)
+        self.lost_since.max(doubted_at).is_none_or(|since| last_used >= since)
     }
 
     /// Returns true if a connection through another instance may carry a request to a server.
--- a/crates/coordination/dispatch/tests/reach.rs
+++ b/crates/coordination/dispatch/tests/reach.rs
@@ -47,7 +47,7 @@
 #[test]
 fn answer_of_any_server_regains_the_links() {
     let mut monitor = lost();
-    assert_eq!(monitor.record_direct(server(9), at(2_000)), Some(ReachChange::Regained));
+    assert_eq!(monitor.record_direct(server(9)), Some(ReachChange::Regained));
     assert!(matches!(monitor.plan(server(1), at(2_000)), DialPlan::Direct { .. }));
 }
 
@@ -57,7 +57,7 @@
     let mut monitor = reach::ReachMonitor::default();
     for number in 1..100 {
         monitor.record_relayed(server(number), at(u64::from(number) * 100));
-        monitor.record_direct(server(1_000), at(u64::from(number) * 100 + 50));
+        monitor.record_direct(server(1_000));
         assert!(!monitor.is_lost());
     }
 }
--- a/crates/transport/node/src/backends/dial.rs
+++ b/crates/transport/node/src/backends/dial.rs
@@ -127,7 +127,7 @@
 ) -> Result<DialedStream, direct::DialFault> {
     let stream = direct::dial(&*shared.dialer, server).await?;
     socket::probe_idle(&stream);
-    let change = shared.reach.lock().record_direct(server, shared.now());
+    let change = shared.reach.lock().record_direct(server);
     if change == Some(reach::ReachChange::Regained) {
         emit!(catalogue::SERVER_LINKS_REGAINED, server = %server);
     }
--- a/crates/transport/node/src/callers/investigation.rs
+++ b/crates/transport/node/src/callers/investigation.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection may break for many reasons: a reset on the way, a server that is at its limit of
 //! connections, an instance that has lost its links. A server has ended if it refuses a new connection
-//! while another server of its service accepts one.
+//! while another server of its service accepts one. An instance that has lost its links asks another
+//! instance for both.
 
 use std::collections;
 use std::net;
@@ -17,12 +18,13 @@
 use marjoramwing_dispatch::suspect;
 use marjoramwing_entity::time;
 
+use crate::backends::dial;
 use crate::backends::direct;
 use crate::backends::service;
 use crate::shared;
 
 /// Timeout of a probe; a server that does not answer by then may be cut off.
-const PROBE_TIMEOUT: duration::Duration = duration::Duration::from_millis(300);
+const PROBE_TIMEOUT: duration::Duration = duration::Duration::from_millis(600);
 /// Time for which the result of an investigation is shared by the requests that broke off together.
 const RESULT_VALIDITY: duration::Duration = duration::Duration::from_secs(1);
 /// Other servers that are probed.
@@ -58,7 +60,7 @@
     pub(crate) async fn find_crash(
         &self,
         server: &BrokenServer,
-        shared: &shared::InstanceState,
+        shared: &sync::Arc<shared::InstanceState>,
     ) -> Option<suspect::CrashId> {
         let ended = self.start(server, shared).await;
         let is_unplanned = || server.service.is_in_service(server.address, server.run.as_ref());
@@ -69,14 +71,18 @@
         Some(server.crash_id())
     }
 
-    fn start(&self, server: &BrokenServer, shared: &shared::InstanceState) -> SharedResult {
+    fn start(
+        &self,
+        server: &BrokenServer,
+        shared: &sync::Arc<shared::InstanceState>,
+    ) -> SharedResult {
         let now = shared.now();
         let mut recent = self.recent.lock().expect("no task panics while it holds the table");
         recent.retain(|_, recent| now.since(recent.started_at) < RESULT_VALIDITY);
         let investigation = recent.entry(server.address).or_insert_with(|| {
             let controls = server.service.others_in_service(server.address, CONTROLS);
-            let dialer = sync::Arc::clone(&shared.dialer);
-            let result = investigate(dialer, server.address, controls).boxed().shared();
+            let shared = sync::Arc::clone(shared);
+            let result = investigate(shared, server.address, controls).boxed().shared();
             RecentInvestigation { started_at: now, result }
         });
         investigation.result.clone()
@@ -106,11 +112,11 @@
 }
 
 async fn investigate(
-    dialer: sync::Arc<dyn direct::DirectDialer>,
+    shared: sync::Arc<shared::InstanceState>,
     address: net::SocketAddr,
     controls: Vec<net::SocketAddr>,
 ) -> bool {
-    let probe = |address| probe(&*dialer, address);
+    let probe = |address| probe(&shared, address);
     let is_alone = controls.is_empty();
     let controls: stream::FuturesUnordered<_> = controls.into_iter().map(probe).collect();
     let accepted = controls.any(|result| future::ready(result == ProbeResult::Accepted));
@@ -118,8 +124,8 @@
     target == ProbeResult::Refused && (accepted || is_alone)
 }
 
-async fn probe(dialer: &dyn direct::DirectDialer, address: net::SocketAddr) -> ProbeResult {
-    match tokio::time::timeout(PROBE_TIMEOUT, direct::dial(dialer, address)).await {
+async fn probe(shared: &sync::Arc<shared::InstanceState>, address: net::SocketAddr) -> ProbeResult {
+    match tokio::time::timeout(PROBE_TIMEOUT, dial::dial(shared, address, None)).await {
         Ok(Ok(_)) => ProbeResult::Accepted,
         Ok(Err(direct::DialFault::Refused)) => ProbeResult::Refused,
         Ok(Err(_)) | Err(_) => ProbeResult::Unanswered,
--- a/crates/transport/node/tests/outcome/quarantine.rs
+++ b/crates/transport/node/tests/outcome/quarantine.rs
@@ -16,7 +16,7 @@
 
 const DEADLINE_MS: u64 = 2_000;
 /// Servers that one request may end in all, however often it comes.
-const MAX_ENDED: usize = 5;
+pub(crate) const MAX_ENDED: usize = 5;
 /// Time from the start of a deadly request to the end of its server.
 const RUN_TIME: duration::Duration = duration::Duration::from_millis(30);
 
@@ -79,13 +79,8 @@
     }
 }
 
-async fn start_servers(count: usize) -> (support::TestInstance, Vec<FragileServer>) {
-    let mut servers = Vec::new();
-    for _ in 0..count {
-        servers.push(FragileServer::start().await);
-    }
-    let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
-    let mut instance = support::TestInstance::start_on_platform(&addresses, DEADLINE_MS).await;
+/// Puts all servers into one pool, which every route uses.
+pub(crate) fn join_pools(instance: &mut support::TestInstance) {
     instance.edit(|documents| {
         let pools = &mut documents.pools.pools;
         let servers: Vec<_> = pools.drain(1..).flat_map(|pool| pool.servers).collect();
@@ -93,10 +88,20 @@
         let first = sync::Arc::clone(&pools[0].name);
         documents.routes.routes.iter_mut().for_each(|route| route.pools = vec![first.clone()]);
     });
+}
+
+async fn start_servers(count: usize) -> (support::TestInstance, Vec<FragileServer>) {
+    let mut servers = Vec::new();
+    for _ in 0..count {
+        servers.push(FragileServer::start().await);
+    }
+    let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
+    let mut instance = support::TestInstance::start_on_platform(&addresses, DEADLINE_MS).await;
+    join_pools(&mut instance);
     (instance, servers)
 }
 
-fn count_ended(servers: &[FragileServer]) -> usize {
+pub(crate) fn count_ended(servers: &[FragileServer]) -> usize {
     servers.iter().filter(|server| server.has_ended()).count()
 }
 
--- a/crates/transport/node/tests/outcome/relaying.rs
+++ b/crates/transport/node/tests/outcome/relaying.rs
@@ -16,6 +16,7 @@
 use tokio::io::AsyncWriteExt;
 
 use crate::backend;
+use crate::quarantine;
 use crate::support;
 
 const DEADLINE_MS: u64 = 4_000;
@@ -203,6 +204,30 @@
     });
 }
 
+/// Guards against an instance without links that goes on ending servers through another one, since it
+/// cannot tell by its own links that they end.
+#[test]
+fn request_that_ends_servers_is_held_by_an_instance_without_links() {
+    support::block_on(async {
+        let mut servers = Vec::new();
+        for _ in 0..16 {
+            servers.push(quarantine::FragileServer::start().await);
+        }
+        let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
+        let mut fleet = CutFleet::start_at(&addresses, DEADLINE_MS).await;
+        quarantine::join_pools(&mut fleet.cut);
+        quarantine::join_pools(&mut fleet.other);
+        fleet.links.set(Links::Refused);
+        for number in 0..12 {
+            let id = format!("d{number}");
+            let response = fleet.cut.send("GET", "/open/deadly", &id, "").await;
+            assert!([502, 503].contains(&response.status), "{response:?}");
+        }
+        let ended = quarantine::count_ended(&servers);
+        assert!(ended <= quarantine::MAX_ENDED, "{ended} servers ended");
+    });
+}
+
 /// Time for which one end takes no bytes; longer than an unacknowledged short request is believed.
 const STALL: duration::Duration = duration::Duration::from_millis(2_500);
 /// More than fits into the buffers between two ends.
