--- a/crates/coordination/dispatch/src/presence.rs
+++ b/crates/coordination/dispatch/src/presence.rs
@@ -58,7 +58,7 @@
     }
 
     /// Returns up to `count` other servers that are in service, chosen by `seed`; those that have
-    /// answered this instance come first.
+    /// answered this instance come first, and of these the ones of its region.
     #[must_use]
     pub fn others_in_service(
         &self,
@@ -73,7 +73,7 @@
         }
         let offset = usize::try_from(picker::mix_bits(seed)).unwrap_or(0) % others.len();
         others.rotate_left(offset);
-        others.sort_by_key(|server| server.min_latency_us == 0);
+        others.sort_by_key(|server| (server.min_latency_us == 0, !server.is_local()));
         others.iter().take(count).map(|server| server.address).collect()
     }
 }
--- a/crates/transport/node/src/callers/investigation.rs
+++ b/crates/transport/node/src/callers/investigation.rs
@@ -103,6 +103,15 @@
     }
 }
 
+/// How a server is probed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProbeWay {
+    /// By the own link only, which is sooner.
+    Direct,
+    /// As connections are opened, through another instance where the own links are lost.
+    Any,
+}
+
 /// How a server meets a new connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ProbeResult {
@@ -116,16 +125,29 @@
     address: net::SocketAddr,
     controls: Vec<net::SocketAddr>,
 ) -> bool {
-    let probe = |address| probe(&shared, address);
+    let is_relayed = shared.reach.trusts(address, true, shared.now(), shared.now());
+    let target_way = if is_relayed { ProbeWay::Any } else { ProbeWay::Direct };
+    let target = probe(&shared, address, target_way);
     let is_alone = controls.is_empty();
-    let controls: stream::FuturesUnordered<_> = controls.into_iter().map(probe).collect();
+    let controls: stream::FuturesUnordered<_> =
+        controls.into_iter().map(|address| probe(&shared, address, ProbeWay::Any)).collect();
     let accepted = controls.any(|result| future::ready(result == ProbeResult::Accepted));
-    let (target, accepted) = future::join(probe(address), accepted).await;
+    let (target, accepted) = future::join(target, accepted).await;
     target == ProbeResult::Refused && (accepted || is_alone)
 }
 
-async fn probe(shared: &sync::Arc<shared::InstanceState>, address: net::SocketAddr) -> ProbeResult {
-    match tokio::time::timeout(PROBE_TIMEOUT, dial::dial(shared, address, None)).await {
+async fn probe(
+    shared: &sync::Arc<shared::InstanceState>,
+    address: net::SocketAddr,
+    way: ProbeWay,
+) -> ProbeResult {
+    let dialing = async {
+        match way {
+            ProbeWay::Direct => direct::dial(&*shared.dialer, address).await.map(drop),
+            ProbeWay::Any => dial::dial(shared, address, None).await.map(drop),
+        }
+    };
+    match tokio::time::timeout(PROBE_TIMEOUT, dialing).await {
         Ok(Ok(_)) => ProbeResult::Accepted,
         Ok(Err(direct::DialFault::Refused)) => ProbeResult::Refused,
         Ok(Err(_)) | Err(_) => ProbeResult::Unanswered,
