--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -442,12 +443,17 @@
 
 
 def free_ports(count):
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Returns free ports below those that the kernel gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(10_000, 32_000)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -503,14 +509,24 @@
         self.record.add(f"run with TROUBLE={int(self.trouble)}")
 
     def start_instances(self, zones):
-        self.instances = [Instance(self.folder, self.store, f"edge-{index + 1}", zone)
-                          for index, zone in enumerate(zones)]
+        for index, zone in enumerate(zones):
+            self.instances.append(self._start_instance(f"edge-{index + 1}", zone))
         self.wait("all instances are ready",
                   lambda: all(instance.is_ready() for instance in self.instances))
         # Until every instance has read the registrations and knows the others.
         time.sleep(5)
         self.record.add(f"{len(self.instances)} instances are ready")
 
+    def _start_instance(self, name, zone):
+        """Starts an instance, again with other ports if another process has taken one of them."""
+        for _ in range(5):
+            instance = Instance(self.folder, self.store, name, zone)
+            time.sleep(0.1)
+            if instance.process.poll() is None:
+                return instance
+            instance.end()
+        raise RuntimeError(f"{name} does not start")
+
     def configure(self, version, resources):
         self.store.put("config", "main", configuration(version, resources))
         self.record.add(f"the store acknowledges configuration r{version}")
