Review: a configuration without a key cuts the answers to its requests, and those behind them

Cause: an answer that is being passed on is aborted when its key is withdrawn, and its channel is closed with the finished answers that wait behind it.

Added: review/5; the store stand-in can show its entries differently at another port.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -201,9 +201,13 @@
     def __init__(self):
         self._changed = threading.Condition()
         self._objects, self._history, self._revision = {}, [], 0
-        self._listener = listen()
-        self.port = self._listener.getsockname()[1]
-        spawn(self._accept)
+        self.port = self.open_view(lambda kind, entry: entry)
+
+    def open_view(self, rewrite):
+        """Opens a port at which `rewrite(kind, entry)` says how an entry is seen; returns it."""
+        listener = listen()
+        spawn(self._accept, listener, rewrite)
+        return listener.getsockname()[1]
 
     def put(self, kind, name, spec, status=None):
         with self._changed:
@@ -245,19 +249,26 @@
             return {k: v for k, v in value.items() if k != "sequence"} if is_counted else value
         return known["spec"] == spec and plain(known["status"]) == plain(status)
 
-    def _accept(self):
+    def _accept(self, listener, rewrite):
         while True:
-            sock, _ = self._listener.accept()
+            sock, _ = listener.accept()
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            spawn(self._serve, sock)
+            spawn(self._serve, sock, rewrite)
 
-    def _serve(self, sock):
+    def _serve(self, sock, rewrite):
         reader = Reader(sock)
         try:
             while (head := reader.head()) is not None:
                 method, target, _ = head[0].split()
                 body = reader.exactly(int(head[1].get("content-length", 0)))
                 status, value = self._handle(method, target, body)
+                kind = target.removeprefix("/-/objects/").partition("?")[0].split("/")[0]
+                for key, entries in (value or {}).items():
+                    if key == "items":
+                        value[key] = [rewrite(kind, entry) for entry in entries]
+                    elif key == "events":
+                        value[key] = [{**event, "object": rewrite(kind, event["object"])}
+                                      for event in entries]
                 text = json.dumps(value).encode()
                 sock.sendall(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
@@ -460,7 +471,7 @@
 class Instance:
     """One process of the deploy file's role, with its own settings."""
 
-    def __init__(self, folder, store, name, zone="east-a"):
+    def __init__(self, folder, store_port, name, zone="east-a"):
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["instance"]
         self.name = name
         self.front, self.directory, self.readiness, peers, admin = free_ports(5)
@@ -469,7 +480,7 @@
             "listen": {"front": f"{HOST}:{self.front}", "directory": f"{HOST}:{self.directory}",
                        "readiness": f"{HOST}:{self.readiness}"},
             "internalPorts": [peers, admin], "bounds": BOUNDS,
-            "platform": {"address": f"{HOST}:{store.port}"},
+            "platform": {"address": f"{HOST}:{store_port}"},
         }
         settings = pathlib.Path(folder) / f"{name}.toml"
         settings.write_text(render((ROOT / deploy["template"]).read_text(), fields))
@@ -508,19 +519,21 @@
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record.add(f"run with TROUBLE={int(self.trouble)}")
 
-    def start_instances(self, zones):
-        for index, zone in enumerate(zones):
-            self.instances.append(self._start_instance(f"edge-{index + 1}", zone))
+    def start_instances(self, zones, store_ports=None):
+        """Starts one instance in each zone; each reaches the store at its own port, if given."""
+        store_ports = store_ports or [self.store.port] * len(zones)
+        for index, (zone, port) in enumerate(zip(zones, store_ports)):
+            self.instances.append(self._start_instance(f"edge-{index + 1}", zone, port))
         self.wait("all instances are ready",
                   lambda: all(instance.is_ready() for instance in self.instances))
         # Until every instance has read the registrations and knows the others.
         time.sleep(5)
         self.record.add(f"{len(self.instances)} instances are ready")
 
-    def _start_instance(self, name, zone):
+    def _start_instance(self, name, zone, store_port):
         """Starts an instance, again with other ports if another process has taken one of them."""
         for _ in range(5):
-            instance = Instance(self.folder, self.store, name, zone)
+            instance = Instance(self.folder, store_port, name, zone)
             time.sleep(0.1)
             if instance.process.poll() is None:
                 return instance
