--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -561,6 +561,8 @@
 
 def run(script, body):
     """Runs a case; `body(case)` returns what broke the rule, or an empty list."""
+    # Also ends the processes that the case started if it is stopped from outside.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     case = Case(script)
     try:
         broken = body(case)
