--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -614,7 +614,12 @@
     """Runs a case; `body(case)` returns what broke the rule, or an empty list."""
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
+    Stopping.is_starting = True
     case = Case(script)
+    Stopping.is_starting = False
+    if Stopping.is_due:
+        case.end()
+        sys.exit(NOT_RUN)
     status = NOT_RUN
     try:
         broken = body(case)
