Relaying: the server's end of a connection is marked, so a cut response does not look complete

Cause: the system closes the sockets of a process that ends as if the process had closed them. The opener took that for the server's end of a response without a length.

Event 5007 now tells which instance ended a connection under a request.

Change: the server's bytes travel between instances in blocks; an empty block marks the server's end, and any other end is an error. The relaying instance reads on what a server has sent before it stopped reading the request. Earlier builds get plain bytes, with a reset unless the server closed; what they relay ends in an error unless it states its length.

--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -149,4 +149,6 @@
     SERVER_LINKS_LOST = 5005, WARN, "links to the backend servers are lost; connections go through other instances", "check the network between this instance and the backend servers";
     /// This instance reaches backend servers again.
     SERVER_LINKS_REGAINED = 5006, INFO, "backend servers are reached directly again", "none";
+    /// The instance through which a connection went closed it before the backend server did.
+    RELAYED_CONNECTION_CUT = 5007, INFO, "another instance ended a connection to a backend server under a request", "none if that instance stopped; otherwise look for its end in its log";
 }
--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -4,6 +4,7 @@
 //! A link starts with a handshake in which both ends prove that they hold the
 //! deployment's secret; other messages are accepted only after the handshake.
 //!
+//! - [`block`]: framing of the bytes that are relayed from a backend server.
 //! - [`configuration`]: configuration messages.
 //! - [`coverage`]: reports of what the store has confirmed, by which watches that hang are noticed.
 //! - [`demand`]: reports of demand, by which rate limits are split between instances.
@@ -17,6 +18,7 @@
 //! - [`relay`]: connections to backend servers through another instance.
 //! - [`report`]: traffic reports between regions.
 
+pub mod block;
 pub mod configuration;
 pub mod coverage;
 pub mod demand;
--- a/crates/protocol/peer/src/relay.rs
+++ b/crates/protocol/peer/src/relay.rs
@@ -1,6 +1,8 @@
 //! Messages that open a connection to a backend server through another instance.
 //!
-//! After the result, the link carries the bytes of that connection and no more frames.
+//! After the result, the link carries the bytes of that connection and no more frames. Those of the
+//! server come in [blocks](crate::block) if both ends have said so; builds before this one say nothing
+//! and forward the bytes as they are.
 
 use std::net;
 
@@ -12,6 +14,9 @@
     /// Address of the server.
     #[prost(string, tag = "1")]
     pub server: String,
+    /// Whether the opener reads the server's bytes in blocks.
+    #[prost(bool, tag = "2")]
+    pub accepts_blocks: bool,
 }
 
 /// Result of connecting.
@@ -20,6 +25,9 @@
     /// What became of it.
     #[prost(enumeration = "RelayOutcome", tag = "1")]
     pub outcome: i32,
+    /// Whether the server's bytes come in blocks.
+    #[prost(bool, tag = "2")]
+    pub sends_blocks: bool,
 }
 
 /// What became of a request for a connection.
@@ -40,10 +48,10 @@
 }
 
 impl RelayRequest {
-    /// Creates the request for a server.
+    /// Creates the request for a server, whose bytes are then read in blocks if the acceptor sends them.
     #[must_use]
     pub fn new(server: net::SocketAddr) -> Self {
-        Self { server: server.to_string() }
+        Self { server: server.to_string(), accepts_blocks: true }
     }
 
     /// Returns the address of the server; `None` if it is not one.
--- a/crates/transport/node/src/backends/connection.rs
+++ b/crates/transport/node/src/backends/connection.rs
@@ -45,12 +45,17 @@
 impl Connection {
     /// Sets up HTTP on an open stream; returns `None` if that fails.
     pub async fn new(dialed: dial::DialedStream, clock: clock::MonotonicClock) -> Option<Self> {
-        let dial::DialedStream { stream, relay_region } = dialed;
+        let dial::DialedStream { stream, relay_region, framing } = dialed;
         stream.set_nodelay(true).ok()?;
         let gate = sync::Arc::new(gate::SendGate::default());
         let allowance = stream::ReadAllowance::default();
-        let gated =
-            stream::GatedStream::new(stream, sync::Arc::clone(&gate), allowance.clone(), clock);
+        let gated = stream::GatedStream::new(
+            stream,
+            framing,
+            sync::Arc::clone(&gate),
+            allowance.clone(),
+            clock,
+        );
         let mut builder = http1::Builder::new();
         builder.max_buf_size(READ_BUFFER_BYTES);
         let (sender, driver) = builder.handshake(rt::TokioIo::new(gated)).await.ok()?;
--- a/crates/transport/node/src/backends/dial.rs
+++ b/crates/transport/node/src/backends/dial.rs
@@ -9,6 +9,7 @@
 use marjoramwing_events::emit;
 
 use crate::backends::direct;
+use crate::backends::inbound;
 use crate::peers::relay;
 use crate::shared;
 use crate::socket;
@@ -20,6 +21,8 @@
     pub stream: tokio::net::TcpStream,
     /// Region of the instance through which it goes; `None` if it is direct.
     pub relay_region: Option<sync::Arc<str>>,
+    /// How the bytes of the server arrive.
+    pub framing: inbound::InboundFraming,
 }
 
 /// What this instance knows of its links to the backend servers.
@@ -131,7 +134,7 @@
     if change == Some(reach::ReachChange::Regained) {
         emit!(catalogue::SERVER_LINKS_REGAINED, server = %server);
     }
-    Ok(DialedStream { stream, relay_region: None })
+    Ok(DialedStream { stream, relay_region: None, framing: inbound::InboundFraming::Direct })
 }
 
 async fn dial_relayed(
@@ -146,5 +149,6 @@
         shared.dispatch.forgive_failures();
     }
     shared.metrics.relayed_connections.inc();
-    Ok(DialedStream { stream: relayed.stream, relay_region: Some(relayed.region) })
+    let relay::RelayedStream { stream, region, framing } = relayed;
+    Ok(DialedStream { stream, relay_region: Some(region), framing })
 }
--- a/crates/transport/node/src/backends/mod.rs
+++ b/crates/transport/node/src/backends/mod.rs
@@ -4,6 +4,7 @@
 //! - [`connection`]: one HTTP/1 connection whose writes are controlled by a send gate.
 //! - [`dial`]: opens connections, through another instance where the own links are lost.
 //! - [`direct`]: opens connections without another instance between.
+//! - [`inbound`]: reads what a backend server sends, directly or through another instance.
 //! - [`pool`]: idle connections.
 //! - [`replay`]: request bodies that can be sent more than once.
 //! - [`response`]: response bodies, which return their connection to the connection pool.
@@ -14,6 +15,7 @@
 pub mod connection;
 pub mod dial;
 pub mod direct;
+pub mod inbound;
 pub mod pool;
 pub mod replay;
 pub mod response;
--- a/crates/transport/node/src/backends/stream.rs
+++ b/crates/transport/node/src/backends/stream.rs
@@ -12,10 +12,14 @@
 use std::sync::atomic;
 use std::task;
 
+use marjoramwing_dispatch::exchange;
 use marjoramwing_dispatch::gate;
+use marjoramwing_events::catalogue;
+use marjoramwing_events::emit;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 
+use crate::backends::inbound;
 use crate::clock;
 use crate::socket;
 
@@ -84,6 +88,7 @@
 #[derive(Debug)]
 pub struct GatedStream {
     stream: tokio::net::TcpStream,
+    framing: inbound::InboundFraming,
     gate: sync::Arc<gate::SendGate>,
     allowance: ReadAllowance,
     clock: clock::MonotonicClock,
@@ -96,12 +101,23 @@
     #[must_use]
     pub fn new(
         stream: tokio::net::TcpStream,
+        framing: inbound::InboundFraming,
         gate: sync::Arc<gate::SendGate>,
         allowance: ReadAllowance,
         clock: clock::MonotonicClock,
     ) -> Self {
         let acks = socket::AckMonitor::default();
-        Self { stream, gate, allowance, clock, is_reused: false, acks }
+        Self { stream, framing, gate, allowance, clock, is_reused: false, acks }
+    }
+
+    /// Logs that the relaying instance, or the link to it, ended a connection under a request.
+    fn report_cut(&self, error: &io::Error) {
+        let is_cut = error.kind() == io::ErrorKind::UnexpectedEof;
+        if is_cut && self.gate.attempt_state() != exchange::AttemptState::NotSent {
+            let relay =
+                self.stream.peer_addr().map_or_else(|_| "unknown".into(), |at| at.to_string());
+            emit!(catalogue::RELAYED_CONNECTION_CUT, relay = %relay);
+        }
     }
 
     fn write_gated(
@@ -140,7 +156,8 @@
             return task::Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         let before = buffer.filled().len();
-        let polled = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
+        let this = &mut *self;
+        let polled = this.framing.poll_read(&mut this.stream, context, buffer);
         let received = buffer.filled().len() - before;
         self.allowance.spend(received);
         if received > 0 {
@@ -148,6 +165,7 @@
         }
         if let task::Poll::Ready(Err(error)) = &polled {
             self.allowance.record_error(error);
+            self.report_cut(error);
         }
         polled
     }
--- a/crates/transport/node/src/peers/mesh.rs
+++ b/crates/transport/node/src/peers/mesh.rs
@@ -10,8 +10,8 @@
 use marjoramwing_peer::message;
 use tokio::sync::mpsc;
 
+use crate::peers::forwarding;
 use crate::peers::link;
-use crate::peers::relay;
 use crate::peers::session;
 use crate::peers::table;
 use crate::shared;
@@ -163,7 +163,7 @@
             }
         };
         if authenticated.hello.purpose() == message::LinkPurpose::Relay {
-            relay::serve(&self.shared, authenticated).await;
+            forwarding::serve(&self.shared, authenticated).await;
             return;
         }
         let (sender, queue) = mpsc::channel(LINK_QUEUE);
--- a/crates/transport/node/src/peers/relay.rs
+++ b/crates/transport/node/src/peers/relay.rs
@@ -1,12 +1,9 @@
-//! Connections to backend servers through another instance.
+//! Opens connections to backend servers through another instance.
 //!
 //! The instance that has a request keeps answering for it: what is relayed is a connection, of which
 //! the relaying instance sees only bytes. Each has a TCP connection of its own between the instances,
-//! so that a slow one delays no other. Invariants: an instance relays only to a server that it knows,
-//! by a direct connection; a connection that the server resets is reset towards the opener too, so that
-//! a response without a length does not look complete.
+//! so that a slow one delays no other.
 
-use std::io;
 use std::net;
 use std::sync;
 use std::time as duration;
@@ -19,30 +16,21 @@
 use marjoramwing_peer::message;
 use marjoramwing_peer::relay as messages;
 use rand::seq::SliceRandom;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 
 use crate::backends::direct;
+use crate::backends::inbound;
 use crate::peers::link;
 use crate::shared;
 use crate::socket;
 
 /// Timeout for the whole opening of a connection through one instance.
 const OPEN_TIMEOUT: duration::Duration = duration::Duration::from_millis(1_000);
-/// Timeout for connecting to the server on behalf of another instance.
-const DIAL_TIMEOUT: duration::Duration = duration::Duration::from_millis(400);
 /// Delay after which the next instance is asked as well.
 const STAGGER: duration::Duration = duration::Duration::from_millis(120);
 /// Instances that are asked for one connection.
 const MAX_RELAYS: usize = 4;
 /// Time for which an instance that did not reach a server is asked last.
 const AVOID_TIME: duration::Duration = duration::Duration::from_secs(2);
-/// Time after which a relayed connection ends whose opener does not acknowledge what the server sent.
-///
-/// A slow caller may keep the opener from reading for some time.
-const OPENER_ACK_TIMEOUT: duration::Duration = duration::Duration::from_secs(30);
-/// Size of the buffer for each direction of a relayed connection, in bytes.
-const BUFFER_BYTES: usize = 16 * 1024;
 /// Connections that an instance relays at once.
 const MAX_RELAYED: usize = 512;
 
@@ -53,6 +41,8 @@
     pub stream: tokio::net::TcpStream,
     /// Region of the relaying instance.
     pub region: sync::Arc<str>,
+    /// How the relaying instance forwards what the server sends.
+    pub framing: inbound::InboundFraming,
 }
 
 /// Connections that this instance relays, and the instances that it avoids.
@@ -76,6 +66,12 @@
         MAX_RELAYED - self.permits.available_permits()
     }
 
+    /// Reserves one of the connections that this instance may relay, until the permit is dropped.
+    #[must_use]
+    pub fn try_acquire(&self) -> Option<tokio::sync::SemaphorePermit<'_>> {
+        self.permits.try_acquire().ok()
+    }
+
     fn avoid(&self, peer: net::SocketAddr) {
         self.lock().push((peer, tokio::time::Instant::now()));
     }
@@ -166,14 +162,15 @@
     if result.as_ref().is_err_and(|fault| *fault != direct::DialFault::Refused) {
         shared.relays.avoid(relay.peer_address);
     }
-    result.map(|stream| RelayedStream { stream, region: sync::Arc::clone(&relay.region) })
+    let region = sync::Arc::clone(&relay.region);
+    result.map(|(stream, framing)| RelayedStream { stream, region, framing })
 }
 
 async fn open_link(
     shared: &shared::InstanceState,
     peer: net::SocketAddr,
     server: net::SocketAddr,
-) -> Result<tokio::net::TcpStream, direct::DialFault> {
+) -> Result<(tokio::net::TcpStream, inbound::InboundFraming), direct::DialFault> {
     let failed = direct::DialFault::Failed;
     let stream = tokio::net::TcpStream::connect(peer).await.map_err(|_| failed)?;
     socket::probe_idle(&stream);
@@ -193,98 +190,9 @@
     }
     let parts = stream.into_parts();
     // The server sends nothing before the request.
-    if parts.read_buf.is_empty() { Ok(parts.io) } else { Err(failed) }
-}
-
-/// Connects an accepted link to the backend server that its opener names, until either end closes.
-pub async fn serve(shared: &shared::InstanceState, link: link::AuthenticatedLink) {
-    let mut stream = link.stream;
-    let request = tokio::time::timeout(OPEN_TIMEOUT, link::receive(&mut stream)).await;
-    let Ok(Ok(Some(message::Body::RelayRequest(request)))) = request else { return };
-    let permit = shared.relays.permits.try_acquire();
-    let dialed = match (request.address(), &permit) {
-        (Some(server), Ok(_)) => dial_server(shared, server).await,
-        (Some(_), Err(_)) => Err(messages::RelayOutcome::Unreachable),
-        (None, _) => Err(messages::RelayOutcome::UnknownServer),
+    let framing = match result.sends_blocks {
+        true => inbound::InboundFraming::BLOCKS,
+        false => inbound::InboundFraming::Unmarked,
     };
-    let outcome = match &dialed {
-        Ok(_) => messages::RelayOutcome::Connected,
-        Err(outcome) => *outcome,
-    };
-    let result = messages::RelayResult { outcome: outcome.into() };
-    let sent = stream.send(message::Envelope::new(message::Body::RelayResult(result))).await;
-    if let (Ok(server), Ok(())) = (dialed, sent) {
-        let parts = stream.into_parts();
-        forward(parts.io, &parts.read_buf, server).await;
-    }
-}
-
-async fn dial_server(
-    shared: &shared::InstanceState,
-    server: net::SocketAddr,
-) -> Result<tokio::net::TcpStream, messages::RelayOutcome> {
-    if !shared.dispatch.has_server(server) {
-        return Err(messages::RelayOutcome::UnknownServer);
-    }
-    if shared.reach.is_lost() || shared.is_leaving() {
-        return Err(messages::RelayOutcome::Unreachable);
-    }
-    let dialing = direct::dial(&*shared.dialer, server);
-    match tokio::time::timeout(DIAL_TIMEOUT, dialing).await {
-        Ok(Ok(stream)) => {
-            socket::probe_idle(&stream);
-            let _ = stream.set_nodelay(true);
-            Ok(stream)
-        }
-        Ok(Err(direct::DialFault::Refused)) => Err(messages::RelayOutcome::Refused),
-        Ok(Err(_)) | Err(_) => Err(messages::RelayOutcome::Unreachable),
-    }
-}
-
-/// Forwards bytes in both directions until either end closes; the other one is closed then, since a
-/// caller that leaves closes its connection and the server must notice.
-async fn forward(
-    mut opener: tokio::net::TcpStream,
-    received: &[u8],
-    mut server: tokio::net::TcpStream,
-) {
-    socket::probe_idle(&opener);
-    socket::set_ack_timeout(&opener, Some(OPENER_ACK_TIMEOUT));
-    if server.write_all(received).await.is_err() {
-        return;
-    }
-    let is_reset = {
-        let monitor = socket::AckMonitor::default();
-        let (mut opener_read, mut opener_write) = opener.split();
-        let (mut server_read, mut server_write) = server.split();
-        let requests = async {
-            let mut buffer = vec![0; BUFFER_BYTES];
-            while let Ok(length @ 1..) = opener_read.read(&mut buffer).await {
-                monitor.record_sent(server_write.as_ref(), length);
-                if server_write.write_all(&buffer[..length]).await.is_err() {
-                    return;
-                }
-            }
-        };
-        let responses = async {
-            let mut buffer = vec![0; BUFFER_BYTES];
-            loop {
-                let length = server_read.read(&mut buffer).await?;
-                if length == 0 {
-                    return Ok(());
-                }
-                monitor.record_received();
-                opener_write.write_all(&buffer[..length]).await?;
-            }
-        };
-        tokio::select! {
-            () = requests => false,
-            ended = responses => { let ended: io::Result<()> = ended; ended.is_err() }
-        }
-    };
-    if is_reset {
-        socket::reset_on_close(&opener);
-    } else {
-        let _ = opener.shutdown().await;
-    }
+    if parts.read_buf.is_empty() { Ok((parts.io, framing)) } else { Err(failed) }
 }
--- a/crates/transport/node/src/socket.rs
+++ b/crates/transport/node/src/socket.rs
@@ -65,6 +65,11 @@
     let _ = socket2::SockRef::from(stream).set_linger(Some(time::Duration::ZERO));
 }
 
+/// Makes the end of the connection a regular one, behind the bytes that were written.
+pub fn flush_on_close(stream: &tokio::net::TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(None);
+}
+
 /// Longest wait for the peer to close.
 const CLOSE_WAIT: time::Duration = time::Duration::from_millis(500);
 
--- a/crates/transport/node/tests/outcome/credentials.rs
+++ b/crates/transport/node/tests/outcome/credentials.rs
@@ -7,6 +7,7 @@
 use marjoramwing_node::backends::buffered;
 use marjoramwing_node::backends::connection;
 use marjoramwing_node::backends::dial;
+use marjoramwing_node::backends::inbound;
 use marjoramwing_node::backends::replay;
 use marjoramwing_node::backends::response;
 use marjoramwing_node::callers::credential;
@@ -120,7 +121,11 @@
         let guard = instance.service().acquire_slot(slot).await.unwrap();
         let clock = instance.shared.clock();
         let stream = tokio::net::TcpStream::connect(server.address).await.unwrap();
-        let dialed = dial::DialedStream { stream, relay_region: None };
+        let dialed = dial::DialedStream {
+            stream,
+            relay_region: None,
+            framing: inbound::InboundFraming::Direct,
+        };
         let mut connection = connection::Connection::new(dialed, clock).await.unwrap();
         let request = http::Request::builder().uri("/keyed").header("x-request-id", "first");
         let request = request.body(replay::BodySource::empty().body()).unwrap();
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -13,6 +13,7 @@
 #[path = "../support/ledger.rs"]
 mod ledger;
 mod quarantine;
+mod relay_end;
 mod relaying;
 mod service;
 mod shifts;
--- a/crates/transport/node/tests/outcome/stream.rs
+++ b/crates/transport/node/tests/outcome/stream.rs
@@ -9,6 +9,7 @@
 use marjoramwing_dispatch::exchange;
 use marjoramwing_dispatch::gate;
 use marjoramwing_entity::time::Timestamp;
+use marjoramwing_node::backends::inbound;
 use marjoramwing_node::backends::stream;
 use marjoramwing_node::clock;
 use marjoramwing_testing::cases;
@@ -26,7 +27,10 @@
     let gate = sync::Arc::new(gate::SendGate::default());
     let clock = clock::MonotonicClock::start();
     let allowance = stream::ReadAllowance::default();
-    (stream::GatedStream::new(client, sync::Arc::clone(&gate), allowance, clock), gate, peer)
+    let framing = inbound::InboundFraming::Direct;
+    let gated =
+        stream::GatedStream::new(client, framing, sync::Arc::clone(&gate), allowance, clock);
+    (gated, gate, peer)
 }
 
 fn check_reused(peer_action: PeerAction, expected: Option<exchange::AttemptState>) {
