Routes: a prefix that ends with a slash matches only paths below it

Cause: prefixes were compared without the slash at their end, so POST /xapu221/ny95 was taken for a request of /xapu221/ny95/, whose requests may be repeated. The canonical form of a path, in which escapes are undone, led to the same.

Change: the slash counts, in matching and in the choice of the longest prefix. On the platform a path whose sent and canonical forms belong to different routes is refused with 400 before anything runs.

--- a/crates/protocol/exchange/src/names.rs
+++ b/crates/protocol/exchange/src/names.rs
@@ -40,6 +40,8 @@
     pub session_cookie: Option<&'static str>,
     /// Whether the end of the connection may delimit a response body.
     pub accepts_close_delimited: bool,
+    /// Whether the path as the caller sent it, escapes included, selects the route.
+    pub routes_by_sent_path: bool,
     /// Whether `Retry-After` may have fractions of a second.
     pub fractional_retry_after: bool,
 }
@@ -63,6 +65,7 @@
     rate_limit: http::HeaderName::from_static("marjoramwing-rate-limit"),
     session_cookie: None,
     accepts_close_delimited: false,
+    routes_by_sent_path: false,
     fractional_retry_after: false,
 };
 
--- a/crates/state/tables/src/document.rs
+++ b/crates/state/tables/src/document.rs
@@ -27,7 +27,7 @@
     /// Host of the requests that the route matches; any host if absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub host: Option<Arc<str>>,
-    /// Path prefix, matched by whole segments.
+    /// Path prefix, matched by whole segments. One that ends with a slash matches only paths below it.
     pub path: Arc<str>,
     /// Methods that the route serves; all if empty.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/state/tables/src/route.rs
+++ b/crates/state/tables/src/route.rs
@@ -22,7 +22,7 @@
     pub name: name::RouteName,
     /// Host of the requests that the route matches, in lower case; any host if `None`.
     pub host: Option<Arc<str>>,
-    /// Path prefix, matched by whole segments.
+    /// Path prefix, matched by whole segments. One that ends with a slash matches only paths below it.
     pub path: Arc<str>,
     /// Methods that the route serves, in upper case; all if empty.
     pub methods: Vec<Arc<str>>,
@@ -142,7 +142,7 @@
     pub fn specificity(&self) -> RouteSpecificity {
         RouteSpecificity {
             names_host: self.host.is_some(),
-            path_bytes: self.path.trim_end_matches('/').len(),
+            path_bytes: self.path.len(),
             names_methods: !self.methods.is_empty(),
         }
     }
@@ -170,9 +170,8 @@
 }
 
 fn is_path_prefix(prefix: &str, path: &str) -> bool {
-    let prefix = prefix.trim_end_matches('/');
     match path.strip_prefix(prefix) {
-        Some(rest) => rest.is_empty() || rest.starts_with('/'),
+        Some(rest) => prefix.ends_with('/') || rest.is_empty() || rest.starts_with('/'),
         None => false,
     }
 }
--- a/crates/state/tables/tests/snapshot.rs
+++ b/crates/state/tables/tests/snapshot.rs
@@ -106,6 +106,45 @@
     host_wins_over_path => ("shop.example", "/api", "host");
 }
 
+/// Guards against a request that is taken for one of a route whose prefix does not begin its path.
+fn check_prefix(prefix: &str, path: &str, is_matched: bool) {
+    let mut documents = documents();
+    documents.routes.routes.truncate(1);
+    let route = &mut documents.routes.routes[0];
+    (route.path, route.host) = (prefix.into(), None);
+    let tables = snapshot::TableSnapshot::try_from(&documents).unwrap();
+    let query = route::RouteQuery { host: "a.example", path, method: "GET" };
+    assert_eq!(tables.find_route(&query).is_some(), is_matched);
+}
+
+cases! { check_prefix:
+    prefix_with_a_slash_does_not_match_the_path_without_it => ("/seats/", "/seats", false);
+    prefix_with_a_slash_matches_itself => ("/seats/", "/seats/", true);
+    prefix_with_a_slash_matches_paths_below_it => ("/seats/", "/seats/7", true);
+    prefix_with_a_slash_does_not_match_a_longer_segment => ("/seats/", "/seats7", false);
+    prefix_without_a_slash_matches_itself => ("/seats", "/seats", true);
+    prefix_without_a_slash_matches_paths_below_it => ("/seats", "/seats/7", true);
+    prefix_without_a_slash_does_not_match_a_longer_segment => ("/seats", "/seats7", false);
+    slash_matches_every_path => ("/", "/seats", true);
+}
+
+/// Guards against a shorter prefix that wins over a longer one that ends with a slash.
+#[test]
+fn of_two_prefixes_that_differ_by_a_slash_the_longer_one_wins() {
+    let mut documents = documents();
+    let mut route = documents.routes.routes[0].clone();
+    (route.name, route.path, route.host) = ("plain".into(), "/seats".into(), None);
+    documents.routes.routes = vec![route.clone()];
+    (route.name, route.path) = ("below".into(), "/seats/".into());
+    documents.routes.routes.push(route);
+    let tables = snapshot::TableSnapshot::try_from(&documents).unwrap();
+    for (path, expected) in [("/seats", "plain"), ("/seats/", "below"), ("/seats/7", "below")] {
+        let query = route::RouteQuery { host: "a.example", path, method: "GET" };
+        let found = tables.find_route(&query).unwrap();
+        assert_eq!(tables.routes[found].name.as_str(), expected, "{path}");
+    }
+}
+
 fn check_key(presented: &str, is_valid: bool) {
     let tables = snapshot::TableSnapshot::try_from(&documents()).unwrap();
     let key = credential::PresentedKey::parse_dotted(presented);
--- a/crates/transport/node/src/callers/handler.rs
+++ b/crates/transport/node/src/callers/handler.rs
@@ -99,7 +99,10 @@
         let mut request = request.map(|inner| {
             axum::body::Body::new(body::TimeoutBody::new(inner, idle_timeout, status.clone()))
         });
-        *request.uri_mut() = uri;
+        let sent = std::mem::replace(request.uri_mut(), uri);
+        if sent.path() != request.uri().path() {
+            request.extensions_mut().insert(target::SentPath(sent.path().into()));
+        }
         request.extensions_mut().insert(axum::extract::ConnectInfo(self.peer));
         let Ok(response) = self.router.clone().oneshot(request).await;
         match status.fault() {
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -28,6 +28,7 @@
 use crate::callers::headers;
 use crate::callers::refusal;
 use crate::callers::request;
+use crate::callers::target;
 use crate::callers::trace;
 use crate::shared;
 
@@ -43,7 +44,7 @@
     let applied = shared.tables.load_full();
     let tables = sync::Arc::clone(&applied.snapshot);
     let trace = trace::RequestTrace::begin(&shared, request.headers(), arrived);
-    let route = find_route(&tables, &request);
+    let route = find_route(&tables, &request, shared.names);
     let result = match &route {
         Ok(key) => {
             let route = &tables.routes[*key];
@@ -89,20 +90,30 @@
     }
 }
 
+/// Returns the route of a request.
+///
+/// A backend server takes the canonical path and the path as it was sent for the same one, so a request
+/// whose two forms belong to different routes is refused where the form that was sent counts.
 fn find_route(
     tables: &snapshot::TableSnapshot,
     request: &http::Request<axum::body::Body>,
+    names: &names::HeaderNames,
 ) -> Result<route::RouteKey, refusal::Refusal> {
     if tables.routes.is_empty() {
         return Err(refusal::Refusal::not_run(refusal::RefusalKind::NotReady));
     }
     let host = request_host(request)?;
-    let query = route::RouteQuery {
-        host: &host,
-        path: request.uri().path(),
-        method: request.method().as_str(),
+    let find = |path| {
+        let method = request.method().as_str();
+        tables.find_route(&route::RouteQuery { host: &host, path, method })
     };
-    let found = tables.find_route(&query);
+    let found = find(request.uri().path());
+    let sent = request.extensions().get::<target::SentPath>();
+    let is_hidden = sent.is_some_and(|sent| find(&sent.0) != found);
+    if names.routes_by_sent_path && is_hidden {
+        let fault = target::TargetFault::HiddenRoute;
+        return Err(refusal::Refusal::not_run(refusal::RefusalKind::BadTarget(fault)));
+    }
     found.ok_or(refusal::Refusal::not_run(refusal::RefusalKind::NoRoute))
 }
 
--- a/crates/transport/node/src/callers/target.rs
+++ b/crates/transport/node/src/callers/target.rs
@@ -6,6 +6,7 @@
 //! refused.
 
 use std::borrow;
+use std::sync;
 
 use marjoramwing_derives as derives;
 
@@ -31,6 +32,9 @@
     /// The path has a percent sign without two hexadecimal digits.
     #[display("the path has `%` without two hexadecimal digits; send `%25` for a percent sign")]
     BadEscape,
+    /// Escapes in the path hide which route it belongs to.
+    #[display("escapes in the path hide its route; send letters, digits and `-._~` unescaped")]
+    HiddenRoute,
     /// The request has no host.
     #[display("the request names no host; send one Host header")]
     NoHost,
@@ -48,6 +52,10 @@
     BadScheme,
 }
 
+/// Path of a request as the caller sent it, kept beside the request if the canonical form differs.
+#[derive(Debug, Clone)]
+pub struct SentPath(pub sync::Arc<str>);
+
 /// Returns the canonical form of a path.
 ///
 /// # Errors
--- a/crates/transport/node/tests/outcome/main.rs
+++ b/crates/transport/node/tests/outcome/main.rs
@@ -15,6 +15,7 @@
 mod quarantine;
 mod relay_end;
 mod relaying;
+mod routes;
 mod service;
 mod shifts;
 mod statements;
