Configuration: versions have 128 bits, so configurations with large numbers take effect

Cause: a version is the operators' number followed by nine digits of the store's era.

Evidence: event 2002 with version 0.

Change: versions of tables have 128 bits. Messages and status objects keep their fields of 64 bits for earlier builds, in the same order, and have a second one for what is wider. The last nine digits of an era count, and the metric of the version is a number of any size.

--- a/crates/coordination/configuration/src/candidate.rs
+++ b/crates/coordination/configuration/src/candidate.rs
@@ -53,7 +53,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct CandidateObject {
     /// Version of the object in the store.
-    pub version: u64,
+    pub version: u128,
     /// Parsed document.
     pub document: CandidateDocument,
     /// Original text, sent unchanged to peers that fetch the object.
@@ -83,7 +83,7 @@
     /// Returns a syntax fault if the text is not a valid document of the object.
     pub fn parse(
         object: TableObject,
-        version: u64,
+        version: u128,
         text: bytes::Bytes,
     ) -> Result<Self, fault::FaultKind> {
         let document = match object {
--- a/crates/coordination/configuration/src/dump.rs
+++ b/crates/coordination/configuration/src/dump.rs
@@ -2,6 +2,7 @@
 
 use marjoramwing_objects::position;
 use marjoramwing_tables::snapshot;
+use marjoramwing_tables::version;
 
 use crate::candidate;
 use crate::trust;
@@ -36,7 +37,8 @@
     /// The table object.
     pub object: candidate::TableObject,
     /// Its newest version; 0 if the store's value states none that can be read.
-    pub version: u64,
+    #[serde(serialize_with = "version::serialize")]
+    pub version: u128,
     /// Why that version is not applied.
     pub faults: Vec<String>,
 }
--- a/crates/coordination/configuration/src/fetch.rs
+++ b/crates/coordination/configuration/src/fetch.rs
@@ -16,7 +16,7 @@
 /// A fetch of one object that has not been answered.
 #[derive(Debug, Clone)]
 struct PendingFetch {
-    version: u64,
+    version: u128,
     deadline: time::Timestamp,
     sources: collections::VecDeque<net::SocketAddr>,
 }
@@ -35,7 +35,7 @@
     pub fn add_source(
         &mut self,
         object: candidate::TableObject,
-        version: u64,
+        version: u128,
         source: net::SocketAddr,
         deadline: time::Timestamp,
     ) -> bool {
@@ -63,7 +63,7 @@
     }
 
     /// Ends the pending fetch of an object if `version` satisfies it.
-    pub fn finish(&mut self, object: candidate::TableObject, version: u64) {
+    pub fn finish(&mut self, object: candidate::TableObject, version: u128) {
         let slot = &mut self.pending[object as usize];
         if slot.as_ref().is_some_and(|pending| pending.version <= version) {
             *slot = None;
--- a/crates/coordination/configuration/src/gossip.rs
+++ b/crates/coordination/configuration/src/gossip.rs
@@ -184,7 +184,7 @@
         &mut self,
         address: net::SocketAddr,
         object: candidate::TableObject,
-        above: u64,
+        above: u128,
         actions: &mut ActionList,
     ) {
         let (version, text) = self.selector.text(object);
--- a/crates/coordination/configuration/src/group.rs
+++ b/crates/coordination/configuration/src/group.rs
@@ -47,7 +47,10 @@
 
 /// Returns the version of one object.
 #[must_use]
-pub const fn version_of(versions: &snapshot::TableVersions, object: candidate::TableObject) -> u64 {
+pub const fn version_of(
+    versions: &snapshot::TableVersions,
+    object: candidate::TableObject,
+) -> u128 {
     match object {
         candidate::TableObject::Routes => versions.routes,
         candidate::TableObject::Pools => versions.pools,
@@ -61,7 +64,7 @@
 pub const fn version_mut(
     versions: &mut snapshot::TableVersions,
     object: candidate::TableObject,
-) -> &mut u64 {
+) -> &mut u128 {
     match object {
         candidate::TableObject::Routes => &mut versions.routes,
         candidate::TableObject::Pools => &mut versions.pools,
--- a/crates/coordination/configuration/src/keeper.rs
+++ b/crates/coordination/configuration/src/keeper.rs
@@ -126,7 +126,7 @@
 #[derive(Debug)]
 pub(crate) struct ReceivedObject {
     pub(crate) object: candidate::TableObject,
-    pub(crate) version: u64,
+    pub(crate) version: u128,
     pub(crate) text: bytes::Bytes,
 }
 
@@ -245,7 +245,7 @@
     pub(crate) fn offer(
         &mut self,
         object: candidate::TableObject,
-        version: u64,
+        version: u128,
         text: bytes::Bytes,
         rng: &mut impl rand::Rng,
         actions: &mut Vec<ConfigurationAction>,
--- a/crates/coordination/configuration/src/message.rs
+++ b/crates/coordination/configuration/src/message.rs
@@ -40,14 +40,14 @@
         /// Requested object.
         object: candidate::TableObject,
         /// The object is sent only if the receiver's version is greater than this.
-        above: u64,
+        above: u128,
     },
     /// Carries the text of an object.
     Object {
         /// Object that the text belongs to.
         object: candidate::TableObject,
         /// Version of the object.
-        version: u64,
+        version: u128,
         /// Text of the object, as read from the store.
         text: bytes::Bytes,
     },
--- a/crates/coordination/configuration/src/selector.rs
+++ b/crates/coordination/configuration/src/selector.rs
@@ -57,7 +57,7 @@
 #[derive(Debug, Default)]
 struct ObjectHistory {
     /// Newest version that was read, valid or not.
-    newest_read: u64,
+    newest_read: u128,
     /// Text of the newest version that was read.
     text: bytes::Bytes,
     /// Applied version; `None` until one is applied.
@@ -70,7 +70,7 @@
 }
 
 impl ObjectHistory {
-    fn applied_version(&self) -> u64 {
+    fn applied_version(&self) -> u128 {
         self.applied.as_ref().map_or(0, |applied| applied.version)
     }
 
@@ -82,7 +82,7 @@
 
     /// Applies a version, unless it is applied already, and drops the pending versions that are not
     /// newer.
-    fn apply(&mut self, version: u64) {
+    fn apply(&mut self, version: u128) {
         if let Some(index) = self.pending.iter().position(|pending| pending.version == version) {
             self.applied = Some(self.pending.remove(index));
         }
@@ -122,7 +122,7 @@
 
     /// Returns the newest version of an object that was read, and its text.
     #[must_use]
-    pub fn text(&self, object: candidate::TableObject) -> (u64, bytes::Bytes) {
+    pub fn text(&self, object: candidate::TableObject) -> (u128, bytes::Bytes) {
         let history = self.history(object);
         (history.newest_read, history.text.clone())
     }
@@ -143,7 +143,7 @@
     pub fn offer(
         &mut self,
         object: candidate::TableObject,
-        version: u64,
+        version: u128,
         text: bytes::Bytes,
     ) -> bool {
         let monotonic = self.rules.monotonic;
@@ -238,7 +238,7 @@
     ///
     /// A newer version of the first object takes precedence; see [`group::TableGroup::objects`].
     /// The applied versions are tried last and count as consistent, so `None` is not expected.
-    fn find_consistent(&self, group: group::TableGroup) -> Option<Vec<u64>> {
+    fn find_consistent(&self, group: group::TableGroup) -> Option<Vec<u128>> {
         let objects = group.objects();
         let second = objects.get(1).copied();
         for first_choice in self.history(objects[0]).choices() {
@@ -313,7 +313,7 @@
         documents
     }
 
-    fn versions(&self, version: impl Fn(&ObjectHistory) -> u64) -> snapshot::TableVersions {
+    fn versions(&self, version: impl Fn(&ObjectHistory) -> u128) -> snapshot::TableVersions {
         let mut versions = snapshot::TableVersions::default();
         for object in candidate::TableObject::ALL {
             *group::version_mut(&mut versions, object) = version(self.history(object));
@@ -336,7 +336,7 @@
     }
 }
 
-fn version_of(choice: Option<&candidate::CandidateObject>) -> u64 {
+fn version_of(choice: Option<&candidate::CandidateObject>) -> u128 {
     choice.map_or(0, |choice| choice.version)
 }
 
--- a/crates/coordination/configuration/src/status.rs
+++ b/crates/coordination/configuration/src/status.rs
@@ -1,6 +1,7 @@
 //! Reports of faulty table objects, written to status objects that operators read through the
 //! object API.
 
+use std::sync::Arc;
 use std::time;
 
 use marjoramwing_derives as derives;
@@ -8,6 +9,7 @@
 use marjoramwing_objects::object;
 use marjoramwing_objects::operation;
 use marjoramwing_tables::fault;
+use marjoramwing_tables::version;
 
 use crate::candidate;
 
@@ -19,12 +21,23 @@
 /// Value of a status object.
 #[derives::document]
 pub struct StatusDocument {
-    /// Version of the table object that the report describes.
+    /// Version of the table object that the report describes, in 64 bits.
     pub version: u64,
+    /// The same in decimal digits if it is a wide version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub wide_version: Option<Arc<str>>,
     /// Why that version is not applied; empty if it is.
     pub faults: Vec<String>,
 }
 
+impl StatusDocument {
+    /// Returns the version that the report describes.
+    fn described_version(&self) -> u128 {
+        let wide = self.wide_version.as_ref().and_then(|digits| digits.parse().ok());
+        wide.unwrap_or_else(|| version::widen(self.version))
+    }
+}
+
 /// State of the status report of one table object.
 #[derive(Debug, Default)]
 pub struct StatusReport {
@@ -34,7 +47,7 @@
     /// Whether the operation in flight may have been based on a lost state of the store.
     is_outdated: bool,
     /// Newest version that needs no further report.
-    reported_version: u64,
+    reported_version: u128,
     /// Whether the last report was of a value without a readable version.
     reported_unversioned: bool,
     /// Whether this instance's last report listed faults and must be cleared once the object is
@@ -48,7 +61,7 @@
     /// The table object.
     pub object: candidate::TableObject,
     /// Newest version of the object that was read, valid or not.
-    pub newest: u64,
+    pub newest: u128,
     /// Whether the store's value has no readable version; it then counts as not applied.
     pub is_unversioned: bool,
     /// Whether the newest version is applied.
@@ -135,8 +148,9 @@
     /// Returns true if a stored report makes that of this instance needless.
     fn is_covered(&self, state: ObjectState<'_>, stored: &StatusDocument) -> bool {
         let is_same = stored.faults == status_document(state).faults;
-        stored.version > state.newest
-            || stored.version == state.newest && (is_same || !self.concerns_unversioned(state))
+        let version = stored.described_version();
+        version > state.newest
+            || version == state.newest && (is_same || !self.concerns_unversioned(state))
     }
 
     /// Returns true if a value without a readable version has appeared or gone since the last
@@ -161,7 +175,12 @@
 
 fn status_document(state: ObjectState<'_>) -> StatusDocument {
     let faults = state.faults.faults.iter().take(MAX_FAULTS).map(ToString::to_string).collect();
-    StatusDocument { version: state.newest, faults }
+    let is_wide = state.newest >= version::FIRST_WIDE;
+    StatusDocument {
+        version: version::narrow(state.newest),
+        wide_version: is_wide.then(|| state.newest.to_string().into()),
+        faults,
+    }
 }
 
 fn status_write(
--- a/crates/coordination/configuration/src/store.rs
+++ b/crates/coordination/configuration/src/store.rs
@@ -42,7 +42,7 @@
     Idle,
     InFlight {
         /// Newest version known when the read was sent.
-        known: u64,
+        known: u128,
     },
     Due(entity_time::Timestamp),
 }
--- a/crates/coordination/registry/src/registry.rs
+++ b/crates/coordination/registry/src/registry.rs
@@ -241,7 +241,7 @@
             operation::ChangedValue::Omitted => return,
         };
         let era = context.position.era;
-        let position = position::StorePosition { era, revision: change.version.0 };
+        let position = position::StorePosition { era, revision: change.version.revision() };
         let outdated = self.outdated.get(&id);
         if self.servers.get(&id).is_some_and(|known| position < known.entry.position)
             || outdated.is_some_and(|outdated| position <= outdated.entry.position)
--- a/crates/protocol/peer/src/configuration.rs
+++ b/crates/protocol/peer/src/configuration.rs
@@ -9,6 +9,7 @@
 use marjoramwing_configuration::message;
 use marjoramwing_derives as derives;
 use marjoramwing_tables::snapshot;
+use marjoramwing_tables::version;
 
 /// Message that propagates the configuration between instances.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -38,6 +39,36 @@
     Object(ObjectText),
 }
 
+/// A version of more than 64 bits.
+///
+/// Where a field of 64 bits has a counterpart of this type, that is present if the version is
+/// [wide](version::FIRST_WIDE). Builds that do not know it read the field of 64 bits.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WideVersion {
+    /// Upper 64 bits.
+    #[prost(uint64, tag = "1")]
+    pub high: u64,
+    /// Lower 64 bits.
+    #[prost(uint64, tag = "2")]
+    pub low: u64,
+}
+
+impl WideVersion {
+    /// Returns the counterpart of a field of 64 bits; `None` if the version is not wide.
+    fn of(version: u128) -> Option<Self> {
+        let (high, low) = ((version >> u64::BITS) as u64, version as u64);
+        (version >= version::FIRST_WIDE).then_some(Self { high, low })
+    }
+}
+
+/// Returns the version that a field of 64 bits and its counterpart state.
+fn read_version(narrow: u64, wide: Option<WideVersion>) -> u128 {
+    wide.map_or_else(
+        || version::widen(narrow),
+        |wide| u128::from(wide.high) << u64::BITS | u128::from(wide.low),
+    )
+}
+
 /// Versions of the objects that make up the tables.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct Versions {
@@ -56,6 +87,21 @@
     /// Version of the steering configuration.
     #[prost(uint64, tag = "5")]
     pub steering: u64,
+    /// Wide version of the routes.
+    #[prost(message, optional, tag = "6")]
+    pub wide_routes: Option<WideVersion>,
+    /// Wide version of the pools.
+    #[prost(message, optional, tag = "7")]
+    pub wide_pools: Option<WideVersion>,
+    /// Wide version of the teams.
+    #[prost(message, optional, tag = "8")]
+    pub wide_teams: Option<WideVersion>,
+    /// Wide version of the keys.
+    #[prost(message, optional, tag = "9")]
+    pub wide_keys: Option<WideVersion>,
+    /// Wide version of the steering configuration.
+    #[prost(message, optional, tag = "10")]
+    pub wide_steering: Option<WideVersion>,
 }
 
 /// Requests the newest versions that the receiver has read.
@@ -105,6 +151,9 @@
     /// The object is sent only if the receiver's version is greater than this.
     #[prost(uint64, tag = "2")]
     pub above: u64,
+    /// The same if it is a wide version.
+    #[prost(message, optional, tag = "3")]
+    pub wide_above: Option<WideVersion>,
 }
 
 /// Carries the text of an object.
@@ -116,6 +165,9 @@
     /// Version of the object.
     #[prost(uint64, tag = "2")]
     pub version: u64,
+    /// The same if it is a wide version.
+    #[prost(message, optional, tag = "4")]
+    pub wide_version: Option<WideVersion>,
     /// JSON text of the object, as read from the store.
     #[prost(bytes = "bytes", tag = "3")]
     pub text: bytes::Bytes,
@@ -175,10 +227,15 @@
                 Body::Notice(Notice { versions: versions.into() })
             }
             message::ConfigurationMessage::Fetch { object, above } => {
-                Body::Fetch(Fetch { object: Object::from(object).into(), above })
+                let wide_above = WideVersion::of(above);
+                let object = Object::from(object).into();
+                Body::Fetch(Fetch { object, above: version::narrow(above), wide_above })
             }
             message::ConfigurationMessage::Object { object, version, text } => {
-                Body::Object(ObjectText { object: Object::from(object).into(), version, text })
+                let wide_version = WideVersion::of(version);
+                let object = Object::from(object).into();
+                let version = version::narrow(version);
+                Body::Object(ObjectText { object, version, wide_version, text })
             }
         };
         Self { body: Some(body) }
@@ -201,11 +258,12 @@
             },
             Body::Notice(notice) => Self::Notice { versions: notice.versions.into() },
             Body::Fetch(fetch) => {
-                Self::Fetch { object: parse_object(fetch.object)?, above: fetch.above }
+                let above = read_version(fetch.above, fetch.wide_above);
+                Self::Fetch { object: parse_object(fetch.object)?, above }
             }
             Body::Object(object) => Self::Object {
                 object: parse_object(object.object)?,
-                version: object.version,
+                version: read_version(object.version, object.wide_version),
                 text: object.text,
             },
         })
@@ -215,11 +273,16 @@
 impl From<snapshot::TableVersions> for Versions {
     fn from(versions: snapshot::TableVersions) -> Self {
         Self {
-            routes: versions.routes,
-            pools: versions.pools,
-            teams: versions.teams,
-            keys: versions.keys,
-            steering: versions.steering,
+            routes: version::narrow(versions.routes),
+            pools: version::narrow(versions.pools),
+            teams: version::narrow(versions.teams),
+            keys: version::narrow(versions.keys),
+            steering: version::narrow(versions.steering),
+            wide_routes: WideVersion::of(versions.routes),
+            wide_pools: WideVersion::of(versions.pools),
+            wide_teams: WideVersion::of(versions.teams),
+            wide_keys: WideVersion::of(versions.keys),
+            wide_steering: WideVersion::of(versions.steering),
         }
     }
 }
@@ -227,11 +290,11 @@
 impl From<Versions> for snapshot::TableVersions {
     fn from(raw: Versions) -> Self {
         Self {
-            routes: raw.routes,
-            pools: raw.pools,
-            teams: raw.teams,
-            keys: raw.keys,
-            steering: raw.steering,
+            routes: read_version(raw.routes, raw.wide_routes),
+            pools: read_version(raw.pools, raw.wide_pools),
+            teams: read_version(raw.teams, raw.wide_teams),
+            keys: read_version(raw.keys, raw.wide_keys),
+            steering: read_version(raw.steering, raw.wide_steering),
         }
     }
 }
--- a/crates/state/objects/src/object.rs
+++ b/crates/state/objects/src/object.rs
@@ -75,4 +75,20 @@
 #[derives::value]
 #[derive(Default, derive_more::Display, serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
-pub struct ObjectVersion(pub u64);
+pub struct ObjectVersion(pub u128);
+
+impl ObjectVersion {
+    /// Returns the version as a revision of the store, which has 64 bits.
+    ///
+    /// Only versions of tables in the platform dialect are no revisions; those are never written.
+    #[must_use]
+    pub fn revision(self) -> u64 {
+        u64::try_from(self.0).unwrap_or(u64::MAX)
+    }
+}
+
+impl From<u64> for ObjectVersion {
+    fn from(revision: u64) -> Self {
+        Self(revision.into())
+    }
+}
--- a/crates/state/tables/src/lib.rs
+++ b/crates/state/tables/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`registration`]: backend servers that register themselves.
 //! - [`route`], [`pool`], [`team`], [`site`], [`region`]: the validated rows.
 //! - [`snapshot`]: one immutable set of all tables, built from documents.
+//! - [`version`]: the form of versions in 64 bits.
 
 pub mod credential;
 pub mod document;
@@ -20,3 +21,4 @@
 pub mod snapshot;
 mod steering;
 pub mod team;
+pub mod version;
--- a/crates/state/tables/src/snapshot.rs
+++ b/crates/state/tables/src/snapshot.rs
@@ -21,6 +21,7 @@
 use crate::route;
 use crate::site;
 use crate::team;
+use crate::version;
 
 const MAX_DEADLINE_MS: u64 = 600_000;
 const MAX_BODY_BYTES: u64 = 1 << 30;
@@ -32,18 +33,23 @@
 
 /// Versions of the objects from which a snapshot was built.
 #[derives::value]
-#[derive(Default, serde::Serialize, serde::Deserialize)]
+#[derive(Default, serde::Serialize)]
 pub struct TableVersions {
     /// Version of the `routes` object.
-    pub routes: u64,
+    #[serde(serialize_with = "version::serialize")]
+    pub routes: u128,
     /// Version of the `pools` object.
-    pub pools: u64,
+    #[serde(serialize_with = "version::serialize")]
+    pub pools: u128,
     /// Version of the `teams` object.
-    pub teams: u64,
+    #[serde(serialize_with = "version::serialize")]
+    pub teams: u128,
     /// Version of the `keys` object.
-    pub keys: u64,
+    #[serde(serialize_with = "version::serialize")]
+    pub keys: u128,
     /// Version of the `steering` object.
-    pub steering: u64,
+    #[serde(serialize_with = "version::serialize")]
+    pub steering: u128,
 }
 
 /// The raw documents of one snapshot.
--- a/crates/transport/node/src/metrics.rs
+++ b/crates/transport/node/src/metrics.rs
@@ -22,7 +22,7 @@
     /// Caller connections refused because too many were open.
     pub refused_connections: prometheus::IntCounter,
     /// Applied version of each table object.
-    pub table_versions: prometheus::IntGaugeVec,
+    pub table_versions: prometheus::GaugeVec,
     /// Object versions refused as faulty or inconsistent with the other objects.
     pub refused_objects: prometheus::IntCounter,
     /// Objects whose newest version is not applied because it is faulty or inconsistent
@@ -83,7 +83,7 @@
             ),
             table_versions: register(
                 &registry,
-                gauges("table_version", "Version in force of a table object.", &["object"]),
+                wide_gauges("table_version", "Version in force of a table object.", &["object"]),
             ),
             refused_objects: register(
                 &registry,
@@ -238,6 +238,15 @@
     prometheus::IntGaugeVec::new(options(name, help), labels)
 }
 
+/// Creates gauges whose values may exceed 64 bits.
+fn wide_gauges(
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> prometheus::Result<prometheus::GaugeVec> {
+    prometheus::GaugeVec::new(options(name, help), labels)
+}
+
 fn register<C: Collector + Clone + 'static>(
     registry: &MetricRegistry,
     metric: prometheus::Result<C>,
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -289,7 +289,7 @@
         ];
         for (object, version) in objects {
             let gauge = self.metrics.table_versions.with_label_values(&[object]);
-            gauge.set(i64::try_from(version).unwrap_or(i64::MAX));
+            gauge.set(version as f64);
         }
     }
 }
--- a/crates/transport/node/tests/ports/admin.rs
+++ b/crates/transport/node/tests/ports/admin.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use axum::body;
+use marjoramwing_configuration::configuration;
 use marjoramwing_configuration::trust;
 use marjoramwing_dispatch::fingerprint;
 use marjoramwing_dispatch::quarantine;
@@ -17,6 +18,7 @@
 use marjoramwing_node::shared;
 use marjoramwing_node::steering::driver;
 use marjoramwing_tables::credential;
+use marjoramwing_tables::snapshot;
 use tokio::sync::mpsc;
 use tower::ServiceExt;
 
@@ -135,6 +137,23 @@
     assert!(!metrics.contains(harness::SECRET));
 }
 
+/// Guards against a dump that fails, or rounds, versions that JSON numbers of 64 bits cannot hold.
+#[tokio::test]
+async fn dump_and_metrics_show_wide_versions() {
+    let shared = make_shared();
+    let wide = 202_612_051_730_000_000_001;
+    let versions = snapshot::TableVersions { routes: wide, pools: 7, ..Default::default() };
+    let snapshot = sync::Arc::default();
+    shared.apply(configuration::AppliedTables { versions, snapshot });
+    let dump = get(&shared, "/dump?section=tables").await;
+    assert!(dump.text.contains(r#""routes":"202612051730000000001""#), "{}", dump.text);
+    assert!(dump.text.contains(r#""pools":7"#), "{}", dump.text);
+    let metrics = get(&shared, "/metrics").await;
+    assert!(metrics.text.contains(r#"version{object="pools"} 7"#), "{}", metrics.text);
+    let shown = r#"version{object="routes"} 202612051730000000000"#;
+    assert!(metrics.text.contains(shown), "{}", metrics.text);
+}
+
 #[tokio::test]
 async fn one_section_equals_its_part_of_the_whole_dump() {
     let shared = make_shared();
--- a/crates/transport/operator/src/command.rs
+++ b/crates/transport/operator/src/command.rs
@@ -111,7 +111,7 @@
         /// Object that the edit was for.
         object: Arc<str>,
         /// Current version.
-        current: u64,
+        current: u128,
     },
     /// The edit was written, but is inconsistent with a concurrent edit of another object.
     #[display(
@@ -121,7 +121,7 @@
         /// Object that was edited.
         object: Arc<str>,
         /// Version that the edit created.
-        current: u64,
+        current: u128,
         /// Faults of the combined tables.
         faults: fault::FaultList,
     },
@@ -173,7 +173,7 @@
     /// Returns the current version of the object if an edit conflicted or is inconsistent with
     /// another.
     #[must_use]
-    pub const fn current_version(&self) -> Option<u64> {
+    pub const fn current_version(&self) -> Option<u128> {
         match self {
             Self::Conflict { current, .. } | Self::Inconsistent { current, .. } => Some(*current),
             _ => None,
--- a/crates/transport/operator/src/editor.rs
+++ b/crates/transport/operator/src/editor.rs
@@ -45,7 +45,7 @@
 impl StoredTables {
     /// Returns the version of one object.
     #[must_use]
-    pub const fn version(&self, table: candidate::TableObject) -> u64 {
+    pub const fn version(&self, table: candidate::TableObject) -> u128 {
         match table {
             candidate::TableObject::Routes => self.versions.routes,
             candidate::TableObject::Pools => self.versions.pools,
@@ -109,7 +109,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WrittenEdit {
     /// Version that the edit created.
-    pub version: u64,
+    pub version: u128,
     /// True if a row of the name existed before.
     pub replaced: bool,
 }
@@ -159,7 +159,7 @@
     pub async fn apply(
         &self,
         change: &row::RowChange,
-        expected: Option<u64>,
+        expected: Option<u128>,
     ) -> Result<WrittenEdit, command::CommandError> {
         let table = change.table().object();
         let mut tables = self.read().await?;
@@ -184,7 +184,7 @@
         &self,
         table: candidate::TableObject,
         tables: &mut StoredTables,
-    ) -> Result<u64, command::CommandError> {
+    ) -> Result<u128, command::CommandError> {
         let expected = tables.version(table);
         let edit_id: Arc<str> = format!("{:032x}", rand::random::<u128>()).into();
         *tables.edit_id_mut(table) = Some(Arc::clone(&edit_id));
@@ -227,7 +227,7 @@
         &self,
         table: candidate::TableObject,
         write: &operation::ConditionalWrite,
-    ) -> Result<Option<u64>, command::CommandError> {
+    ) -> Result<Option<u128>, command::CommandError> {
         match self.client.write(write).await {
             Ok(operation::StoreAnswer::Written(version)) => Ok(Some(version.0)),
             Ok(operation::StoreAnswer::Conflict(current)) => {
@@ -266,7 +266,7 @@
     async fn validate_after_write(
         &self,
         table: candidate::TableObject,
-        version: u64,
+        version: u128,
     ) -> Result<(), command::CommandError> {
         let Ok(tables) = self.read().await else { return Ok(()) };
         validate(&tables).map_err(|faults| command::CommandError::Inconsistent {
@@ -287,6 +287,6 @@
     snapshot::TableSnapshot::try_from(&tables.documents).map(drop)
 }
 
-fn conflict(table: candidate::TableObject, current: u64) -> command::CommandError {
+fn conflict(table: candidate::TableObject, current: u128) -> command::CommandError {
     command::CommandError::Conflict { object: table.to_string().into(), current }
 }
--- a/crates/transport/operator/src/key.rs
+++ b/crates/transport/operator/src/key.rs
@@ -22,7 +22,7 @@
 /// JSON output of `grant`.
 #[derive(serde::Serialize)]
 struct GrantOutput {
-    version: u64,
+    version: u128,
     key: String,
 }
 
--- a/crates/transport/operator/src/output.rs
+++ b/crates/transport/operator/src/output.rs
@@ -8,7 +8,7 @@
     error: String,
     exit: u8,
     #[serde(skip_serializing_if = "Option::is_none")]
-    current_version: Option<u64>,
+    current_version: Option<u128>,
 }
 
 /// Prints an error as text on standard error, or as JSON on standard output.
--- a/crates/transport/operator/src/resolution.rs
+++ b/crates/transport/operator/src/resolution.rs
@@ -12,7 +12,7 @@
     /// Value of `edit_id` that the write contained.
     pub edit_id: &'a str,
     /// Version that the write expected; 0 if the object did not exist.
-    pub expected: u64,
+    pub expected: u128,
 }
 
 /// The object as read after the write.
@@ -21,18 +21,18 @@
     /// Value of `edit_id` in the object, if present.
     pub edit_id: Option<&'a str>,
     /// Current version; 0 if the object does not exist.
-    pub version: u64,
+    pub version: u128,
 }
 
 /// Outcome of the write.
 #[derives::value]
 pub enum WriteResolution {
     /// The write took effect and created this version.
-    Written(u64),
+    Written(u128),
     /// The write has not taken effect so far; the same conditional write can be retried.
     Pending,
     /// Another edit replaced the expected version and created this one.
-    Conflict(u64),
+    Conflict(u128),
     /// Several later edits, or a version below the expected one, hide whether the write
     /// took effect.
     Indeterminate,
--- a/crates/transport/operator/src/table.rs
+++ b/crates/transport/operator/src/table.rs
@@ -32,21 +32,21 @@
 /// JSON output of `list`.
 #[derive(serde::Serialize)]
 struct ListOutput {
-    version: u64,
+    version: u128,
     rows: Vec<row::TableRow>,
 }
 
 /// JSON output of `get`.
 #[derive(serde::Serialize)]
 struct GetOutput {
-    version: u64,
+    version: u128,
     row: row::TableRow,
 }
 
 /// JSON output of an edit.
 #[derive(serde::Serialize)]
 struct EditOutput {
-    version: u64,
+    version: u128,
     replaced: bool,
 }
 
