Bodies: buffered parts are joined, so small chunks without end take little memory

Reported elsewhere: a server sent bytes without end, and the instance that had called it ran out of memory.

Cause here: the start of a response is buffered up to 64 KiB, as a list of the parts in which it arrived. A chunk of one byte costs its place in the list and keeps a share of the read buffer, some 50 times its length.

Change: buffered bodies of responses, requests and the object API are joined as their parts arrive, and the start of a streamed request has at most 256 parts.

--- a/crates/transport/node/src/backends/buffered.rs
+++ b/crates/transport/node/src/backends/buffered.rs
@@ -10,14 +10,16 @@
 use http_body::Body as _;
 use http_body_util::BodyExt;
 
+use crate::backends::joined;
+
 /// Maximum size of a response that is buffered completely, in bytes.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
 /// Response body that is buffered completely, in part or not at all.
 #[derive(Debug)]
 pub struct BufferedBody {
-    /// Buffered parts, oldest first.
-    parts: std::collections::VecDeque<bytes::Bytes>,
+    /// Start of the body that is buffered and not yet forwarded.
+    start: bytes::Bytes,
     /// Rest of the body, unless it was buffered completely.
     rest: Option<hyper::body::Incoming>,
 }
@@ -26,7 +28,7 @@
     /// Wraps a body without buffering any of it.
     #[must_use]
     pub const fn unbuffered(body: hyper::body::Incoming) -> Self {
-        Self { parts: std::collections::VecDeque::new(), rest: Some(body) }
+        Self { start: bytes::Bytes::new(), rest: Some(body) }
     }
 
     /// Buffers a small body completely.
@@ -38,8 +40,7 @@
     ///
     /// Returns an error if the connection to the backend server fails.
     pub async fn buffer(mut body: hyper::body::Incoming) -> Result<Self, hyper::Error> {
-        let mut parts = std::collections::VecDeque::new();
-        let mut length = 0;
+        let mut start = joined::JoinedBytes::default();
         let is_large = |length: u64| length > MAX_BUFFERED_BYTES as u64;
         if is_large(body.size_hint().lower()) {
             return Ok(Self::unbuffered(body));
@@ -47,13 +48,12 @@
         while let Some(frame) = body.frame().await {
             // Trailers are not forwarded.
             let Ok(part) = frame?.into_data() else { continue };
-            length += part.len();
-            parts.push_back(part);
-            if is_large(length as u64) {
-                return Ok(Self { parts, rest: Some(body) });
+            start.push(part);
+            if is_large(start.len() as u64) {
+                return Ok(Self { start: start.finish(), rest: Some(body) });
             }
         }
-        Ok(Self { parts, rest: None })
+        Ok(Self { start: start.finish(), rest: None })
     }
 
     /// Returns true if the backend server has sent the whole body.
@@ -71,8 +71,9 @@
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<http_body::Frame<bytes::Bytes>, hyper::Error>>> {
-        if let Some(part) = self.parts.pop_front() {
-            return task::Poll::Ready(Some(Ok(http_body::Frame::data(part))));
+        if !self.start.is_empty() {
+            let start = std::mem::take(&mut self.start);
+            return task::Poll::Ready(Some(Ok(http_body::Frame::data(start))));
         }
         match &mut self.rest {
             Some(rest) => pin::Pin::new(rest).poll_frame(context),
@@ -81,11 +82,11 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.parts.is_empty() && self.is_buffered()
+        self.start.is_empty() && self.is_buffered()
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
-        let buffered: usize = self.parts.iter().map(bytes::Bytes::len).sum();
+        let buffered = self.start.len();
         let Some(rest) = &self.rest else {
             return http_body::SizeHint::with_exact(buffered as u64);
         };
--- a/crates/transport/node/src/backends/mod.rs
+++ b/crates/transport/node/src/backends/mod.rs
@@ -5,6 +5,7 @@
 //! - [`dial`]: opens connections, through another instance where the own links are lost.
 //! - [`direct`]: opens connections without another instance between.
 //! - [`inbound`]: reads what a backend server sends, directly or through another instance.
+//! - [`joined`]: bodies that are joined as their parts arrive.
 //! - [`pool`]: idle connections.
 //! - [`replay`]: request bodies that can be sent more than once.
 //! - [`response`]: response bodies, which return their connection to the connection pool.
@@ -16,6 +17,7 @@
 pub mod dial;
 pub mod direct;
 pub mod inbound;
+pub mod joined;
 pub mod pool;
 pub mod replay;
 pub mod response;
--- a/crates/transport/node/src/backends/replay.rs
+++ b/crates/transport/node/src/backends/replay.rs
@@ -11,10 +11,16 @@
 use http_body::Body as _;
 use http_body_util::BodyExt;
 
+use crate::backends::joined;
+
 /// Maximum size of a body that is buffered completely, and of the buffered start of a
 /// streamed body, in bytes.
 pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
+/// Maximum number of parts in the buffered start of a streamed body, since each costs memory beside
+/// its bytes.
+const MAX_BUFFERED_PARTS: usize = 256;
+
 /// Memory for buffered bodies of one service, in bytes.
 const MAX_BUFFERED_BYTES_PER_SERVICE: usize = 16 * 1024 * 1024;
 
@@ -94,16 +100,19 @@
         max_bytes: usize,
         permit: tokio::sync::OwnedSemaphorePermit,
     ) -> Result<Self, ReadFailure> {
-        match http_body_util::Limited::new(body, max_bytes).collect().await {
-            Ok(collected) => Ok(Self::Buffered(BufferedBytes {
-                bytes: collected.to_bytes(),
-                _permit: Some(permit),
-            })),
-            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-                Err(ReadFailure::TooLarge)
+        let mut limited = http_body_util::Limited::new(body, max_bytes);
+        let mut joined = joined::JoinedBytes::default();
+        while let Some(frame) = limited.frame().await {
+            match frame {
+                // Trailers are not forwarded.
+                Ok(frame) => joined.push(frame.into_data().unwrap_or_default()),
+                Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                    return Err(ReadFailure::TooLarge);
+                }
+                Err(_) => return Err(ReadFailure::ConnectionFailed),
             }
-            Err(_) => Err(ReadFailure::ConnectionFailed),
         }
+        Ok(Self::Buffered(BufferedBytes { bytes: joined.finish(), _permit: Some(permit) }))
     }
 
     /// Creates a source for a body that is read from the caller while it is sent.
@@ -252,7 +261,9 @@
 
     fn buffer(&mut self, part: &bytes::Bytes) {
         self.read_bytes += part.len();
-        self.is_overflowed |= self.permit.is_none() || self.read_bytes > MAX_BUFFERED_BYTES;
+        let is_full =
+            self.read_bytes > MAX_BUFFERED_BYTES || self.buffered.len() >= MAX_BUFFERED_PARTS;
+        self.is_overflowed |= self.permit.is_none() || is_full;
         if self.is_overflowed {
             self.buffered.clear();
         } else {
--- a/crates/transport/store-client/src/client.rs
+++ b/crates/transport/store-client/src/client.rs
@@ -337,13 +337,15 @@
             }
         })?;
         let (head, body) = response.into_parts();
-        let limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
-        let body = limited.collect().await.map_err(|_| StoreError::NoResponse { address })?;
-        let response = call::CallResponse {
-            status: head.status,
-            headers: head.headers,
-            body: body.to_bytes(),
-        };
+        let mut limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
+        // Joined at once, since small parts that are kept one by one cost many times their length.
+        let mut joined = bytes::BytesMut::new();
+        while let Some(frame) = limited.frame().await {
+            let frame = frame.map_err(|_| StoreError::NoResponse { address })?;
+            joined.extend_from_slice(&frame.into_data().unwrap_or_default());
+        }
+        let (status, headers, body) = (head.status, head.headers, joined.freeze());
+        let response = call::CallResponse { status, headers, body };
         self.record_era(&response);
         Ok(response)
     }
