--- a/crates/protocol/peer/src/relay.rs
+++ b/crates/protocol/peer/src/relay.rs
@@ -1,8 +1,8 @@
 //! Messages that open a connection to a backend server through another instance.
 //!
 //! After the result, the link carries the bytes of that connection and no more frames. Those of the
-//! server come in [blocks](crate::block) if both ends have said so; builds before this one say nothing
-//! and forward the bytes as they are.
+//! server come in [blocks](crate::block) if both ends have said so. Earlier builds say nothing, and
+//! forward the bytes as they are.
 
 use std::net;
 
--- a/crates/transport/node/src/peers/forwarding.rs
+++ b/crates/transport/node/src/peers/forwarding.rs
@@ -100,11 +100,11 @@
         let monitor = socket::AckMonitor::default();
         let (opener_read, opener_write) = opener.split();
         let (server_read, server_write) = server.split();
+        let requests = forward_requests(opener_read, server_write, &monitor);
         let responses = forward_responses(server_read, opener_write, &monitor, sends_blocks);
-        tokio::pin!(responses);
         tokio::select! {
-            () = forward_requests(opener_read, server_write, &monitor) => false,
-            ended = &mut responses => ended.is_ok(),
+            () = requests => false,
+            ended = responses => ended.is_ok(),
         }
     };
     if is_closed_by_server {
