Refusals: a pause within a body that is sent on is answered 504, which promises nothing

Cause: the status of a refusal for a paused body did not depend on whether the request may have run.

On the code before, bodies::pause_within_a_body_that_is_sent_on_is_no_promise failed with 408 in place of 504.

Change: 408 only if the request has not run. The pause itself is still a setting of 10 s; the users' idleTimeoutS is not read, which stays open.

--- a/crates/transport/node/src/callers/refusal.rs
+++ b/crates/transport/node/src/callers/refusal.rs
@@ -192,7 +192,10 @@
             }
             RefusalKind::HeadTooLarge => http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             RefusalKind::Unsupported(_) => http::StatusCode::NOT_IMPLEMENTED,
-            RefusalKind::BodyTimedOut => http::StatusCode::REQUEST_TIMEOUT,
+            RefusalKind::BodyTimedOut => match self.outcome {
+                exchange::RequestOutcome::NotRun => http::StatusCode::REQUEST_TIMEOUT,
+                exchange::RequestOutcome::Unknown => http::StatusCode::GATEWAY_TIMEOUT,
+            },
             RefusalKind::NoRoute => http::StatusCode::NOT_FOUND,
             RefusalKind::KeyMissing | RefusalKind::KeyRefused => http::StatusCode::UNAUTHORIZED,
             RefusalKind::OverLimit { .. } => http::StatusCode::TOO_MANY_REQUESTS,
--- a/crates/transport/node/tests/outcome/bodies.rs
+++ b/crates/transport/node/tests/outcome/bodies.rs
@@ -6,6 +6,8 @@
 use crate::support;
 use futures_util::stream;
 use marjoramwing_testing::cases;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -53,3 +55,25 @@
     streamed_body_is_not_sent_again_after_a_shed =>
         (sized_body(MAX_BODY_BYTES), &[ServerStep::ShedAfterBody], 503, "not-run", &[]);
 }
+
+/// Guards against a status that promises "not run" for a request whose body paused after a part of it
+/// was sent on: the backend server may work on that part.
+#[test]
+fn pause_within_a_body_that_is_sent_on_is_no_promise() {
+    support::block_on(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let servers = [listener.local_addr().unwrap()];
+        let instance = support::TestInstance::start_on_platform(&servers, 4_000).await;
+        let mut caller = tokio::net::TcpStream::connect(instance.address).await.unwrap();
+        let head =
+            "POST /open HTTP/1.1\r\nhost: a\r\nrequest-id: one\r\ncontent-length: 200000\r\n\r\n";
+        caller.write_all(head.as_bytes()).await.unwrap();
+        caller.write_all(&[b'x'; 100_000]).await.unwrap();
+        let (mut server, _) = listener.accept().await.unwrap();
+        let mut received = vec![0; 50_000];
+        server.read_exact(&mut received).await.unwrap();
+        let mut response = [0; 12];
+        caller.read_exact(&mut response).await.unwrap();
+        assert_eq!(response.escape_ascii().to_string(), "HTTP/1.1 504");
+    });
+}
