Tidied after review: one status rule by outcome, one reader of request heads in tests

Changed: Refusal::by_outcome serves the three kinds; support::read_request_id serves both binaries; the route of the path as sent is looked up only where it counts.

--- a/crates/transport/node/src/backends/replay.rs
+++ b/crates/transport/node/src/backends/replay.rs
@@ -104,7 +104,7 @@
         let mut joined = joined::JoinedBytes::default();
         while let Some(frame) = limited.frame().await {
             match frame {
-                // Trailers are not forwarded.
+                // A frame without data holds trailers, which are not forwarded.
                 Ok(frame) => joined.push(frame.into_data().unwrap_or_default()),
                 Err(error) if error.is::<http_body_util::LengthLimitError>() => {
                     return Err(ReadFailure::TooLarge);
--- a/crates/transport/node/src/callers/proxy.rs
+++ b/crates/transport/node/src/callers/proxy.rs
@@ -109,8 +109,7 @@
     };
     let found = find(request.uri().path());
     let sent = request.extensions().get::<target::SentPath>();
-    let is_hidden = sent.is_some_and(|sent| find(&sent.0) != found);
-    if names.routes_by_sent_path && is_hidden {
+    if names.routes_by_sent_path && sent.is_some_and(|sent| find(&sent.0) != found) {
         let fault = target::TargetFault::HiddenRoute;
         return Err(refusal::Refusal::not_run(refusal::RefusalKind::BadTarget(fault)));
     }
--- a/crates/transport/node/src/callers/refusal.rs
+++ b/crates/transport/node/src/callers/refusal.rs
@@ -192,10 +192,8 @@
             }
             RefusalKind::HeadTooLarge => http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             RefusalKind::Unsupported(_) => http::StatusCode::NOT_IMPLEMENTED,
-            RefusalKind::BodyTimedOut => match self.outcome {
-                exchange::RequestOutcome::NotRun => http::StatusCode::REQUEST_TIMEOUT,
-                exchange::RequestOutcome::Unknown => http::StatusCode::GATEWAY_TIMEOUT,
-            },
+            RefusalKind::BodyTimedOut => self
+                .by_outcome(http::StatusCode::REQUEST_TIMEOUT, http::StatusCode::GATEWAY_TIMEOUT),
             RefusalKind::NoRoute => http::StatusCode::NOT_FOUND,
             RefusalKind::KeyMissing | RefusalKind::KeyRefused => http::StatusCode::UNAUTHORIZED,
             RefusalKind::OverLimit { .. } => http::StatusCode::TOO_MANY_REQUESTS,
@@ -211,14 +209,12 @@
             | RefusalKind::ClaimsUnavailable
             | RefusalKind::BodyMemoryFull
             | RefusalKind::DeadlineUnsent => http::StatusCode::SERVICE_UNAVAILABLE,
-            RefusalKind::Held { .. } => match self.outcome {
-                exchange::RequestOutcome::NotRun => http::StatusCode::SERVICE_UNAVAILABLE,
-                exchange::RequestOutcome::Unknown => http::StatusCode::BAD_GATEWAY,
-            },
-            RefusalKind::Stopping => match self.outcome {
-                exchange::RequestOutcome::NotRun => http::StatusCode::SERVICE_UNAVAILABLE,
-                exchange::RequestOutcome::Unknown => http::StatusCode::GATEWAY_TIMEOUT,
-            },
+            RefusalKind::Held { .. } => self
+                .by_outcome(http::StatusCode::SERVICE_UNAVAILABLE, http::StatusCode::BAD_GATEWAY),
+            RefusalKind::Stopping => self.by_outcome(
+                http::StatusCode::SERVICE_UNAVAILABLE,
+                http::StatusCode::GATEWAY_TIMEOUT,
+            ),
             RefusalKind::HandlerFailed => http::StatusCode::INTERNAL_SERVER_ERROR,
             RefusalKind::ExchangeFailed | RefusalKind::ResponseUnframed => {
                 http::StatusCode::BAD_GATEWAY
@@ -227,6 +223,18 @@
         }
     }
 
+    /// Returns the status that promises "not run" only if that is true.
+    const fn by_outcome(
+        &self,
+        not_run: http::StatusCode,
+        unknown: http::StatusCode,
+    ) -> http::StatusCode {
+        match self.outcome {
+            exchange::RequestOutcome::NotRun => not_run,
+            exchange::RequestOutcome::Unknown => unknown,
+        }
+    }
+
     /// Returns the label of the refusal in metrics and logs.
     #[must_use]
     pub const fn label(&self) -> &'static str {
--- a/crates/transport/node/src/peers/forwarding.rs
+++ b/crates/transport/node/src/peers/forwarding.rs
@@ -107,10 +107,8 @@
             ended = responses => ended.is_ok(),
         }
     };
-    if is_closed_by_server {
-        socket::flush_on_close(&opener);
-    }
     if is_closed_by_server || sends_blocks {
+        socket::flush_on_close(&opener);
         let _ = opener.shutdown().await;
     }
 }
--- a/crates/transport/node/src/peers/relay.rs
+++ b/crates/transport/node/src/peers/relay.rs
@@ -189,10 +189,10 @@
         _ => return Err(failed),
     }
     let parts = stream.into_parts();
-    // The server sends nothing before the request.
     let framing = match result.sends_blocks {
         true => inbound::InboundFraming::BLOCKS,
         false => inbound::InboundFraming::Unmarked,
     };
+    // The server sends nothing before the request.
     if parts.read_buf.is_empty() { Ok((parts.io, framing)) } else { Err(failed) }
 }
--- a/crates/transport/node/tests/memory/main.rs
+++ b/crates/transport/node/tests/memory/main.rs
@@ -62,12 +62,7 @@
     let marker = headers::NAMES.response_marker.as_ref().unwrap();
     while let Ok((mut stream, _)) = listener.accept().await {
         tokio::spawn(async move {
-            let mut head = Vec::new();
-            while !head.ends_with(b"\r\n\r\n") {
-                head.push(stream.read_u8().await.unwrap());
-            }
-            let head = String::from_utf8(head).unwrap();
-            let id = head.lines().find_map(|line| line.strip_prefix("request-id: ")).unwrap();
+            let id = support::read_request_id(&mut stream).await;
             let framing = "transfer-encoding: chunked";
             let head =
                 format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n{marker}: s\r\n{framing}\r\n\r\n");
--- a/crates/transport/node/tests/outcome/relay_end.rs
+++ b/crates/transport/node/tests/outcome/relay_end.rs
@@ -53,7 +53,7 @@
     async fn serve(self, length: usize, end: BodyEnd, close: impl Future<Output = ()>) {
         let listener = tokio::net::TcpListener::from_std(self.listener).unwrap();
         let (mut stream, _) = listener.accept().await.unwrap();
-        let id = relaying::read_request_id(&mut stream).await;
+        let id = support::read_request_id(&mut stream).await;
         let marker = marjoramwing_platform::headers::NAMES.response_marker.as_ref().unwrap();
         let framing = match end {
             BodyEnd::Length => format!("content-length: {length}\r\n"),
--- a/crates/transport/node/tests/outcome/relaying.rs
+++ b/crates/transport/node/tests/outcome/relaying.rs
@@ -240,21 +240,10 @@
 /// More than fits into the buffers between two ends.
 const LARGE_BYTES: usize = 24 * 1024 * 1024;
 
-/// Reads a request head and returns the request's id.
-pub(crate) async fn read_request_id(stream: &mut tokio::net::TcpStream) -> String {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await.unwrap());
-    }
-    let head = String::from_utf8(head).unwrap();
-    let mut ids = head.lines().filter_map(|line| line.strip_prefix("request-id: "));
-    ids.next().unwrap().to_owned()
-}
-
 /// Reads a request head, stalls, reads the body and responds with as many bytes.
 async fn serve_after_stall(listener: tokio::net::TcpListener) {
     let (mut stream, _) = listener.accept().await.unwrap();
-    let id = read_request_id(&mut stream).await;
+    let id = support::read_request_id(&mut stream).await;
     tokio::time::sleep(STALL).await;
     let mut body = vec![0; LARGE_BYTES];
     stream.read_exact(&mut body).await.unwrap();
@@ -305,7 +294,7 @@
 /// Responds without a length, then resets the connection within the body.
 async fn serve_reset(listener: tokio::net::TcpListener) {
     let (mut stream, _) = listener.accept().await.unwrap();
-    let id = read_request_id(&mut stream).await;
+    let id = support::read_request_id(&mut stream).await;
     let marker = marjoramwing_platform::headers::NAMES.response_marker.as_ref().unwrap();
     let response = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n{marker}: s\r\n\r\nhalf");
     stream.write_all(response.as_bytes()).await.unwrap();
--- a/crates/transport/node/tests/outcome/support.rs
+++ b/crates/transport/node/tests/outcome/support.rs
@@ -16,6 +16,7 @@
 use marjoramwing_settings::settings;
 use marjoramwing_tables::credential;
 use marjoramwing_tables::snapshot;
+use tokio::io::AsyncReadExt;
 use tokio_util::sync as cancellation;
 
 use crate::ledger;
@@ -256,3 +257,14 @@
         tokio::time::sleep(std::time::Duration::from_millis(2)).await;
     }
 }
+
+/// Reads a request head and returns the request's id.
+pub(crate) async fn read_request_id(stream: &mut tokio::net::TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.unwrap());
+    }
+    let head = String::from_utf8(head).unwrap();
+    let mut ids = head.lines().filter_map(|line| line.strip_prefix("request-id: "));
+    ids.next().unwrap().to_owned()
+}
--- a/crates/transport/store-client/src/client.rs
+++ b/crates/transport/store-client/src/client.rs
@@ -342,6 +342,7 @@
         let mut joined = bytes::BytesMut::new();
         while let Some(frame) = limited.frame().await {
             let frame = frame.map_err(|_| StoreError::NoResponse { address })?;
+            // A frame without data holds trailers, which are not read.
             joined.extend_from_slice(&frame.into_data().unwrap_or_default());
         }
         let (status, headers, body) = (head.status, head.headers, joined.freeze());
