--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+import itertools
 import json
 import os
+import random
 import re
 import socket
 import subprocess
@@ -198,21 +200,25 @@
         self.id = f"i-{service}-{number}"
         self.answer, self.record = answer, record
         self.running = 0
+        self.connections = set()
 
-    async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 20)
-        address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+    async def start(self, port=0, cold_s=0.0):
+        """Listens and registers; a port of 0 means any free one."""
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", port, limit=1 << 20)
+        self.port = self.listener.sockets[0].getsockname()[1]
         self.spec = {
-            "address": address, "born": int(time.time() * 1000),
+            "address": f"127.0.0.1:{self.port}", "born": int(time.time() * 1000),
             "info": {"service": self.service, "version": "v1", "zone": self.zone, "slots": self.slots},
         }
-        asyncio.ensure_future(self.keep_registered())
+        self.cold_until = time.monotonic() + cold_s
+        self.heartbeat = asyncio.ensure_future(self.keep_registered())
 
     async def keep_registered(self):
         sequence = 0
         while True:
             sequence += 1
-            status = {"state": "ready", "sequence": sequence, "coldRemainingS": 0.0}
+            cold_s = round(max(0.0, self.cold_until - time.monotonic()), 1)
+            status = {"state": "ready", "sequence": sequence, "coldRemainingS": cold_s}
             await self.store.put("servers", self.id, self.spec, status)
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -222,6 +228,7 @@
                 f"Server-Stamp: {stamp}\r\nServer-Load: {self.running},0,{self.slots}\r\n{extra}")
 
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while request := await read_head(reader):
                 body = await read_body(reader, request[1])
@@ -240,9 +247,23 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.connections.discard(writer)
             close(writer)
 
 
+def crash_together(servers):
+    """Ends servers at once: connections are reset, new ones are refused, and nothing is written.
+
+    Connections are reset in turn among the servers, as the processes of several machines end together.
+    """
+    for server in servers:
+        server.heartbeat.cancel()
+        server.listener.close()
+    for group in itertools.zip_longest(*(list(server.connections) for server in servers)):
+        for writer in filter(None, group):
+            writer.transport.abort()
+
+
 def route(name, host, prefix, kind, service, timeout_s):
     return {"resourceKind": "routes", "metadata": {"name": name}, "spec": {
         "host": host, "pathPrefix": prefix, "kind": kind, "timeoutS": timeout_s, "targetLatencyS": 1.0,
@@ -269,9 +290,16 @@
 
 
 def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return "127.0.0.1:%d" % probe.getsockname()[1]
+    """Returns a free address, with a port that the system gives to no outgoing connection."""
+    for _ in range(1000):
+        port = random.randrange(20000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return f"127.0.0.1:{port}"
+            except OSError:
+                continue
+    raise CannotRun("no port is free")
 
 
 def render(template, fields):
