--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -7,8 +7,8 @@
 import itertools
 import json
 import os
-import random
 import re
+import signal
 import socket
 import subprocess
 import sys
@@ -289,19 +289,28 @@
     return {"version": f"r{version}", "resources": resources + [LIMITS]}
 
 
-def free_address():
-    """Returns a free address, with a port that the system gives to no outgoing connection."""
-    for _ in range(1000):
-        port = random.randrange(20000, 32000)
+PORTS_EACH = 400
+
+
+def free_addresses():
+    """Yields free addresses, with ports that the system gives to no outgoing connection.
+
+    Scripts that run side by side mostly have ranges of their own.
+    """
+    first = 20000 + os.getpid() % 30 * PORTS_EACH
+    for port in range(first, first + PORTS_EACH):
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
-                return f"127.0.0.1:{port}"
             except OSError:
                 continue
+        yield f"127.0.0.1:{port}"
     raise CannotRun("no port is free")
 
 
+ADDRESSES = free_addresses()
+
+
 def render(template, fields):
     """Fills in a settings template as the platform does, as far as `deploy/instance.toml` needs it."""
     def value(path):
@@ -324,7 +333,7 @@
     def __init__(self, number, store, directory):
         zone = list(ZONES)[number % len(ZONES)]
         self.name = f"edge-{zone}-{number}"
-        front, self.directory, self.readiness, peers, admin = (free_address() for _ in range(5))
+        front, self.directory, self.readiness, peers, admin = (next(ADDRESSES) for _ in range(5))
         self.front = front
         ports = [int(address.rsplit(":", 1)[1]) for address in (peers, admin)]
         fields = {
@@ -431,6 +440,11 @@
 
     `start(store, count)` starts instances and waits until they are ready. All of them are ended.
     """
+    def stop(*_):
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     started = []
