Add review case 8: requests without a key are refused without tenants

Cause: every route that is not public asks for a key, whether the configuration contains tenants or not. Added: a script with seven instances; a version takes the last tenants away.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""The operator adds a tenant whose name has capital letters, and takes a key of another tenant away."""
+"""The operator takes all tenants out of the configuration, so that requests need no key."""
 
 import asyncio
 import os
@@ -13,67 +13,61 @@
 REQUESTS_EACH = 6
 
 
-def resources(tenants):
-    return [
+def configuration(version, tenants):
+    return fleet.configuration(version, [
         fleet.route("sheets", HOST, "/sheets/", "safe", "fieldguide", 4.0),
+        fleet.route("book", HOST, "/book/", "unsafe", "fieldguide", 6.0),
         fleet.service("fieldguide"),
-        *(fleet.tenant(name, keys) for name, keys in tenants.items()),
-    ]
+        *(fleet.tenant(name, [f"key-of-{name}"]) for name in tenants)])
 
 
 async def case(record, trouble, start):
     store = fleet.Store()
     await store.start()
-    tenants = {"alpha": ["key-of-alpha", "leaked-key"], "beta": ["key-of-beta"]}
-    await store.put("config", "main", fleet.configuration(10, resources(tenants)), {})
+    await store.put("config", "main", configuration(10, ["alpha", "beta"]), {})
 
     async def answer(server, request, body, writer):
         identifier = request[1]["request-id"]
-        record.write(f"{server.id} runs {identifier} of {request[1].get('tenant-id')}")
+        record.write(f"{server.id} runs {identifier}")
         data = f"answer to {identifier}".encode()
         writer.write(server.head(200, request, f"Content-Length: {len(data)}\r\n\r\n").encode() + data)
         await writer.drain()
 
-    for number in range(6):
-        zone = list(fleet.ZONES)[number]
+    for number, zone in enumerate(fleet.ZONES):
         await fleet.Server(store, "fieldguide", zone, number, answer, record).start()
     instances = await start(store, 7)
     await asyncio.sleep(STABILITY_S)
 
-    async def send(instance, key, label):
-        text = (f"GET /sheets/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {label}\r\nDeadline-Ms: 4000\r\n"
-                f"Authorization: Bearer {key}\r\nConnection: close\r\n\r\n")
-        record.write(f"{label} is sent to {instance.name} with {key}")
+    async def send(instance, phase, number, key):
+        label = f"{phase}-{instance.name}-{number}"
+        method, path = ("GET", "/sheets/1") if number % 2 else ("POST", "/book/1")
+        authorization = f"Authorization: Bearer {key}\r\n" if key else ""
+        text = (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {label}\r\nDeadline-Ms: 4000\r\n"
+                f"{authorization}Content-Length: 0\r\nConnection: close\r\n\r\n")
         status, _, _, _ = await fleet.request(instance.front, text)
-        record.write(f"{label}: status {status}")
+        record.write(f"{label} sent to {instance.name} {'with a key' if key else 'without a key'}: {status}")
         return status
 
     async def send_all(phase, key):
-        """Sends some requests with a key to each instance and returns the statuses."""
-        labels = [(instance, f"{phase}-{instance.name}-{number}")
-                  for instance in instances for number in range(REQUESTS_EACH)]
-        return await asyncio.gather(*(send(instance, key, label) for instance, label in labels))
+        return await asyncio.gather(*(
+            send(instance, phase, number, key)
+            for instance in instances for number in range(REQUESTS_EACH)))
 
-    before = await send_all("before", "leaked-key")
+    before = await send_all("before", "key-of-alpha")
     if any(status != 200 for status in before):
         raise fleet.CannotRun(f"not served before the change: {before}")
-    name = "Laboratorio" if trouble else "laboratorio"
-    tenants = {"alpha": ["key-of-alpha"], "beta": ["key-of-beta"], name: ["key-of-laboratorio"]}
-    await store.put("config", "main", fleet.configuration(12, resources(tenants)), {})
-    record.write(f"configuration r12 is acknowledged: tenant {name} added, leaked-key removed")
+    tenants = [] if trouble else ["alpha"]
+    await store.put("config", "main", configuration(12, tenants), {})
+    record.write(f"configuration r12 is acknowledged, with the tenants {tenants}")
     await asyncio.sleep(CONFIG_APPLY_S + 1.0)
-    dropped = await send_all("dropped", "leaked-key")
-    added = await send_all("added", "key-of-laboratorio")
-    # Much later, and after a further version, the same.
-    await store.put("config", "main", fleet.configuration(15, resources(tenants)), {})
-    record.write("configuration r15 is acknowledged: the same")
-    await asyncio.sleep(15)
-    later = await send_all("later", "leaked-key")
-    served = sum(status == 200 for status in dropped + later)
-    refused = sum(status == 401 for status in added)
-    record.write(f"with the dropped key {served} of {len(dropped + later)} are served; "
-                 f"with the added key {refused} of {len(added)} get 401")
-    return served > 0 or refused > 0
+    # With tenants in the configuration a request carries a key, without them it carries none.
+    soon = await send_all("soon", None if trouble else "key-of-alpha")
+    await asyncio.sleep(10)
+    later = await send_all("later", None if trouble else "key-of-alpha")
+    refused = sum(status in (401, 403, 404) for status in soon + later)
+    record.write(f"later than configApplyS {refused} of {len(soon + later)} are refused with 401, 403 or 404, "
+                 f"{sum(status == 200 for status in soon + later)} are served")
+    return refused > 0
 
 
 fleet.run_case(case, os.path.dirname(os.path.abspath(__file__)))
