--- a/review/7/case.py
+++ b/review/7/case.py
@@ -27,7 +27,7 @@
     tenants = {"alpha": ["key-of-alpha", "leaked-key"], "beta": ["key-of-beta"]}
     await store.put("config", "main", fleet.configuration(10, resources(tenants)), {})
 
-    async def answer(server, request, body, writer):
+    async def answer(server, request, body, writer, deadline):
         identifier = request[1]["request-id"]
         record.write(f"{server.id} runs {identifier} of {request[1].get('tenant-id')}")
         data = f"answer to {identifier}".encode()
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -26,7 +26,7 @@
     await store.start()
     await store.put("config", "main", configuration(10, ["alpha", "beta"]), {})
 
-    async def answer(server, request, body, writer):
+    async def answer(server, request, body, writer, deadline):
         identifier = request[1]["request-id"]
         record.write(f"{server.id} runs {identifier}")
         data = f"answer to {identifier}".encode()
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -26,6 +27,10 @@
     "quotaWindowS": 5, "quotaOverage": 0.1, "quotaSlack": 20, "maxShift": 0.15,
 }
 HEARTBEAT_S = 1.5
+# Requests that wait at a server, for each slot, before it turns others away.
+QUEUE_PER_SLOT = 3
+# Exit status of a broken rule; `run.sh` turns it into 1, so that an error of the script is not taken for one.
+BROKEN = 10
 
 
 class CannotRun(Exception):
@@ -192,7 +197,8 @@
 class Server:
     """A backend server that registers itself and keeps its entry up to date.
 
-    `answer(server, head, body, writer)` is called for each request that it runs.
+    `answer(server, head, body, writer, deadline)` is called for each request that it runs. More requests than slots
+    wait, up to a bound.
     """
 
     def __init__(self, store, service, zone, number, answer, record, slots=8):
@@ -200,7 +206,8 @@
         self.id = f"i-{service}-{number}"
         self.answer, self.record = answer, record
         self.running = 0
-        self.connections = set()
+        self.waiting = 0
+        self.connections = {}
 
     async def start(self, port=0, cold_s=0.0):
         """Listens and registers; a port of 0 means any free one."""
@@ -225,31 +232,126 @@
     def head(self, status, request, extra=""):
         stamp = f"{self.id}.{request[1].get('request-id', '')}"
         return (f"HTTP/1.1 {status} X\r\nRequest-Id: {request[1].get('request-id', '')}\r\n"
-                f"Server-Stamp: {stamp}\r\nServer-Load: {self.running},0,{self.slots}\r\n{extra}")
+                f"Server-Stamp: {stamp}\r\nServer-Load: {self.running},{self.waiting},{self.slots}\r\n{extra}")
 
     async def serve(self, reader, writer):
-        self.connections.add(writer)
+        self.connections[writer] = reader
         try:
             while request := await read_head(reader):
+                began = time.monotonic()
                 body = await read_body(reader, request[1])
-                expected = request[1].get("expect-instance", self.id)
-                if expected != self.id or self.running >= self.slots:
-                    status = 421 if expected != self.id else 503
-                    head = self.head(status, request, "Not-Executed: 1\r\n")
-                    writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
-                    await writer.drain()
-                    continue
-                self.running += 1
-                try:
-                    await self.answer(self, request, body, writer)
-                finally:
-                    self.running -= 1
+                deadline = began + float(request[1].get("deadline-ms", 60000)) / 1000
+                if await self.take_slot(request, reader, writer, deadline):
+                    try:
+                        await self.answer(self, request, body, writer, deadline)
+                    finally:
+                        self.running -= 1
+                await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
-            self.connections.discard(writer)
+            self.connections.pop(writer, None)
             close(writer)
 
+    async def take_slot(self, request, reader, writer, deadline):
+        """Waits for a slot; answers a request that gets none or belongs elsewhere, and returns False."""
+        if request[0].startswith("GET /health "):
+            writer.write(f"HTTP/1.1 200 X\r\nInstance-Id: {self.id}\r\nContent-Length: 0\r\n\r\n".encode())
+            return False
+        if request[1].get("expect-instance", self.id) != self.id:
+            self.refuse(421, request, writer)
+            return False
+        if self.running >= self.slots and self.waiting >= QUEUE_PER_SLOT * self.slots:
+            self.refuse(503, request, writer)
+            return False
+        self.waiting += 1
+        try:
+            while self.running >= self.slots:
+                await asyncio.sleep(0.005)
+                if is_gone(reader):
+                    raise ConnectionResetError
+                if time.monotonic() >= deadline:
+                    self.refuse(503, request, writer)
+                    return False
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        return True
+
+    def refuse(self, status, request, writer):
+        head = self.head(status, request, "Not-Executed: 1\r\n")
+        writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
+
+    async def work(self, seconds, request, writer, deadline):
+        """Works for a time; stops when the channel closes, and at the time budget with 504."""
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            await asyncio.sleep(min(0.02, max(0.0, ends_at - time.monotonic())))
+            if writer not in self.connections or is_gone(self.connections[writer]):
+                raise ConnectionResetError
+            if time.monotonic() >= deadline:
+                writer.write(f"{self.head(504, request)}Content-Length: 0\r\n\r\n".encode())
+                return False
+        return True
+
+
+def is_gone(reader):
+    return reader.at_eof() or reader.exception() is not None
+
+
+class Client:
+    """A client of a zone: it asks the directory, opens a channel for each request and repeats a safe one once."""
+
+    def __init__(self, host, zone, instances, record):
+        self.host, self.zone, self.record = host, zone, record
+        distance = lambda it: (it.zone != zone, ZONES[it.zone] != ZONES[zone])
+        self.nearest = sorted(instances, key=distance)[:3]
+        self.addresses, self.valid_until = [], 0.0
+
+    async def resolve(self):
+        if time.monotonic() < self.valid_until:
+            return
+        target = f"/-/resolve?name={self.host}&region={ZONES[self.zone]}&zone={self.zone}"
+        for instance in self.nearest:
+            try:
+                text = f"GET {target} HTTP/1.1\r\nHost: {self.host}\r\nConnection: close\r\n\r\n"
+                status, _, data, whole = await asyncio.wait_for(request(instance.directory, text), 1)
+                answer = json.loads(data) if status == 200 and whole else {}
+            except (OSError, asyncio.TimeoutError):
+                continue
+            if answer.get("addresses"):
+                self.addresses = answer["addresses"]
+                self.valid_until = time.monotonic() + min(answer["ttlS"], 5)
+                return
+
+    async def get(self, path, label, key, budget_s, on_attempt):
+        """Sends a safe request, and once more after a failure; `on_attempt` gets each attempt's time and end."""
+        ends_at, failed = time.monotonic() + budget_s, set()
+        for attempt in range(2):
+            await self.resolve()
+            left = ends_at - time.monotonic()
+            choice = [address for address in self.addresses if address not in failed] or self.addresses
+            address, at = random.choice(choice) if choice else None, self.record.now()
+            text = (f"GET {path} HTTP/1.1\r\nHost: {self.host}\r\nRequest-Id: {label}-{attempt}\r\n"
+                    f"Deadline-Ms: {int(left * 1000)}\r\nAuthorization: Bearer {key}\r\nConnection: close\r\n\r\n")
+            try:
+                if address is None:
+                    raise ConnectionError
+                status, headers, _, whole = await asyncio.wait_for(request(address, text), left)
+            except (OSError, asyncio.TimeoutError):
+                status, headers, whole = None, {}, False
+            wait = f", Retry-After {headers['retry-after']}" if "retry-after" in headers else ""
+            self.record.write(f"{label}-{attempt} sent at {at:.3f} to {address}: status {status}{wait}")
+            on_attempt(at, status == 200 and whole)
+            if status in (200, 400, 401, 404, 413, 431):
+                return
+            failed.add(address)
+            left = ends_at - time.monotonic()
+            pause = min(float(headers.get("retry-after", 0.05)), left / 3)
+            if left <= 0.2:
+                return
+            await asyncio.sleep(max(0.0, pause))
+
 
 def crash_together(servers):
     """Ends servers at once: connections are reset, new ones are refused, and nothing is written.
@@ -331,7 +433,7 @@
     """One process of the deploy file's role."""
 
     def __init__(self, number, store, directory):
-        zone = list(ZONES)[number % len(ZONES)]
+        zone = self.zone = list(ZONES)[number % len(ZONES)]
         self.name = f"edge-{zone}-{number}"
         front, self.directory, self.readiness, peers, admin = (next(ADDRESSES) for _ in range(5))
         self.front = front
@@ -468,8 +570,8 @@
             if not os.path.exists(os.path.join(ROOT, PROGRAM[0])):
                 raise CannotRun("the deploy file's build has not run")
             broken = asyncio.run(main(directory))
-            verdict = 1 if broken else 0
-        except (CannotRun, OSError, asyncio.TimeoutError) as error:
+            verdict = BROKEN if broken else 0
+        except Exception as error:
             record.write(f"the case could not run: {error!r}")
             verdict = 2
         finally:
@@ -477,6 +579,6 @@
                 if instance.process.poll() is None:
                     instance.process.kill()
                 instance.process.wait()
-    record.write({0: "the rule held", 1: "the rule was broken", 2: "not run"}[verdict])
-    print({0: "held", 1: "broken", 2: "could not run"}[verdict])
+    record.write({0: "the rule held", BROKEN: "the rule was broken", 2: "not run"}[verdict])
+    print({0: "held", BROKEN: "broken", 2: "could not run"}[verdict])
     sys.exit(verdict)
