Confine a fault of an accepted configuration to its row

Cause: each check of our own tables (form of names, ranges of weights, rates, bursts, time-outs, attempts, duplicates, services without a row) kept the whole version out.

Evidence: event 2002 on each instance, with the fault ``teams[1].name: `Laboratorio` is not a name``, no event 2001 after it; nothing had to be added to tell this from a version that is not read or counts as older.

Names of routes, pools and teams are any text; a number out of range becomes the nearest valid one; a row without usable pools refuses its requests and does not leave them to a shorter prefix; a key that cannot be used authenticates no one. Event 2020 and `marjoramwing_confined_faults` say so once a version. Tables that operators edit with our commands are checked as before. The team header carries a name unchanged, or in the extended notation if it could not be one header value. Registrations and peers' reports of limits name pools freely too.

--- a/crates/coordination/configuration/src/configuration.rs
+++ b/crates/coordination/configuration/src/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use marjoramwing_tables::fault;
 use marjoramwing_tables::snapshot;
 
 /// Tables that replace the current ones in one step.
@@ -11,4 +12,6 @@
     pub versions: snapshot::TableVersions,
     /// Validated tables.
     pub snapshot: Arc<snapshot::TableSnapshot>,
+    /// Faults in the tables that were confined to their rows.
+    pub confined: fault::FaultList,
 }
--- a/crates/coordination/configuration/src/dump.rs
+++ b/crates/coordination/configuration/src/dump.rs
@@ -29,6 +29,8 @@
     pub keys: trust::KeyTrust,
     /// Objects whose newest version is not applied.
     pub held: Vec<HeldObject>,
+    /// Faults in the applied tables that are confined to their rows.
+    pub confined: Vec<String>,
 }
 
 /// An object whose newest version is not applied.
--- a/crates/coordination/configuration/src/keeper.rs
+++ b/crates/coordination/configuration/src/keeper.rs
@@ -229,6 +229,7 @@
             failing_ms: self.freshness.failing_for(now).map(to_millis),
             keys: self.trust,
             held: held.collect(),
+            confined: self.selector.confined().faults.iter().map(ToString::to_string).collect(),
         }
     }
 
--- a/crates/coordination/configuration/src/selector.rs
+++ b/crates/coordination/configuration/src/selector.rs
@@ -43,7 +43,8 @@
     /// Whether a single store object holds routes, pools, teams and keys, so that these tables are
     /// applied only with equal versions.
     ///
-    /// A fault in one of them then delays all of them, and steering is never applied.
+    /// The store has accepted that object as a whole, so what can be read of it is applied, and
+    /// faults are confined to their rows. Steering is never applied.
     pub single_object: bool,
 }
 
@@ -99,13 +100,19 @@
 pub struct VersionSelector {
     rules: SelectorRules,
     histories: [ObjectHistory; candidate::TableObject::ALL.len()],
+    /// Faults in the applied tables that were confined to their rows.
+    confined: fault::FaultList,
 }
 
 impl VersionSelector {
     /// Creates a selector that knows no object.
     #[must_use]
     pub fn new(rules: SelectorRules) -> Self {
-        Self { rules, histories: std::array::from_fn(|_| ObjectHistory::default()) }
+        Self {
+            rules,
+            histories: std::array::from_fn(|_| ObjectHistory::default()),
+            confined: fault::FaultList::default(),
+        }
     }
 
     /// Returns the applied versions, 0 for objects without one.
@@ -129,13 +136,18 @@
 
     /// Returns why the newest version of an object that was read is not applied.
     ///
-    /// Under [`SelectorRules::single_object`], a call of [`Self::select`] that applies a version
-    /// does not check newer versions; their faults are recorded by the next call that applies none.
+    /// Under [`SelectorRules::single_object`], that is only why it could not be parsed.
     #[must_use]
     pub fn faults(&self, object: candidate::TableObject) -> &fault::FaultList {
         &self.history(object).faults
     }
 
+    /// Returns the faults in the applied tables that were confined to their rows.
+    #[must_use]
+    pub const fn confined(&self) -> &fault::FaultList {
+        &self.confined
+    }
+
     /// Adds an object that was read, valid or not. Returns true if it is accepted.
     ///
     /// Under [`SelectorRules::monotonic`], only a version newer than all that were read before is
@@ -170,14 +182,13 @@
 
     /// Selects the versions to apply and returns the tables if any applied version has changed.
     pub fn select(&mut self) -> Option<configuration::AppliedTables> {
+        if self.rules.single_object {
+            return self.select_common_version().then(|| self.confine_applied());
+        }
         let before = self.applied();
         let mut all_newest_read = true;
-        if self.rules.single_object {
-            self.select_common_version();
-        } else {
-            for group in group::TableGroup::ALL {
-                all_newest_read &= self.select_group(group);
-            }
+        for group in group::TableGroup::ALL {
+            all_newest_read &= self.select_group(group);
         }
         // Withheld tables have been recorded as applied above; see `independent_groups`.
         if self.applied() == before || !(all_newest_read || self.rules.independent_groups) {
@@ -188,30 +199,40 @@
         // consistent as a whole. If they were not, the versions would count as applied without
         // being returned.
         let snapshot = snapshot::TableSnapshot::try_from(&documents).ok()?;
-        let versions = self.applied();
-        Some(configuration::AppliedTables { versions, snapshot: Arc::new(snapshot) })
+        Some(self.applied_tables(snapshot, fault::FaultList::default()))
     }
 
-    /// Applies the newest version that is pending for all [`SINGLE_OBJECT_TABLES`] and consistent.
+    /// Applies the newest version that is pending for all [`SINGLE_OBJECT_TABLES`].
     ///
-    /// Records the faults of the newest valid versions only if it applies none.
-    fn select_common_version(&mut self) {
+    /// Returns true if there is one.
+    fn select_common_version(&mut self) -> bool {
         let pending = &self.history(SINGLE_OBJECT_TABLES[0]).pending;
         let versions: Vec<_> = pending.iter().rev().map(|pending| pending.version).collect();
-        for version in versions {
-            let choices = SINGLE_OBJECT_TABLES.map(|object| {
-                let mut pending = self.history(object).pending.iter();
-                (object, pending.find(|pending| pending.version == version))
-            });
-            let is_complete = choices.iter().all(|(_, choice)| choice.is_some());
-            if is_complete && self.check(&choices).is_empty() {
-                SINGLE_OBJECT_TABLES
-                    .into_iter()
-                    .for_each(|object| self.history_mut(object).apply(version));
-                return;
-            }
-        }
-        group::TableGroup::ALL.into_iter().for_each(|group| self.record_faults(group));
+        let is_complete = |version: &u128| {
+            SINGLE_OBJECT_TABLES.into_iter().all(|object| {
+                self.history(object).pending.iter().any(|pending| pending.version == *version)
+            })
+        };
+        let Some(version) = versions.into_iter().find(is_complete) else { return false };
+        SINGLE_OBJECT_TABLES.into_iter().for_each(|object| self.history_mut(object).apply(version));
+        true
+    }
+
+    /// Builds the tables from the applied documents and records the faults that are confined.
+    fn confine_applied(&mut self) -> configuration::AppliedTables {
+        let documents = self.documents(|history| history.applied.as_ref());
+        let (snapshot, faults) = snapshot::TableSnapshot::confine(&documents);
+        self.confined = faults.clone();
+        self.applied_tables(snapshot, faults)
+    }
+
+    fn applied_tables(
+        &self,
+        snapshot: snapshot::TableSnapshot,
+        confined: fault::FaultList,
+    ) -> configuration::AppliedTables {
+        let versions = self.applied();
+        configuration::AppliedTables { versions, snapshot: Arc::new(snapshot), confined }
     }
 
     /// Applies the newest consistent versions of a group.
--- a/crates/coordination/configuration/tests/selector.rs
+++ b/crates/coordination/configuration/tests/selector.rs
@@ -298,3 +298,25 @@
     tables_of_a_single_object_are_applied_together => (true, 22);
     tables_of_several_objects_are_applied_separately => (false, 25);
 }
+
+/// Guards against a version of a single store object that one odd row keeps out. Tables that are
+/// edited separately stay in effect as they were.
+fn check_odd_row(single_object: bool, applied_teams: u128) {
+    let objects = [Object::Routes, Object::Pools, Object::Teams, Object::Keys];
+    let rules = selector::SelectorRules { single_object, ..Default::default() };
+    let mut selector = selector::VersionSelector::new(rules);
+    objects.into_iter().for_each(|object| offer_version(&mut selector, object, 22));
+    assert!(selector.select().is_some_and(|applied| applied.confined.is_empty()));
+    offer_version(&mut selector, Object::Routes, 25);
+    offer_version(&mut selector, Object::Pools, 25);
+    selector.offer(Object::Teams, 25, support::teams(&["one", "one"]));
+    selector.offer(Object::Keys, 25, support::keys(&[]));
+    let confined = selector.select().map(|applied| applied.confined.faults.len());
+    assert_eq!(selector.applied().teams, applied_teams);
+    assert_eq!(confined == Some(1) && selector.confined().faults.len() == 1, single_object);
+}
+
+marjoramwing_testing::cases! { check_odd_row:
+    odd_row_of_a_single_object_is_confined => (true, 25);
+    odd_row_of_a_separate_object_is_refused => (false, 22);
+}
--- a/crates/protocol/events/src/catalogue.rs
+++ b/crates/protocol/events/src/catalogue.rs
@@ -96,6 +96,8 @@
     DOMAIN_MISSING = 2018, WARN, "drained failure domain is missing after the object API was restored; it stays drained for a grace period", "drain the failure domain again if it must stay drained";
     /// An entry of a restored object API may be older than what is known of its server.
     SERVER_OUTDATED = 2019, INFO, "registration in the restored object API is older than what is known; ignored while it may expire", "none";
+    /// Rows of the applied tables have faults, which are confined to them.
+    TABLES_CONFINED = 2020, ERROR, "rows of the applied tables cannot be used as written; all others are in effect", "correct the rows that the line names by table and position";
 
     /// A caller's connection ended with an error.
     CALLER_CONNECTION_FAILED = 3001, DEBUG, "caller connection ended with an error", "none";
--- a/crates/state/tables/src/fault.rs
+++ b/crates/state/tables/src/fault.rs
@@ -22,7 +22,7 @@
     #[display("{_0}; correct the document's syntax or member names")]
     Syntax(Arc<str>),
     /// A name is empty, too long or has characters outside the allowed set.
-    #[display("`{_0}` is not a name; use 1 to 63 of a-z, 0-9, `-`, `_` and `.`")]
+    #[display("`{}` is not a name; use 1 to 63 of a-z, 0-9, `-`, `_` and `.`", _0.escape_debug())]
     Name(Arc<str>),
     /// Two rows have the same name, identifier, address, region or pair of regions, or a cap has
     /// the same region on both sides.
@@ -123,6 +123,31 @@
 
 impl std::error::Error for FaultList {}
 
+/// What becomes of documents with faults.
+#[derives::value]
+#[derive(Default)]
+pub enum FaultHandling {
+    /// A fault rejects all documents, for tables that operators edit with this project's commands.
+    #[default]
+    Reject,
+    /// A fault is confined to its row, for tables that the users' store has accepted as a whole.
+    ///
+    /// A number out of range becomes the nearest valid one. A row that cannot be used refuses its
+    /// requests or is left out.
+    Confine,
+}
+
+/// Returns the nearest number of an inclusive range, `low` if the value is no number.
+pub fn nearest<T: PartialOrd>(value: T, low: T, high: T) -> T {
+    if value > high {
+        high
+    } else if value >= low {
+        value
+    } else {
+        low
+    }
+}
+
 /// Checks that a number is in an inclusive range.
 ///
 /// # Errors
--- a/crates/state/tables/src/lib.rs
+++ b/crates/state/tables/src/lib.rs
@@ -1,5 +1,6 @@
 //! Validated tables of routes, pools, teams, keys and steering.
 //!
+//! - `builder`: checks documents and builds a snapshot from them.
 //! - [`document`]: the raw JSON documents that the object API holds.
 //! - [`fault`]: validation errors of documents, with path and remedy.
 //! - [`name`]: validated names.
@@ -9,6 +10,7 @@
 //! - [`snapshot`]: one immutable set of all tables, built from documents.
 //! - [`version`]: the form of versions in 64 bits.
 
+mod builder;
 pub mod credential;
 pub mod document;
 pub mod fault;
--- a/crates/state/tables/src/name.rs
+++ b/crates/state/tables/src/name.rs
@@ -1,5 +1,8 @@
-//! Validated names of routes, pools, teams, sites, regions, failure domains and
-//! instances, and identifiers of team keys.
+//! Names of routes, pools, teams, sites, regions, failure domains and instances, and
+//! identifiers of team keys.
+//!
+//! Names that are edited with this project's commands have a fixed form. Those of routes, pools and
+//! teams may also come from a store of the users, where they are any text.
 
 use std::sync::Arc;
 
@@ -65,6 +68,22 @@
     KeyId;
 }
 
+macro_rules! name_of_any_text {
+    ($($name:ident)+) => {
+        $(
+            impl $name {
+                /// Creates a name that another system has accepted, in whatever form.
+                #[must_use]
+                pub fn of_text(text: &Arc<str>) -> Self {
+                    Self(Arc::clone(text))
+                }
+            }
+        )+
+    };
+}
+
+name_of_any_text! { RouteName PoolName TeamName }
+
 fn is_name(text: &str) -> bool {
     let length_fits = (1..=MAX_NAME_BYTES).contains(&text.len());
     length_fits && text.bytes().all(is_name_byte)
--- a/crates/state/tables/src/registration.rs
+++ b/crates/state/tables/src/registration.rs
@@ -79,7 +79,7 @@
             expected: "an IP address and port such as 10.0.0.1:8080",
         })?;
         Ok(Self {
-            pool: name::PoolName::try_from(&raw.pool)?,
+            pool: name::PoolName::of_text(&raw.pool),
             address,
             failure_domain: name::FailureDomainName::try_from(&raw.failure_domain)?,
             slots: fault::check_range(raw.slots, 1, pool::MAX_SLOTS)?,
--- a/crates/state/tables/src/steering.rs
+++ b/crates/state/tables/src/steering.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time;
 
+use crate::builder;
 use crate::document;
 use crate::fault;
 use crate::name;
 use crate::region;
 use crate::site;
-use crate::snapshot;
 use crate::team;
 
 const MIN_LOOKUP_TTL_MS: u64 = 100;
@@ -18,7 +18,7 @@
 const MIN_INSTANCE_RATE: f64 = 1.0;
 const MAX_INSTANCE_RATE: f64 = 1_000_000.0;
 
-impl snapshot::SnapshotBuilder {
+impl builder::SnapshotBuilder {
     pub(crate) fn add_steering(&mut self, raw: &document::SteeringDocument) {
         let ttl = fault::check_range(raw.lookup_ttl_ms, MIN_LOOKUP_TTL_MS, MAX_LOOKUP_TTL_MS);
         if let Some(ttl) = self.faults.check("lookup_ttl_ms", ttl) {
@@ -97,7 +97,7 @@
     }
 
     fn check_region(&mut self, path: &str, name: &Arc<str>) -> Option<region::RegionKey> {
-        let found = snapshot::find_named(&self.region_keys, "steering", name);
+        let found = builder::find_named(&self.region_keys, "steering", name);
         self.faults.check(path, found)
     }
 
@@ -106,7 +106,7 @@
             let path = format!("blocks[{index}]");
             let prefix = site::AddressPrefix::try_from(&row.prefix);
             let prefix = self.faults.check(format!("{path}.prefix"), prefix);
-            let found = snapshot::find_named(&self.site_keys, "steering", &row.site);
+            let found = builder::find_named(&self.site_keys, "steering", &row.site);
             let site = self.faults.check(format!("{path}.site"), found);
             let (Some(prefix), Some(site)) = (prefix, site) else { continue };
             self.snapshot.blocks.push(site::ClientBlock { prefix, site });
--- a/crates/state/tables/src/team.rs
+++ b/crates/state/tables/src/team.rs
@@ -31,6 +31,15 @@
     /// The smallest valid limit.
     pub const MIN: Self = Self { rate: MIN_RATE, burst: 1 };
 
+    /// Returns the valid limit that is nearest to a rate and a burst.
+    #[must_use]
+    pub fn nearest(rate: f64, burst: u32) -> Self {
+        Self {
+            rate: fault::nearest(rate, MIN_RATE, MAX_RATE),
+            burst: fault::nearest(burst, 1, MAX_BURST),
+        }
+    }
+
     /// Creates a limit from a rate and a burst.
     ///
     /// # Errors
--- a/crates/transport/node/src/callers/request.rs
+++ b/crates/transport/node/src/callers/request.rs
@@ -9,6 +9,7 @@
 use http_body::Body as _;
 use marjoramwing_dispatch::fingerprint;
 use marjoramwing_exchange::names;
+use marjoramwing_exchange::team;
 use marjoramwing_tables::route;
 
 use crate::backends::replay;
@@ -50,9 +51,8 @@
         if let Some(expected) = &names.expected_server {
             headers.remove(expected);
         }
-        // A validated team name is always a valid header value.
-        if let Some(value) = team.and_then(|team| http::HeaderValue::from_str(team).ok()) {
-            headers.insert(names.team.clone(), value);
+        if let Some(team) = team {
+            headers.insert(names.team.clone(), team::encode_name(team));
         }
         let authority = uri.authority().map(http::uri::Authority::as_str);
         if let Some(host) = authority.and_then(|host| http::HeaderValue::from_str(host).ok()) {
@@ -80,7 +80,8 @@
         key: &fingerprint::FingerprintKey,
     ) -> fingerprint::ContentFingerprint {
         let text = |name: &http::HeaderName| {
-            self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+            let value = self.headers.get(name).map(http::HeaderValue::as_bytes);
+            value.and_then(|value| str::from_utf8(value).ok()).unwrap_or_default()
         };
         let body = match &self.source {
             replay::BodySource::Buffered(buffered) => {
--- a/crates/transport/node/src/control/configuration.rs
+++ b/crates/transport/node/src/control/configuration.rs
@@ -15,6 +15,7 @@
 use marjoramwing_peer::message;
 use marjoramwing_settings::settings as instance;
 use marjoramwing_store_client::client;
+use marjoramwing_tables::fault;
 use rand::SeedableRng;
 use tokio::sync::mpsc;
 
@@ -26,6 +27,8 @@
 pub const EVENT_QUEUE: usize = 1_024;
 /// Interval between ticks of the keeper.
 const TICK_PERIOD: time::Duration = time::Duration::from_millis(200);
+/// Largest number of confined faults in one log line.
+const MAX_LOGGED_FAULTS: usize = 100;
 
 /// Executes the actions of the configuration keeper.
 #[derive(Debug)]
@@ -122,6 +125,7 @@
             }
             keeper::ConfigurationAction::Apply(applied) => {
                 emit!(catalogue::TABLES_APPLIED, versions = ?applied.versions);
+                self.record_confined(&applied.confined);
                 self.shared.apply(applied);
             }
             keeper::ConfigurationAction::Refused(object) => self.record_refused(object),
@@ -163,6 +167,17 @@
         });
     }
 
+    /// Logs the faults in applied tables that are confined to their rows, up to a limit.
+    fn record_confined(&self, confined: &fault::FaultList) {
+        let count = confined.faults.len();
+        self.shared.metrics.confined_faults.set(i64::try_from(count).unwrap_or(i64::MAX));
+        if !confined.is_empty() {
+            let logged = confined.faults.iter().take(MAX_LOGGED_FAULTS);
+            let faults: Vec<_> = logged.map(ToString::to_string).collect();
+            emit!(catalogue::TABLES_CONFINED, count = count, faults = %faults.join("\n"));
+        }
+    }
+
     fn record_refused(&self, object: candidate::TableObject) {
         let dump = self.keeper.dump(self.shared.now());
         self.shared.metrics.refused_objects.inc();
--- a/crates/transport/node/src/control/limits.rs
+++ b/crates/transport/node/src/control/limits.rs
@@ -34,7 +34,7 @@
 
 /// Records the limits that another instance reports; drops those of an unknown pool.
 pub fn receive_limits(shared: &shared::InstanceState, raw: limits::ServerLimits) {
-    let Ok(pool) = name::PoolName::try_from(&sync::Arc::from(raw.pool)) else { return };
+    let pool = name::PoolName::of_text(&sync::Arc::from(raw.pool));
     let Some(service) = shared.dispatch.service(&pool) else { return };
     let reports: Vec<_> = raw.limits.into_iter().map(statement::LimitReport::from).collect();
     service.record_limit_reports(&reports);
--- a/crates/transport/node/src/metrics.rs
+++ b/crates/transport/node/src/metrics.rs
@@ -28,6 +28,8 @@
     /// Objects whose newest version is not applied because it is faulty or inconsistent
     /// with the others.
     pub held_objects: prometheus::IntGauge,
+    /// Faults in the applied tables that are confined to their rows.
+    pub confined_faults: prometheus::IntGauge,
     /// Milliseconds since the store confirmed the tables; -1 before the first time.
     pub tables_age_ms: prometheus::IntGauge,
     /// Milliseconds since the store confirmed what is known of a kind of object, to this instance or
@@ -93,6 +95,10 @@
                 &registry,
                 gauge("held_objects", "Objects whose newest version is not in force."),
             ),
+            confined_faults: register(
+                &registry,
+                gauge("confined_faults", "Faults in the tables in force, confined to their rows."),
+            ),
             tables_age_ms: register(
                 &registry,
                 gauge("tables_age_ms", "Time since the store confirmed the tables."),
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -17,6 +17,7 @@
 use marjoramwing_objects::position;
 use marjoramwing_settings::settings;
 use marjoramwing_tables::credential;
+use marjoramwing_tables::fault;
 use marjoramwing_tables::route;
 use marjoramwing_tables::snapshot;
 use tokio::sync::watch;
@@ -131,6 +132,7 @@
         configuration::AppliedTables {
             versions: snapshot::TableVersions::default(),
             snapshot: sync::Arc::new(snapshot::TableSnapshot::default()),
+            confined: fault::FaultList::default(),
         }
     }
 
