Need a key only while the configuration contains teams

Cause: whether a route needs a key was read from the route's own row alone. The users' page takes it from the whole: "If the configuration contains `tenants`, a request carries a key ... unless the request's route is `public`."

Evidence: the version is in force (event 2001 with its number on each instance), and event 3010 of the refused requests names the route with outcome `key_missing`. So the version is neither kept out nor unknown; nothing had to be added.

Change: in tables that come from one accepted object, no route needs a key while there is no row of a team. A row of a team that cannot be used counts, which fails closed. A response in progress is not cut because its key is gone once no key is needed. Tables that operators edit are as before: without teams their keyed routes refuse.

--- a/crates/state/tables/src/builder.rs
+++ b/crates/state/tables/src/builder.rs
@@ -33,7 +33,9 @@
     documents: &snapshot::TableDocuments,
     handling: fault::FaultHandling,
 ) -> (snapshot::TableSnapshot, fault::FaultList) {
-    let mut builder = SnapshotBuilder { handling, ..Default::default() };
+    let is_confining = handling == fault::FaultHandling::Confine;
+    let is_keyless = is_confining && documents.teams.teams.is_empty();
+    let mut builder = SnapshotBuilder { handling, is_keyless, ..Default::default() };
     builder.add_pools(&documents.pools);
     builder.add_routes(&documents.routes);
     builder.add_teams(&documents.teams);
@@ -46,6 +48,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct SnapshotBuilder {
     handling: fault::FaultHandling,
+    /// Whether no route needs a key, since an accepted configuration has no teams.
+    is_keyless: bool,
     pub(crate) snapshot: snapshot::TableSnapshot,
     pub(crate) faults: fault::FaultList,
     pool_keys: collections::HashMap<Arc<str>, pool::PoolKey>,
@@ -200,8 +204,10 @@
             methods: row.methods.iter().map(|method| method.to_ascii_uppercase().into()).collect(),
             pools,
             access: match row.access {
-                document::AccessDocument::Keyed => route::RouteAccess::Keyed,
-                document::AccessDocument::Open => route::RouteAccess::Open,
+                document::AccessDocument::Keyed if !self.is_keyless => route::RouteAccess::Keyed,
+                document::AccessDocument::Keyed | document::AccessDocument::Open => {
+                    route::RouteAccess::Open
+                }
             },
             idempotence: match row.idempotent {
                 document::IdempotenceDocument::Method => route::RouteIdempotence::Method,
--- a/crates/state/tables/src/snapshot.rs
+++ b/crates/state/tables/src/snapshot.rs
@@ -120,6 +120,12 @@
         self.credentials.contains_key(id)
     }
 
+    /// Returns true if a route needs a key.
+    #[must_use]
+    pub fn requires_keys(&self) -> bool {
+        self.routes.values().any(|route| route.access == route::RouteAccess::Keyed)
+    }
+
     /// Returns the number of valid keys.
     #[must_use]
     pub fn credential_count(&self) -> usize {
@@ -141,7 +147,7 @@
     /// Builds the tables from documents that the users' store has accepted as a whole.
     ///
     /// Each fault is confined to its row; see [`fault::FaultHandling::Confine`]. Returns the faults
-    /// with the tables.
+    /// with the tables. Without a row of a team, no route needs a key.
     #[must_use]
     pub fn confine(documents: &TableDocuments) -> (Self, fault::FaultList) {
         builder::build(documents, fault::FaultHandling::Confine)
--- a/crates/state/tables/tests/confine.rs
+++ b/crates/state/tables/tests/confine.rs
@@ -255,3 +255,48 @@
 fn nearest_number_is_in_range() {
     assert_eq!([0, 1, 5, 9].map(|value| fault::nearest(value, 1, 8)), [1, 1, 5, 8]);
 }
+
+/// Guards against routes that demand a key although no team has one, and against routes that go
+/// without one because a row of a team cannot be used.
+fn check_access(edit: fn(&mut Documents), expected: bool) {
+    let mut documents = documents();
+    edit(&mut documents);
+    let (tables, _) = snapshot::TableSnapshot::confine(&documents);
+    assert_eq!(tables.requires_keys(), expected);
+}
+
+cases! { check_access:
+    teams_need_keys => (|_| {}, true);
+    no_team_needs_no_key => (
+        |documents| {
+            documents.teams.teams.clear();
+            documents.keys.keys.clear();
+        },
+        false,
+    );
+    keys_of_teams_that_are_gone_need_no_key => (|documents| documents.teams.teams.clear(), false);
+    teams_without_keys_need_one => (|documents| documents.keys.keys.clear(), true);
+    faulty_team_needs_a_key => (
+        |documents| {
+            documents.teams.teams.truncate(1);
+            documents.teams.teams[0].name = "".into();
+            documents.teams.teams[0].rate = f64::NAN;
+        },
+        true,
+    );
+    open_routes_need_no_key => (
+        |documents| for route in &mut documents.routes.routes {
+            route.access = document::AccessDocument::Open;
+        },
+        false,
+    );
+}
+
+/// Guards against tables that operators edit and that become open when their teams are missing.
+#[test]
+fn edited_tables_without_teams_need_keys() {
+    let mut documents = documents();
+    documents.teams.teams.clear();
+    documents.keys.keys.clear();
+    assert!(snapshot::TableSnapshot::try_from(&documents).unwrap().requires_keys());
+}
--- a/crates/transport/node/src/shared.rs
+++ b/crates/transport/node/src/shared.rs
@@ -18,7 +18,6 @@
 use marjoramwing_settings::settings;
 use marjoramwing_tables::credential;
 use marjoramwing_tables::fault;
-use marjoramwing_tables::route;
 use marjoramwing_tables::snapshot;
 use tokio::sync::watch;
 use tokio_util::sync as cancellation;
@@ -218,12 +217,14 @@
         self.keys_trusted.load(atomic::Ordering::Acquire)
     }
 
-    /// Returns true if a key that was accepted before is still valid.
+    /// Returns true if a key that was accepted before is still valid, or none is needed any more.
     ///
     /// For requests and responses in progress.
     #[must_use]
     pub fn is_key_valid(&self, id: &str, hash: &credential::KeyHash) -> bool {
-        self.keys_trusted() && self.tables.load().snapshot.has_credential(id, hash)
+        let tables = &self.tables.load().snapshot;
+        let is_accepted = tables.has_credential(id, hash) || !tables.requires_keys();
+        self.keys_trusted() && is_accepted
     }
 
     /// Marks the instance as leaving: it reports not ready, and its HTTP/1 responses to
@@ -276,9 +277,8 @@
     /// Returns true if the routes have been read, and the keys if a route needs one.
     fn has_tables(&self) -> bool {
         let applied = self.tables.load();
-        let mut routes = applied.snapshot.routes.values();
-        let needs_keys = routes.any(|route| route.access == route::RouteAccess::Keyed);
-        applied.versions.routes > 0 && (applied.versions.keys > 0 || !needs_keys)
+        let requires_keys = applied.snapshot.requires_keys();
+        applied.versions.routes > 0 && (applied.versions.keys > 0 || !requires_keys)
     }
 
     fn record_versions(&self, versions: &snapshot::TableVersions) {
--- a/crates/transport/node/tests/outcome/credentials.rs
+++ b/crates/transport/node/tests/outcome/credentials.rs
@@ -17,6 +17,7 @@
 use crate::backend::ServerStep;
 use crate::support;
 use marjoramwing_configuration::trust;
+use marjoramwing_tables::document;
 use marjoramwing_testing::cases;
 
 const DEADLINE_MS: u64 = 10_000;
@@ -101,6 +102,25 @@
     });
 }
 
+/// Guards against a response that is cut since its key is gone from tables that need none.
+#[test]
+fn response_streams_on_when_no_key_is_needed_any_more() {
+    support::block_on(async {
+        let server = backend::ScriptedServer::start(&[ServerStep::RespondEndlessly]).await;
+        let mut instance = support::TestInstance::start(&[server.address], DEADLINE_MS).await;
+        let call = start_stream(&instance, &server).await;
+        instance.edit(|tables| {
+            tables.keys.keys.clear();
+            let routes = tables.routes.routes.iter_mut();
+            routes.for_each(|route| route.access = document::AccessDocument::Open);
+        });
+        tokio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+        assert!(!call.is_finished());
+        assert_eq!(server.closed(), 0);
+        call.abort();
+    });
+}
+
 /// Regression test: a response was complete, but waited behind an earlier one of its connection
 /// when its key was withdrawn. The connection was closed without it (LOST on trinacria-listini,
 /// hunt-506b-27, and on mycotrail-gslb-grown, mix, seed 586832691250).
