--- a/crates/state/tables/src/document.rs
+++ b/crates/state/tables/src/document.rs
@@ -292,7 +292,8 @@
 }
 
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
-const DEFAULT_MAX_ATTEMPTS: u32 = 3;
+/// Default of [`RouteDocument::max_attempts`].
+pub const DEFAULT_MAX_ATTEMPTS: u32 = 3;
 /// Default of [`RouteDocument::max_body_bytes`].
 pub const DEFAULT_MAX_BODY_BYTES: u64 = 1 << 20;
 const DEFAULT_SPREAD_RATE: f64 = 200.0;
