Let the store's reading of a version replace that of a peer

What callers saw: nothing yet; found by reading how builds meet. An instance of the last landing that cannot read a version records the reason in place of the text and passes that on. An instance of this build that gets it from the peer before its own watch returns counts the version as read, and ignores the store's text of it.

Cause: of each version the first text counts, whoever sent it, and a text that cannot be parsed counts like another.

Change: for tables of a single object, a text of a peer is accepted only if it can be parsed, and a fetch then goes on with another peer; the store's text replaces a peer's of the same version. Versions in force still never fall. Tables that are edited separately are as before.

--- a/crates/coordination/configuration/src/gossip.rs
+++ b/crates/coordination/configuration/src/gossip.rs
@@ -10,6 +10,7 @@
 use crate::group;
 use crate::keeper;
 use crate::message;
+use crate::selector;
 
 /// Probability that a digest goes to a peer in the same region.
 const LOCAL_DIGEST_PROBABILITY: f64 = 0.75;
@@ -46,7 +47,8 @@
                 self.upload(address, object, above, actions);
             }
             message::ConfigurationMessage::Object { object, version, text } => {
-                self.offer(object, version, text, rng, actions);
+                let received = vec![keeper::ReceivedObject { object, version, text }];
+                self.offer_all(received, selector::ObjectSource::Peer, rng, actions);
             }
         }
     }
--- a/crates/coordination/configuration/src/keeper.rs
+++ b/crates/coordination/configuration/src/keeper.rs
@@ -242,29 +242,22 @@
         self.freshness.age(now).is_none_or(|age| age > self.settings.max_age / 2)
     }
 
-    /// Passes an object from the store or a peer to the selector.
-    pub(crate) fn offer(
-        &mut self,
-        object: candidate::TableObject,
-        version: u128,
-        text: bytes::Bytes,
-        rng: &mut impl rand::Rng,
-        actions: &mut Vec<ConfigurationAction>,
-    ) {
-        self.offer_all(vec![ReceivedObject { object, version, text }], rng, actions);
-    }
-
     /// Passes objects to the selector and, if it accepts any, selects once after the last.
     pub(crate) fn offer_all(
         &mut self,
         received: Vec<ReceivedObject>,
+        source: selector::ObjectSource,
         rng: &mut impl rand::Rng,
         actions: &mut Vec<ConfigurationAction>,
     ) {
         let mut has_new = false;
         for ReceivedObject { object, version, text } in received {
-            self.fetches.finish(object, version);
-            if self.selector.offer(object, version, text) {
+            let is_accepted = self.selector.offer_from(source, object, version, text);
+            // A fetch goes on, from another peer, if the text that arrived is of no use.
+            if group::version_of(&self.selector.newest_read(), object) >= version {
+                self.fetches.finish(object, version);
+            }
+            if is_accepted {
                 has_new = true;
                 self.unversioned[object as usize] = fault::FaultList::default();
                 let latest_known = group::version_mut(&mut self.latest_known, object);
--- a/crates/coordination/configuration/src/selector.rs
+++ b/crates/coordination/configuration/src/selector.rs
@@ -5,8 +5,10 @@
 //! and a fault in one group never delays another group. [`SelectorRules`]
 //! describes which of them the other rules give up.
 
+use std::collections;
 use std::sync::Arc;
 
+use marjoramwing_derives as derives;
 use marjoramwing_tables::fault;
 use marjoramwing_tables::snapshot;
 
@@ -28,6 +30,15 @@
     candidate::TableObject::Keys,
 ];
 
+/// Where an object was received from.
+#[derives::value]
+pub enum ObjectSource {
+    /// The object store.
+    Store,
+    /// Another instance, which read it from the store.
+    Peer,
+}
+
 /// Rules of the selection. The first two are disabled only in tests.
 #[derive(Debug, Clone, Copy)]
 pub struct SelectorRules {
@@ -61,6 +72,8 @@
     newest_read: u128,
     /// Text of the newest version that was read.
     text: bytes::Bytes,
+    /// Whether that text is a peer's.
+    is_from_peer: bool,
     /// Applied version; `None` until one is applied.
     applied: Option<candidate::CandidateObject>,
     /// Valid versions newer than the applied one, in the order in which they were read, which is
@@ -81,6 +94,20 @@
         self.pending.iter().rev().map(Some).chain([self.applied.as_ref()])
     }
 
+    /// Returns true if a valid text of a version is pending or applied.
+    fn has_version(&self, version: u128) -> bool {
+        self.choices().flatten().any(|choice| choice.version == version)
+    }
+
+    /// Adds a valid version, or replaces its text.
+    fn add_pending(&mut self, candidate: candidate::CandidateObject) {
+        self.pending.retain(|pending| pending.version != candidate.version);
+        if self.pending.len() == MAX_PENDING {
+            self.pending.remove(0);
+        }
+        self.pending.push(candidate);
+    }
+
     /// Applies a version, unless it is applied already, and drops the pending versions that are not
     /// newer.
     fn apply(&mut self, version: u128) {
@@ -148,7 +175,7 @@
         &self.confined
     }
 
-    /// Adds an object that was read, valid or not. Returns true if it is accepted.
+    /// Adds an object that was read from the store, valid or not. Returns true if it is accepted.
     ///
     /// Under [`SelectorRules::monotonic`], only a version newer than all that were read before is
     /// accepted; otherwise, every version is.
@@ -158,25 +185,41 @@
         version: u128,
         text: bytes::Bytes,
     ) -> bool {
-        let monotonic = self.rules.monotonic;
+        self.offer_from(ObjectSource::Store, object, version, text)
+    }
+
+    /// Adds an object that was received, as [`Self::offer`] does.
+    ///
+    /// Under [`SelectorRules::single_object`], a peer of another build may have read the store's
+    /// object in another way. The store's text replaces that of a peer, and a peer's is accepted
+    /// only if it can be parsed.
+    pub fn offer_from(
+        &mut self,
+        source: ObjectSource,
+        object: candidate::TableObject,
+        version: u128,
+        text: bytes::Bytes,
+    ) -> bool {
+        let SelectorRules { monotonic, single_object, .. } = self.rules;
+        let is_from_peer = source == ObjectSource::Peer;
         let history = self.history_mut(object);
-        if version <= history.newest_read && monotonic {
+        let is_read_by_peer = history.is_from_peer && version == history.newest_read;
+        let is_replacement =
+            single_object && is_read_by_peer && !is_from_peer && text != history.text;
+        if monotonic && version <= history.newest_read && !is_replacement {
             return false;
         }
-        history.newest_read = version;
-        history.text = text.clone();
-        match candidate::CandidateObject::parse(object, version, text) {
-            Ok(parsed) => {
-                if history.pending.len() == MAX_PENDING {
-                    history.pending.remove(0);
-                }
-                history.pending.push(parsed);
-            }
+        match candidate::CandidateObject::parse(object, version, text.clone()) {
+            Ok(parsed) => history.add_pending(parsed),
+            Err(_) if is_replacement || single_object && is_from_peer => return false,
             Err(kind) => {
                 history.faults = fault::FaultList::default();
                 history.faults.add(object.to_string(), kind);
             }
         }
+        history.newest_read = version;
+        history.text = text;
+        history.is_from_peer = is_from_peer;
         true
     }
 
@@ -202,19 +245,19 @@
         Some(self.applied_tables(snapshot, fault::FaultList::default()))
     }
 
-    /// Applies the newest version that is pending for all [`SINGLE_OBJECT_TABLES`].
+    /// Applies the newest version that all [`SINGLE_OBJECT_TABLES`] have and that is pending for
+    /// one of them.
     ///
     /// Returns true if there is one.
     fn select_common_version(&mut self) -> bool {
-        let pending = &self.history(SINGLE_OBJECT_TABLES[0]).pending;
-        let versions: Vec<_> = pending.iter().rev().map(|pending| pending.version).collect();
-        let is_complete = |version: &u128| {
-            SINGLE_OBJECT_TABLES.into_iter().all(|object| {
-                self.history(object).pending.iter().any(|pending| pending.version == *version)
-            })
+        let tables = SINGLE_OBJECT_TABLES.into_iter();
+        let pending = tables.clone().flat_map(|object| &self.history(object).pending);
+        let versions: collections::BTreeSet<_> = pending.map(|pending| pending.version).collect();
+        let is_common = |version: &u128| {
+            tables.clone().all(|object| self.history(object).has_version(*version))
         };
-        let Some(version) = versions.into_iter().find(is_complete) else { return false };
-        SINGLE_OBJECT_TABLES.into_iter().for_each(|object| self.history_mut(object).apply(version));
+        let Some(version) = versions.into_iter().rev().find(is_common) else { return false };
+        tables.for_each(|object| self.history_mut(object).apply(version));
         true
     }
 
--- a/crates/coordination/configuration/src/store.rs
+++ b/crates/coordination/configuration/src/store.rs
@@ -14,6 +14,7 @@
 use crate::candidate;
 use crate::group;
 use crate::keeper;
+use crate::selector;
 use crate::status;
 
 type ActionList = Vec<keeper::ConfigurationAction>;
@@ -127,7 +128,7 @@
             self.unversioned[object as usize] = fault::FaultList::default();
             received.push(keeper::ReceivedObject { object, version: change.version.0, text });
         }
-        self.offer_all(received, rng, actions);
+        self.offer_all(received, selector::ObjectSource::Store, rng, actions);
         self.calls.unread_watch_sent_at = Some(sent_at);
         self.read_missing(now, actions);
         self.confirm_if_current();
@@ -145,7 +146,9 @@
         match answer {
             operation::StoreAnswer::Found(stored) => {
                 self.record_answer();
-                self.offer(object, stored.version.0, stored.value, rng, actions);
+                let (version, text) = (stored.version.0, stored.value);
+                let received = vec![keeper::ReceivedObject { object, version, text }];
+                self.offer_all(received, selector::ObjectSource::Store, rng, actions);
             }
             operation::StoreAnswer::Missing => {
                 self.record_answer();
--- a/crates/coordination/configuration/tests/selector.rs
+++ b/crates/coordination/configuration/tests/selector.rs
@@ -320,3 +320,66 @@
     odd_row_of_a_single_object_is_confined => (true, 25);
     odd_row_of_a_separate_object_is_refused => (false, 22);
 }
+
+const SINGLE_OBJECT: [Object; 4] = [Object::Routes, Object::Pools, Object::Teams, Object::Keys];
+
+fn make_single_object_selector() -> selector::VersionSelector {
+    let rules = selector::SelectorRules { single_object: true, ..Default::default() };
+    let mut selector = selector::VersionSelector::new(rules);
+    SINGLE_OBJECT.into_iter().for_each(|object| offer_version(&mut selector, object, 22));
+    assert!(selector.select().is_some());
+    selector
+}
+
+/// Guards against a version that is never in force since a peer of an earlier build, which could
+/// not read it, passed on the reason in its place before the store's own text arrived.
+#[test]
+fn text_of_a_peer_that_cannot_be_parsed_does_not_hide_the_stores() {
+    let mut selector = make_single_object_selector();
+    let garbage = "not a configuration (Data at line 0, column 0)";
+    let source = selector::ObjectSource::Peer;
+    assert!(!selector.offer_from(source, Object::Routes, 25, garbage.into()));
+    assert_eq!(selector.newest_read().routes, 22);
+    SINGLE_OBJECT.into_iter().for_each(|object| offer_version(&mut selector, object, 25));
+    assert!(selector.select().is_some());
+    assert_eq!(selector.applied().routes, 25);
+}
+
+/// Guards against a peer's reading of a version that stays in force beside the store's.
+#[test]
+fn text_of_the_store_replaces_that_of_a_peer() {
+    let mut selector = make_single_object_selector();
+    for object in SINGLE_OBJECT {
+        let text = match object {
+            Object::Pools => support::pools(&["other"]),
+            Object::Routes => support::routes(&["other"]),
+            Object::Teams => support::teams(&["two"]),
+            _ => support::keys(&["two"]),
+        };
+        assert!(selector.offer_from(selector::ObjectSource::Peer, object, 25, text));
+    }
+    let names = |applied: marjoramwing_configuration::configuration::AppliedTables| {
+        let pools = applied.snapshot.pools.values();
+        pools.map(|pool| pool.name.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(selector.select().map(names), Some(vec!["other".to_owned()]));
+    SINGLE_OBJECT.into_iter().for_each(|object| offer_version(&mut selector, object, 25));
+    assert_eq!(selector.select().map(names), Some(vec!["web".to_owned()]));
+    // The same text again, or another one of a peer, changes nothing.
+    SINGLE_OBJECT.into_iter().for_each(|object| offer_version(&mut selector, object, 25));
+    let source = selector::ObjectSource::Peer;
+    assert!(!selector.offer_from(source, Object::Pools, 25, support::pools(&["other"])));
+    assert!(selector.select().is_none());
+    assert_eq!(selector.applied().pools, 25);
+}
+
+/// Guards against a text that cannot be parsed and takes the place of one that could.
+#[test]
+fn text_that_cannot_be_parsed_does_not_replace_another() {
+    let mut selector = make_single_object_selector();
+    assert!(!selector.offer(Object::Routes, 22, "{".into()));
+    assert!(selector.select().is_none());
+    assert!(selector.faults(Object::Routes).is_empty());
+    offer_version(&mut selector, Object::Routes, 22);
+    assert!(selector.select().is_none());
+}
