--- a/crates/standins/src/instance.rs
+++ b/crates/standins/src/instance.rs
@@ -117,6 +117,11 @@
         })
     }
 
+    /// Sets the program of later starts, for an instance that is upgraded.
+    pub fn set_binary(&mut self, binary: &path::Path) {
+        binary.clone_into(&mut self.binary);
+    }
+
     /// Starts the process.
     ///
     /// # Errors
