Accept opaque keys of any length

A key of more than 256 bytes that a version grants gets 401 from every instance.

Cause: the bound of this project's own dotted keys held for the users' keys too.

--- a/crates/state/tables/src/credential.rs
+++ b/crates/state/tables/src/credential.rs
@@ -17,7 +17,7 @@
 use crate::team;
 
 const HASH_BYTES: usize = 32;
-/// Maximum length of a presented key.
+/// Maximum length of a presented dotted key.
 const MAX_KEY_BYTES: usize = 256;
 
 /// SHA-256 of a whole team key.
@@ -125,10 +125,12 @@
         })
     }
 
-    /// Parses an opaque key; returns `None` if the text is empty or too long.
+    /// Parses an opaque key; returns `None` if the text is empty.
+    ///
+    /// The users' store sets no limit to its length, and the header that carries it has one.
     #[must_use]
     pub fn parse_opaque(text: &'a str) -> Option<Self> {
-        if text.is_empty() || text.len() > MAX_KEY_BYTES {
+        if text.is_empty() {
             return None;
         }
         let hash = KeyHash::of(text);
