Send tables that are larger than a message in parts

Under a configuration of nearly the store's largest value with 40,000 keys, an instance that does not reach the store never gets the keys: the table takes more than a frame between instances (2 MiB), and the link that is to carry it is closed instead.

Cause: a text was sent whole, whatever its size, and the codec refuses a longer frame as an error of the connection.

Change: a text above 2,000,000 bytes is sent in parts of 1 MiB, each requested by the receiver, from one peer and of one version. Whole texts are as before.

--- a/crates/coordination/configuration/src/fetch.rs
+++ b/crates/coordination/configuration/src/fetch.rs
@@ -62,6 +62,13 @@
         self.pending[object as usize].is_some()
     }
 
+    /// Gives the pending fetch of an object more time.
+    pub fn extend(&mut self, object: candidate::TableObject, deadline: time::Timestamp) {
+        if let Some(pending) = &mut self.pending[object as usize] {
+            pending.deadline = deadline;
+        }
+    }
+
     /// Ends the pending fetch of an object if `version` satisfies it.
     pub fn finish(&mut self, object: candidate::TableObject, version: u128) {
         let slot = &mut self.pending[object as usize];
--- a/crates/coordination/configuration/src/gossip.rs
+++ b/crates/coordination/configuration/src/gossip.rs
@@ -6,6 +6,7 @@
 use marjoramwing_tables::snapshot;
 use rand::RngExt;
 
+use crate::assembly;
 use crate::candidate;
 use crate::group;
 use crate::keeper;
@@ -14,6 +15,10 @@
 
 /// Probability that a digest goes to a peer in the same region.
 const LOCAL_DIGEST_PROBABILITY: f64 = 0.75;
+/// Largest text that is sent in one message, which must fit into a frame between instances.
+pub const MAX_TEXT_BYTES: usize = 2_000_000;
+/// Length of the parts of larger texts.
+pub const PART_BYTES: usize = 1 << 20;
 /// Largest number of digest requests that wait for an answer.
 const MAX_PENDING_DIGESTS: usize = 32;
 
@@ -46,6 +51,13 @@
             message::ConfigurationMessage::Fetch { object, above } => {
                 self.upload(address, object, above, actions);
             }
+            message::ConfigurationMessage::FetchPart { object, version, offset } => {
+                self.upload_part(address, object, version, offset, actions);
+            }
+            message::ConfigurationMessage::ObjectPart { object, version, offset, total, text } => {
+                let part = assembly::ReceivedPart { address, version, offset, total, text };
+                self.receive_part(object, &part, now, rng, actions);
+            }
             message::ConfigurationMessage::Object { object, version, text } => {
                 let received = vec![keeper::ReceivedObject { object, version, text }];
                 self.offer_all(received, selector::ObjectSource::Peer, rng, actions);
@@ -193,11 +205,67 @@
         if version <= above || self.uploads_since_tick >= self.settings.uploads_per_tick {
             return;
         }
+        if text.len() > MAX_TEXT_BYTES {
+            self.upload_part(address, object, version, 0, actions);
+            return;
+        }
         self.uploads_since_tick += 1;
         let message = message::ConfigurationMessage::Object { object, version, text };
         actions.push(keeper::ConfigurationAction::Send { address, message });
     }
 
+    /// Sends the part of a text at an offset to a peer, as [`Self::upload`] sends an object.
+    fn upload_part(
+        &mut self,
+        address: net::SocketAddr,
+        object: candidate::TableObject,
+        version: u128,
+        offset: u64,
+        actions: &mut ActionList,
+    ) {
+        let (newest, text) = self.selector.text(object);
+        let start = usize::try_from(offset).unwrap_or(usize::MAX);
+        let is_available = newest == version && start < text.len();
+        if !is_available || self.uploads_since_tick >= self.settings.uploads_per_tick {
+            return;
+        }
+        self.uploads_since_tick += 1;
+        let total = text.len() as u64;
+        let text = text.slice(start..text.len().min(start + PART_BYTES));
+        let message =
+            message::ConfigurationMessage::ObjectPart { object, version, offset, total, text };
+        actions.push(keeper::ConfigurationAction::Send { address, message });
+    }
+
+    /// Adds a part to the text that is being assembled, and requests the next part or offers the
+    /// complete text.
+    fn receive_part(
+        &mut self,
+        object: candidate::TableObject,
+        part: &assembly::ReceivedPart,
+        now: time::Timestamp,
+        rng: &mut impl rand::Rng,
+        actions: &mut ActionList,
+    ) {
+        let version = part.version;
+        if version <= group::version_of(&self.selector.newest_read(), object) {
+            return;
+        }
+        match self.assembly.add(object, part) {
+            assembly::AssemblyStep::Ignored => {}
+            assembly::AssemblyStep::Continue(offset) => {
+                self.fetches.extend(object, now + self.settings.fetch_timeout);
+                let message = message::ConfigurationMessage::FetchPart { object, version, offset };
+                let address = part.address;
+                actions.push(keeper::ConfigurationAction::Send { address, message });
+            }
+            assembly::AssemblyStep::Complete(text) => {
+                let received = vec![keeper::ReceivedObject { object, version, text }];
+                self.offer_all(received, selector::ObjectSource::Peer, rng, actions);
+            }
+        }
+    }
+
     fn notify(&self, address: net::SocketAddr, actions: &mut ActionList) {
         let versions = self.selector.newest_read();
         let message = message::ConfigurationMessage::Notice { versions };
--- a/crates/coordination/configuration/src/keeper.rs
+++ b/crates/coordination/configuration/src/keeper.rs
@@ -17,6 +17,7 @@
 use marjoramwing_tables::snapshot;
 use rand::RngExt;
 
+use crate::assembly;
 use crate::candidate;
 use crate::configuration;
 use crate::dump;
@@ -106,6 +107,7 @@
     pub(crate) freshness: freshness::StoreFreshness,
     pub(crate) peer_reports: trust::PeerReportTable,
     pub(crate) fetches: fetch::FetchTable,
+    pub(crate) assembly: assembly::TextAssembly,
     pub(crate) calls: store::StoreCalls,
     /// Newest versions known to exist in the store or at a peer, which may not have been read yet.
     pub(crate) latest_known: snapshot::TableVersions,
@@ -156,6 +158,7 @@
             freshness: freshness::StoreFreshness::default(),
             peer_reports: trust::PeerReportTable::default(),
             fetches: fetch::FetchTable::default(),
+            assembly: assembly::TextAssembly::default(),
             calls: store::StoreCalls::new(first_call_at),
             latest_known: snapshot::TableVersions::default(),
             unversioned: Default::default(),
--- a/crates/coordination/configuration/src/lib.rs
+++ b/crates/coordination/configuration/src/lib.rs
@@ -6,6 +6,7 @@
 //! Each instance tracks the age of its tables, which is the time since they
 //! were last confirmed against the store.
 //!
+//! - [`assembly`]: object texts that peers send in parts.
 //! - [`candidate`]: parsed table objects.
 //! - [`group`]: groups of objects that must be consistent with each other.
 //! - [`selector`]: selection of the newest consistent versions.
@@ -18,17 +19,18 @@
 //! - [`status`]: reports of faulty objects.
 //! - [`fleet`]: member selection for watching and messages.
 //! - [`keeper`]: the state machine that ties these together.
-//! - `gossip`: the keeper's exchange of messages with peers.
+//! - [`gossip`]: the keeper's exchange of messages with peers.
 //! - `store`: the keeper's calls to the store.
 //! - [`dump`]: the keeper's state, as shown to operators.
 
+pub mod assembly;
 pub mod candidate;
 pub mod configuration;
 pub mod dump;
 pub mod fetch;
 pub mod fleet;
 pub mod freshness;
-mod gossip;
+pub mod gossip;
 pub mod group;
 pub mod keeper;
 pub mod message;
--- a/crates/coordination/configuration/src/message.rs
+++ b/crates/coordination/configuration/src/message.rs
@@ -42,6 +42,28 @@
         /// The object is sent only if the receiver's version is greater than this.
         above: u128,
     },
+    /// Requests the next part of a text that is larger than a message.
+    FetchPart {
+        /// Requested object.
+        object: candidate::TableObject,
+        /// Version of which a part was received.
+        version: u128,
+        /// Position of the part in the text, in bytes.
+        offset: u64,
+    },
+    /// Carries one part of a text that is larger than a message.
+    ObjectPart {
+        /// Object that the text belongs to.
+        object: candidate::TableObject,
+        /// Version of the object.
+        version: u128,
+        /// Position of the part in the text, in bytes.
+        offset: u64,
+        /// Length of the whole text in bytes.
+        total: u64,
+        /// Text of the part.
+        text: bytes::Bytes,
+    },
     /// Carries the text of an object.
     Object {
         /// Object that the text belongs to.
--- a/crates/protocol/peer/src/configuration.rs
+++ b/crates/protocol/peer/src/configuration.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Configuration {
     /// Content of the message; senders always set it.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<Body>,
 }
 
@@ -37,6 +37,13 @@
     /// Carries the text of an object.
     #[prost(message, tag = "5")]
     Object(ObjectText),
+    /// Requests the next part of a text that is larger than a message. Builds that do not know it
+    /// drop it.
+    #[prost(message, tag = "6")]
+    FetchPart(FetchPart),
+    /// Carries one part of such a text.
+    #[prost(message, tag = "7")]
+    ObjectPart(ObjectPart),
 }
 
 /// A version of more than 64 bits.
@@ -173,6 +180,46 @@
     pub text: bytes::Bytes,
 }
 
+/// Requests the next part of the text of an object.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct FetchPart {
+    /// Number of the [`Object`].
+    #[prost(enumeration = "Object", tag = "1")]
+    pub object: i32,
+    /// Version of which a part was received.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// The same if it is a wide version.
+    #[prost(message, optional, tag = "3")]
+    pub wide_version: Option<WideVersion>,
+    /// Position of the part in the text, in bytes.
+    #[prost(uint64, tag = "4")]
+    pub offset: u64,
+}
+
+/// Carries one part of the text of an object.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ObjectPart {
+    /// Number of the [`Object`].
+    #[prost(enumeration = "Object", tag = "1")]
+    pub object: i32,
+    /// Version of the object.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// The same if it is a wide version.
+    #[prost(message, optional, tag = "3")]
+    pub wide_version: Option<WideVersion>,
+    /// Position of the part in the text, in bytes.
+    #[prost(uint64, tag = "4")]
+    pub offset: u64,
+    /// Length of the whole text in bytes.
+    #[prost(uint64, tag = "5")]
+    pub total: u64,
+    /// Text of the part.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub text: bytes::Bytes,
+}
+
 /// Object that is part of the tables.
 #[derives::value]
 #[derive(prost::Enumeration)]
@@ -231,6 +278,24 @@
                 let object = Object::from(object).into();
                 Body::Fetch(Fetch { object, above: version::narrow(above), wide_above })
             }
+            message::ConfigurationMessage::FetchPart { object, version, offset } => {
+                Body::FetchPart(FetchPart {
+                    object: Object::from(object).into(),
+                    version: version::narrow(version),
+                    wide_version: WideVersion::of(version),
+                    offset,
+                })
+            }
+            message::ConfigurationMessage::ObjectPart { object, version, offset, total, text } => {
+                Body::ObjectPart(ObjectPart {
+                    object: Object::from(object).into(),
+                    version: version::narrow(version),
+                    wide_version: WideVersion::of(version),
+                    offset,
+                    total,
+                    text,
+                })
+            }
             message::ConfigurationMessage::Object { object, version, text } => {
                 let wide_version = WideVersion::of(version);
                 let object = Object::from(object).into();
@@ -261,6 +326,18 @@
                 let above = read_version(fetch.above, fetch.wide_above);
                 Self::Fetch { object: parse_object(fetch.object)?, above }
             }
+            Body::FetchPart(part) => Self::FetchPart {
+                object: parse_object(part.object)?,
+                version: read_version(part.version, part.wide_version),
+                offset: part.offset,
+            },
+            Body::ObjectPart(part) => Self::ObjectPart {
+                object: parse_object(part.object)?,
+                version: read_version(part.version, part.wide_version),
+                offset: part.offset,
+                total: part.total,
+                text: part.text,
+            },
             Body::Object(object) => Self::Object {
                 object: parse_object(object.object)?,
                 version: read_version(object.version, object.wide_version),
--- a/crates/protocol/peer/tests/configuration_cost.rs
+++ b/crates/protocol/peer/tests/configuration_cost.rs
@@ -196,6 +196,11 @@
                 let above = versions.routes - 1;
                 self.receive(index, message::ConfigurationMessage::Fetch { object, above });
             }
+            // The text fits into one message, so none is sent in parts.
+            message::ConfigurationMessage::FetchPart { .. }
+            | message::ConfigurationMessage::ObjectPart { .. } => {
+                panic!("a small text is sent in parts")
+            }
             message::ConfigurationMessage::DigestAnswer { .. }
             | message::ConfigurationMessage::Object { .. } => {}
         }
