--- a/crates/marjoramwing/tests/process_access.rs
+++ b/crates/marjoramwing/tests/process_access.rs
@@ -4,6 +4,7 @@
 
 use marjoramwing_platform_standin::fleet;
 use marjoramwing_platform_standin::operator;
+use marjoramwing_platform_standin::proxy;
 use marjoramwing_platform_standin::store;
 use marjoramwing_standins::fleet as standins_fleet;
 
@@ -64,10 +65,16 @@
 /// or none from anybody. Without the store it knows no backend server.
 async fn check_restart(has_teams: bool) {
     let mut fleet = start().await;
-    if !has_teams {
-        fleet.configure_edited(remove_teams);
+    // A version that arrives from a peer shows that the peers know the instance, which they must
+    // for it to find them without the store.
+    fleet.instances[0].store_link.set_fault(proxy::LinkFault::Silent);
+    fleet.configure_edited(remove_teams);
+    wait_access_everywhere(&fleet, false).await;
+    if has_teams {
+        fleet.configure(&[]);
+        wait_access_everywhere(&fleet, true).await;
     }
-    wait_access_everywhere(&fleet, has_teams).await;
+    fleet.instances[0].store_link.set_fault(proxy::LinkFault::None);
     fleet.silence_store();
     fleet.instances[0].process.kill();
     fleet.start_instance(0);
