--- a/crates/state/tables/src/builder.rs
+++ b/crates/state/tables/src/builder/routing.rs
@@ -1,7 +1,4 @@
-//! Builds a snapshot from documents and checks them.
-//!
-//! Invariant: with [`fault::FaultHandling::Confine`], no fault widens what a request may do. A row
-//! that cannot be used refuses its requests, and a key that cannot be used authenticates no one.
+//! Checks pools and routes.
 
 use std::collections;
 use std::sync::Arc;
@@ -9,15 +6,12 @@
 
 use marjoramwing_entity::primary;
 
-use crate::credential;
+use crate::builder;
 use crate::document;
 use crate::fault;
 use crate::name;
 use crate::pool;
-use crate::region;
 use crate::route;
-use crate::site;
-use crate::snapshot;
 use crate::team;
 
 const MAX_DEADLINE_MS: u64 = 600_000;
@@ -28,76 +22,8 @@
 const MIN_COLD_RATE: f64 = 0.001;
 const MAX_COLD_RATE: f64 = 1_000_000.0;
 
-/// Builds a snapshot. With [`fault::FaultHandling::Reject`], it is valid only without faults.
-pub(crate) fn build(
-    documents: &snapshot::TableDocuments,
-    handling: fault::FaultHandling,
-) -> (snapshot::TableSnapshot, fault::FaultList) {
-    let is_confining = handling == fault::FaultHandling::Confine;
-    let is_keyless = is_confining && documents.teams.teams.is_empty();
-    let mut builder = SnapshotBuilder { handling, is_keyless, ..Default::default() };
-    builder.add_pools(&documents.pools);
-    builder.add_routes(&documents.routes);
-    builder.add_teams(&documents.teams);
-    builder.add_keys(&documents.keys);
-    builder.add_steering(&documents.steering);
-    (builder.snapshot, builder.faults)
-}
-
-/// Collects the validated rows and all faults of the documents.
-#[derive(Debug, Default)]
-pub(crate) struct SnapshotBuilder {
-    handling: fault::FaultHandling,
-    /// Whether no route needs a key, since an accepted configuration has no teams.
-    is_keyless: bool,
-    pub(crate) snapshot: snapshot::TableSnapshot,
-    pub(crate) faults: fault::FaultList,
-    pool_keys: collections::HashMap<Arc<str>, pool::PoolKey>,
-    team_keys: collections::HashMap<Arc<str>, team::TeamKey>,
-    /// Teams by the position of their rows, if faults are confined.
-    team_rows: Vec<team::TeamKey>,
-    pub(crate) site_keys: collections::HashMap<Arc<str>, site::SiteKey>,
-    pub(crate) region_keys: collections::HashMap<Arc<str>, region::RegionKey>,
-    route_names: collections::HashSet<Arc<str>>,
-}
-
-impl SnapshotBuilder {
-    const fn is_confining(&self) -> bool {
-        matches!(self.handling, fault::FaultHandling::Confine)
-    }
-
-    /// Checks a name. If faults are confined, a name of another form than ours is kept.
-    fn check_name<N>(
-        &mut self,
-        path: String,
-        text: &Arc<str>,
-        of_text: fn(&Arc<str>) -> N,
-    ) -> Option<N>
-    where
-        for<'a> N: TryFrom<&'a Arc<str>, Error = fault::FaultKind>,
-    {
-        if !self.is_confining() {
-            return self.faults.check(path, N::try_from(text));
-        }
-        if text.is_empty() {
-            self.faults.add(path, fault::FaultKind::Name(Arc::clone(text)));
-        }
-        Some(of_text(text))
-    }
-
-    /// Checks that a number is in range. If faults are confined, the nearest one is returned.
-    fn check_number<T: PartialOrd + std::fmt::Display + Copy>(
-        &mut self,
-        path: String,
-        value: T,
-        low: T,
-        high: T,
-    ) -> Option<T> {
-        let checked = self.faults.check(path, fault::check_range(value, low, high));
-        checked.or_else(|| self.is_confining().then(|| fault::nearest(value, low, high)))
-    }
-
-    fn add_pools(&mut self, raw: &document::PoolsDocument) {
+impl builder::SnapshotBuilder {
+    pub(super) fn add_pools(&mut self, raw: &document::PoolsDocument) {
         for (index, row) in raw.pools.iter().enumerate() {
             let path = format!("pools[{index}]");
             let name = self.check_name(format!("{path}.name"), &row.name, name::PoolName::of_text);
@@ -171,7 +97,7 @@
         })
     }
 
-    fn add_routes(&mut self, raw: &document::RoutesDocument) {
+    pub(super) fn add_routes(&mut self, raw: &document::RoutesDocument) {
         for (index, row) in raw.routes.iter().enumerate() {
             let path = format!("routes[{index}]");
             if !self.route_names.insert(Arc::clone(&row.name)) {
@@ -261,7 +187,7 @@
 
     /// Returns the pool of this name. If faults are confined, one that no row defines is empty.
     fn find_pool(&mut self, name: &Arc<str>) -> Result<pool::PoolKey, fault::FaultKind> {
-        let found = find_named(&self.pool_keys, "pools", name);
+        let found = builder::find_named(&self.pool_keys, "pools", name);
         if found.is_ok() || !self.is_confining() {
             return found;
         }
@@ -271,96 +197,6 @@
         self.pool_keys.insert(Arc::clone(name), key);
         Ok(key)
     }
-
-    fn add_teams(&mut self, raw: &document::TeamsDocument) {
-        for (index, row) in raw.teams.iter().enumerate() {
-            let path = format!("teams[{index}]");
-            let name = self.check_name(format!("{path}.name"), &row.name, name::TeamName::of_text);
-            let limit = self.faults.check(path.clone(), team::RateLimit::new(row.rate, row.burst));
-            let Some(name) = name else { continue };
-            if let Some(known) = self.team_keys.get(&row.name) {
-                self.team_rows.push(*known);
-                self.faults.add(path, fault::FaultKind::Duplicate(Arc::clone(&row.name)));
-                continue;
-            }
-            // A team with a faulty limit stays known, so that its keys do not cause further faults.
-            let limit = limit.unwrap_or_else(|| team::RateLimit::nearest(row.rate, row.burst));
-            let (priority, regions) = (row.priority, row.regions.clone());
-            let key = self.snapshot.teams.push(team::Team { name, limit, priority, regions });
-            self.team_keys.insert(Arc::clone(&row.name), key);
-            self.team_rows.push(key);
-        }
-    }
-
-    /// Returns the team that a key refers to. If faults are confined, that may be by position.
-    fn find_team(&self, reference: &Arc<str>) -> Result<team::TeamKey, fault::FaultKind> {
-        match reference.strip_prefix(document::POSITION_MARK).filter(|_| self.is_confining()) {
-            Some(position) => {
-                let row = position
-                    .parse()
-                    .ok()
-                    .and_then(|position: usize| self.team_rows.get(position).copied());
-                let name = Arc::clone(reference);
-                row.ok_or(fault::FaultKind::Unknown { object: "teams", name })
-            }
-            None => find_named(&self.team_keys, "teams", reference),
-        }
-    }
-
-    fn add_keys(&mut self, raw: &document::KeysDocument) {
-        self.snapshot.key_format = match raw.opaque {
-            true => credential::KeyFormat::Opaque,
-            false => credential::KeyFormat::Dotted,
-        };
-        for (index, row) in raw.keys.iter().enumerate() {
-            let path = format!("keys[{index}]");
-            let Some(credential) = self.check_key(&path, row) else {
-                continue;
-            };
-            let id = credential.id.text();
-            if raw.opaque && *id != *credential.hash.opaque_id() {
-                self.faults.add(
-                    format!("{path}.id"),
-                    fault::FaultKind::Malformed {
-                        text: Arc::clone(&id),
-                        expected: "the first 16 digits of the key's hash, by which an opaque key is found",
-                    },
-                );
-                continue;
-            }
-            match self.snapshot.credentials.get(&id) {
-                None => {
-                    self.snapshot.credentials.insert(id, credential);
-                }
-                // The users' store may hold a tenant that lists a key twice.
-                Some(known) if self.is_confining() && *known == credential => {}
-                Some(_) => self.faults.add(path, fault::FaultKind::Duplicate(id)),
-            }
-        }
-    }
-
-    fn check_key(
-        &mut self,
-        path: &str,
-        row: &document::KeyDocument,
-    ) -> Option<credential::Credential> {
-        let id = self.faults.check(format!("{path}.id"), name::KeyId::try_from(&row.id));
-        let found = self.find_team(&row.team);
-        let team = self.faults.check(format!("{path}.team"), found);
-        let hash = credential::KeyHash::try_from(&row.sha256);
-        let hash = self.faults.check(format!("{path}.sha256"), hash);
-        Some(credential::Credential { id: id?, team: team?, hash: hash? })
-    }
-}
-
-/// Returns the key of a named row, or a fault that says in which `object` the name is missing.
-pub(crate) fn find_named<K: Copy>(
-    keys: &collections::HashMap<Arc<str>, K>,
-    object: &'static str,
-    name: &Arc<str>,
-) -> Result<K, fault::FaultKind> {
-    let found = keys.get(name).copied();
-    found.ok_or_else(|| fault::FaultKind::Unknown { object, name: Arc::clone(name) })
 }
 
 /// Checks a path prefix. If faults are confined, one that no path begins with is kept.
