Run two builds side by side under tables that are larger than a message

An instance of each build is without the store while such a version is written. The upgraded one gets the tables in parts; the earlier one drops parts and gets the next plain version from its peers, over links that stay.

--- a/crates/marjoramwing/tests/process_builds.rs
+++ b/crates/marjoramwing/tests/process_builds.rs
@@ -18,6 +18,8 @@
 /// Instances of the earlier build, and those that are upgraded.
 const EARLIER: std::ops::Range<usize> = 0..2;
 const UPGRADED: std::ops::Range<usize> = 2..4;
+/// Number of keys whose table is larger than a message between instances.
+const LARGE_KEYS: usize = 30_000;
 /// Event of a peer that is refused.
 const PEER_REFUSED: &str = r#""event":5003"#;
 
@@ -102,6 +104,22 @@
     }
 }
 
+/// Guards against tables in parts that an upgraded instance does not get, or that end the link to
+/// an instance of the earlier build, so that neither gets the next version.
+#[tokio::test(flavor = "multi_thread")]
+async fn tables_larger_than_a_message_harm_neither_build() {
+    let mut fleet = start().await;
+    for index in [EARLIER.start, UPGRADED.start] {
+        fleet.instances[index].store_link.set_fault(proxy::LinkFault::Silent);
+    }
+    let keys: Vec<_> = (0..LARGE_KEYS).map(|number| format!("large-key-{number:06}")).collect();
+    fleet.configure_edited(|resources| {
+        resources.push(operator::team_with_keys("large", &keys));
+    });
+    wait_status(&fleet, UPGRADED, operator::READ_PATH, keys.last().map(String::as_str), 200).await;
+    assert_recovered(&mut fleet, "plain").await;
+}
+
 /// Guards against an upgrade under a version without teams that leaves either build without it.
 #[tokio::test(flavor = "multi_thread")]
 async fn version_without_teams_reaches_upgraded_instances() {
