--- a/crates/coordination/configuration/src/assembly.rs
+++ b/crates/coordination/configuration/src/assembly.rs
@@ -73,8 +73,8 @@
         if length < partial.total {
             return AssemblyStep::Continue(length);
         }
-        let text = slot.take().map(|partial| partial.text).unwrap_or_default();
-        AssemblyStep::Complete(text.into())
+        let complete = slot.take().map(|partial| partial.text.into());
+        complete.map_or(AssemblyStep::Ignored, AssemblyStep::Complete)
     }
 }
 
--- a/crates/marjoramwing/tests/process_generated.rs
+++ b/crates/marjoramwing/tests/process_generated.rs
@@ -39,10 +39,10 @@
             let team = expected.tenant.as_ref().map(|tenant| tenant.name.as_bytes());
             let is_team = match team {
                 // Such a name cannot be the value of a header as it is.
-                Some(name) if http::HeaderValue::from_bytes(name).is_err() => {
-                    outcome.team.is_some_and(|header| header.starts_with(b"UTF-8''"))
-                }
-                Some(name) if name.trim_ascii() != name => {
+                Some(name)
+                    if http::HeaderValue::from_bytes(name).is_err()
+                        || name.trim_ascii() != name =>
+                {
                     outcome.team.is_some_and(|header| header.starts_with(b"UTF-8''"))
                 }
                 team => outcome.team.as_deref() == team,
--- a/crates/state/tables/src/builder/routing.rs
+++ b/crates/state/tables/src/builder/routing.rs
@@ -17,7 +17,6 @@
 const MAX_DEADLINE_MS: u64 = 600_000;
 const MAX_BODY_BYTES: u64 = 1 << 30;
 const MAX_ATTEMPTS: u32 = 16;
-const MAX_WEIGHT: u32 = 1_000_000;
 const MAX_COLD_MS: u64 = 3_600_000;
 const MIN_COLD_RATE: f64 = 0.001;
 const MAX_COLD_RATE: f64 = 1_000_000.0;
@@ -221,8 +220,8 @@
         return Vec::new();
     }
     let scale = |weight: u32| {
-        let scaled = u64::from(weight) * u64::from(MAX_WEIGHT) / u64::from(largest);
-        u32::try_from(scaled).unwrap_or(MAX_WEIGHT).max(weight.min(1))
+        let scaled = u64::from(weight) * u64::from(document::MAX_WEIGHT) / u64::from(largest);
+        u32::try_from(scaled).unwrap_or(document::MAX_WEIGHT).max(weight.min(1))
     };
     row.weights.iter().map(|weight| scale(*weight)).collect()
 }
@@ -237,8 +236,9 @@
     }
     row.weights
         .iter()
-        .try_for_each(|weight| fault::check_range(*weight, 0, MAX_WEIGHT).map(drop))?;
-    fault::check_range(row.weights.iter().copied().max().unwrap_or(0), 1, MAX_WEIGHT).map(drop)
+        .try_for_each(|weight| fault::check_range(*weight, 0, document::MAX_WEIGHT).map(drop))?;
+    fault::check_range(row.weights.iter().copied().max().unwrap_or(0), 1, document::MAX_WEIGHT)
+        .map(drop)
 }
 
 fn check_route_limit(
--- a/crates/state/tables/src/document.rs
+++ b/crates/state/tables/src/document.rs
@@ -291,6 +291,8 @@
     pub site: Arc<str>,
 }
 
+/// Largest of [`RouteDocument::weights`].
+pub const MAX_WEIGHT: u32 = 1_000_000;
 /// Length up to which a key names its team.
 const MAX_REFERENCE_BYTES: usize = 63;
 /// First character of a reference by position.
