--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -373,7 +374,7 @@
             answer = await asyncio.wait_for(fetch(self.readiness, "GET", "/-/ready", {}), 1)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return False
-        return answer.status == 200
+        return answer is not None and answer.status == 200
 
 
 class Answer:
@@ -509,13 +510,23 @@
     return re.sub(r"\{\{([\w.]+)\}\}", lambda match: value(match[1], fields), text)
 
 
+TAKEN_PORTS = set()
+
+
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Returns free ports below those that the system gives to outgoing connections, each once."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12_000, 30_000)
+        if port in TAKEN_PORTS:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        TAKEN_PORTS.add(port)
+        ports.append(port)
     return ports
 
 
