--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -260,6 +260,34 @@
         if back_after_s is not None:
             loop.call_later(back_after_s, lambda: self.rig.spawn(self.start()))
 
+    def fall_silent(self, back_after_s):
+        """Ends as a machine without power does: open connections hang and new ones get no answer,
+        since the accept queue is full and the system drops their opening packets."""
+        self.is_up = False
+        self.rig.record.line(f"server {self.label} ends and is silent")
+        self.beat.cancel()
+        loop, name = asyncio.get_running_loop(), self.id
+        queue = socket.socket(fileno=os.dup(self.listener.sockets[0].fileno()))
+        loop.remove_reader(self.listener.sockets[0].fileno())
+        queue.listen(0)
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+        old = list(self.writers)
+
+        async def come_back():
+            await asyncio.sleep(back_after_s)
+            self.listener.close()
+            for each in (queue, *fillers):
+                each.close()
+            for writer in old:
+                writer.transport.abort()
+            await self.start()
+
+        loop.call_later(3 * HEARTBEAT_S, self.rig.store.delete, "servers", name)
+        self.rig.spawn(come_back())
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
