--- a/review/11/case.py
+++ b/review/11/case.py
@@ -38,6 +38,8 @@
                 answers += 1
                 named = [names[address] for address in json.loads(answer.body)["addresses"]]
                 dead = [n.name for n in named if trouble and n in lost]
+                rig.record.line(f"client in {zone} asks {instance.name}, {at:.2f} s after the loss, gets "
+                                f"{answer.status}: {' '.join(n.name for n in named)}")
                 if dead and len(dead) < len(named):
                     rig.record.line(f"{instance.name} names for {zone}, {at:.2f} s after the loss,"
                                     f" lost machines beside a running one: {' '.join(dead)}")
--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -35,6 +35,7 @@
     "ttl_max_s": 5, "maxShift": 0.15,
 }
 HEARTBEAT_S = 1.5
+COLD_START_S = 3.0
 HOST = "cubo38.example"
 
 
@@ -240,7 +241,10 @@
                          "slots": self.slots}}
         while True:
             self.sequence += 1
-            status = {"state": state, "sequence": self.sequence, "coldRemainingS": 0.0}
+            # A server that starts during traffic is cold for a time; it says so with each heartbeat.
+            is_late = self.boots > 1
+            left_s = max(0.0, COLD_START_S - (time.time() - self.born / 1000)) if is_late else 0.0
+            status = {"state": state, "sequence": self.sequence, "coldRemainingS": round(left_s, 3)}
             self.rig.store.put("servers", name, spec, status)
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -507,7 +511,7 @@
 
 def service(name):
     spec = {"healthPath": "/health", "maxConnections": 330, "protocol": "h1", "tls": False,
-            "coldStartS": 3.0, "coldPerS": 7.1}
+            "coldStartS": COLD_START_S, "coldPerS": 7.1}
     return {"resourceKind": "services", "metadata": {"name": name}, "spec": spec}
 
 
@@ -558,8 +562,17 @@
     return ports
 
 
+BROKEN, COULD_NOT_RUN = 10, 2
+
+
 def main(folder, script):
-    """Runs `script(rig, trouble)`, which returns the reason why the rule is broken, or None."""
+    """Runs `script(rig, trouble)`, which returns the reason why the rule is broken, or None.
+
+    Returns BROKEN, which run.sh turns into 1, only for a verdict of the script: the interpreter
+    itself ends with 1 for an error of the script.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(COULD_NOT_RUN))
     rig = None
     try:
         rig = Rig(folder)
@@ -568,7 +581,6 @@
         async def run():
             # Tasks that end with the loop are not worth a message.
             asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-            signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
             try:
                 return await asyncio.wait_for(script(rig, trouble), 112)
             finally:
@@ -578,10 +590,10 @@
         reason = asyncio.run(run())
         rig.record.line(f"verdict: {'broken: ' + reason if reason else 'the rule held'}")
         print(f"broken: {reason}" if reason else "held")
-        return 1 if reason else 0
-    except (CannotRun, OSError, TimeoutError) as error:
+        return BROKEN if reason else 0
+    except Exception as error:
         print(f"could not run: {error!r}", file=sys.stderr)
-        return 2
+        return COULD_NOT_RUN
     finally:
         if rig is not None:
             if os.environ.get("KEEP"):
